--- /dev/null
+++ b/src/tamarackshelf/cli/__init__.py
@@ -0,0 +1,3 @@
+"""Command lines of the programs."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/tamarackshelf/cli/controller.py
@@ -0,0 +1,91 @@
+"""Command line of tamarackshelf-controller."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from tamarackshelf.cli import settings as s
+from tamarackshelf.cli.program import parse_command, run_program, wall_ms
+from tamarackshelf.controller import Controller, ControllerSettings
+from tamarackshelf.controller.reconciler import RollSettings
+from tamarackshelf.net import HttpClient
+from tamarackshelf.observe import Timeline
+
+WAVE_SHARE = s.Setting("wave_share", s.parse_positive, "0.5")
+SETTINGS = (
+    s.VM,
+    s.DATA_CENTRE,
+    s.LISTEN,
+    s.GOSSIP,
+    s.TABLE,
+    s.VM_LIST,
+    s.SECRET,
+    WAVE_SHARE,
+    s.LOG_FORMAT,
+    s.SEED,
+)
+
+
+def controller(
+    vm: str | None = None,
+    data_centre: str | None = None,
+    listen: str | None = None,
+    gossip: str | None = None,
+    table: str | None = None,
+    vm_list: str | None = None,
+    wave_share: float | None = None,
+    log_format: str | None = None,
+    seed: int | None = None,
+    check: bool = False,
+) -> Callable[[], None]:
+    """Keeps membership, configuration, leases and weights on an entry VM.
+
+    Each flag can be set by an environment variable, such as TAMARACKSHELF_VM.
+    The fleet's secret is read from TAMARACKSHELF_SECRET only.
+
+    Args:
+        vm: name of this VM.
+        data_centre: name of this VM's data centre.
+        listen: ip:port for this VM's programs and other controllers.
+        gossip: ip:port for gossip datagrams.
+        table: ip:port of the platform's table service.
+        vm_list: ip:port of the platform's list of VMs.
+        wave_share: part of a service's engines that swap weights at once.
+        log_format: text or json.
+        seed: seed of random choices.
+        check: only checks the settings.
+    """
+    values = s.require_settings(SETTINGS, locals())
+    timeline = Timeline(f"controller@{values['vm']}", wall_ms)
+    controller_settings = ControllerSettings(
+        vm=values["vm"],
+        data_centre=values["data_centre"],
+        listen=values["listen"],
+        gossip=values["gossip"],
+        table=values["table"],
+        vm_list=values["vm_list"],
+        secret=values["secret"],
+        seed=values["seed"],
+        roll=RollSettings(wave_share=values["wave_share"]),
+    )
+
+    def run() -> None:
+        if check:
+            print("settings are valid")
+            return
+        run_program(
+            lambda: Controller(controller_settings, HttpClient(), timeline),
+            timeline,
+            values["log_format"],
+        )
+
+    return run
+
+
+def main() -> None:
+    """Runs the program."""
+    parse_command(controller, "tamarackshelf-controller")()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/tamarackshelf/cli/explain.py
@@ -0,0 +1,68 @@
+"""Tells in sentences what the merged time line says of one subject."""
+
+from __future__ import annotations
+
+from datetime import UTC, datetime
+
+from tamarackshelf.observe import Event, EventPage, merge_pages
+
+SENTENCES = {
+    "request_dispatched": "{subject} was sent to {target}, because of {reason}",
+    "request_retried": "{subject} was tried again: {reason}",
+    "request_suspected": "{subject} became a suspect: {reason} ({target})",
+    "sample_produced": "sample {subject} was produced on version {version}",
+    "sample_restarted": "sample {subject} was started again: {reason}",
+    "sample_too_old": "sample {subject} was not delivered: {reason}",
+    "samples_handed_over": "{subject} handed slots {slots} to pull {pull}",
+    "order_sent": "{subject} was ordered to load, because {reason}",
+    "order_done": "{subject} serves {model} version {version}",
+    "order_failed": "{subject} failed its order: {reason}",
+    "lease_taken": "the lease {subject} was taken: {reason}",
+    "target_crashed": "{subject} was found crashed",
+    "target_leaving": "{subject} said that it is leaving",
+    "member_suspect": "{subject} is suspected to be dead",
+    "member_dead": "{subject} is held for dead",
+    "member_alive": "{subject} is alive again",
+}
+
+
+class _Blank(dict[str, str]):
+    """Fills fields that an event lacks."""
+
+    def __missing__(self, key: str) -> str:
+        return "?"
+
+
+def explain_subject(
+    kind: str, name: str, pages: list[EventPage], silent: list[str]
+) -> list[str]:
+    """Returns what happened in order, and what can't be known."""
+    events = [event for event in merge_pages(pages) if _concerns(event, name)]
+    lines = [f"{kind} {name}: {len(events)} events in {len(pages)} processes"]
+    lines += [_format(event) for event in events]
+    lines += [f"gap: {process} does not answer" for process in silent]
+    for page in pages:
+        if page.dropped:
+            lines.append(f"gap: {page.process} has overwritten {page.dropped} events")
+    return lines
+
+
+def _concerns(event: Event, name: str) -> bool:
+    is_part = event.subject.startswith((f"{name}.", f"{name}/"))
+    return event.subject == name or is_part or name in event.fields.values()
+
+
+def _format(event: Event) -> str:
+    at = datetime.fromtimestamp(event.at_ms / 1000, UTC)
+    values = _Blank(subject=event.subject, reason=event.reason, **event.fields)
+    pattern = SENTENCES.get(event.kind)
+    if pattern is None:
+        reason = f": {event.reason}" if event.reason else ""
+        text = f"{event.kind.replace('_', ' ')} {event.subject}{reason}"
+    else:
+        text = pattern.format_map(values)
+    stamp = at.strftime("%H:%M:%S.%f")[:-3]
+    return f"{stamp} {event.process}: {text}"
+
+
+__all__ = ["explain_subject"]
--- /dev/null
+++ b/src/tamarackshelf/cli/gateway.py
@@ -0,0 +1,95 @@
+"""Command line of tamarackshelf-gateway."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from tamarackshelf.cli import settings as s
+from tamarackshelf.cli.program import parse_command, run_program, wall_ms
+from tamarackshelf.gateway import Gateway, GatewaySettings
+from tamarackshelf.net import HttpClient
+from tamarackshelf.observe import Timeline
+from tamarackshelf.policy.entries import VALID_FOR_S
+
+VALID_FOR = s.Setting("valid_for_s", s.parse_positive, str(VALID_FOR_S))
+SETTINGS = (
+    s.VM,
+    s.DATA_CENTRE,
+    s.LISTEN,
+    s.PEER_LISTEN,
+    s.CONTROLLER,
+    s.TABLE,
+    s.SECRET,
+    s.OPERATOR_DIGEST,
+    VALID_FOR,
+    s.LOG_FORMAT,
+    s.SEED,
+)
+
+
+def gateway(
+    vm: str | None = None,
+    data_centre: str | None = None,
+    listen: str | None = None,
+    peer_listen: str | None = None,
+    controller: str | None = None,
+    table: str | None = None,
+    operator_digest: str | None = None,
+    valid_for_s: float | None = None,
+    log_format: str | None = None,
+    seed: int | None = None,
+    check: bool = False,
+) -> Callable[[], None]:
+    """Serves callers, trainers and operators on an entry VM.
+
+    Each flag can be set by an environment variable, such as TAMARACKSHELF_VM.
+    The fleet's secret is read from TAMARACKSHELF_SECRET only.
+
+    Args:
+        vm: name of this VM.
+        data_centre: name of this VM's data centre.
+        listen: ip:port for callers.
+        peer_listen: ip:port for other gateways and runners.
+        controller: ip:port of this VM's controller.
+        table: ip:port of the platform's table service.
+        operator_digest: SHA-256 of a first operator's token.
+        valid_for_s: how long callers may keep an entry answer.
+        log_format: text or json.
+        seed: seed of random choices.
+        check: only checks the settings.
+    """
+    values = s.require_settings(SETTINGS, locals())
+    timeline = Timeline(f"gateway@{values['vm']}", wall_ms)
+    gateway_settings = GatewaySettings(
+        vm=values["vm"],
+        data_centre=values["data_centre"],
+        listen=values["listen"],
+        peer_listen=values["peer_listen"],
+        controller=values["controller"],
+        table=values["table"],
+        secret=values["secret"],
+        operator_digest=values["operator_digest"],
+        valid_for_s=values["valid_for_s"],
+        seed=values["seed"],
+    )
+
+    def run() -> None:
+        if check:
+            print("settings are valid")
+            return
+        run_program(
+            lambda: Gateway(gateway_settings, HttpClient(), timeline),
+            timeline,
+            values["log_format"],
+        )
+
+    return run
+
+
+def main() -> None:
+    """Runs the program."""
+    parse_command(gateway, "tamarackshelf-gateway")()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/tamarackshelf/cli/program.py
@@ -0,0 +1,84 @@
+"""Starts a program, waits for SIGTERM and stops it gracefully."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+import time
+from collections.abc import Callable
+from typing import Any, Protocol, TypeVar
+
+import fire
+
+from tamarackshelf.observe import Timeline, set_up_logs
+
+EXIT_STOPPED_AT_ONCE = 3
+EXIT_CANNOT_START = 4
+
+T = TypeVar("T")
+
+
+class Program(Protocol):
+    """What every program of an entry VM can do."""
+
+    async def start(self) -> None:
+        """Starts to serve."""
+
+    async def drain(self) -> None:
+        """Prepares a planned stop while still serving."""
+
+    async def close(self) -> None:
+        """Finishes what is in flight and closes."""
+
+
+def parse_command(command: Callable[..., T], name: str) -> T:
+    """Reads the command line; exits before anything starts when it is faulty.
+
+    `command` returns what is to be started. Fire calls it before it looks at
+    left-over flags, so it must not start anything itself.
+    """
+    result: Any = fire.Fire(command, name=name, serialize=lambda _: None)
+    if result is None:
+        sys.exit(0)
+    parsed: T = result
+    return parsed
+
+
+def run_program(build: Callable[[], Program], timeline: Timeline, fmt: str) -> None:
+    """Runs a program until SIGTERM or SIGINT."""
+    set_up_logs(fmt)
+    asyncio.run(_run(build, timeline))
+
+
+def wall_ms() -> int:
+    """Returns the wall clock in milliseconds."""
+    return time.time_ns() // 1_000_000
+
+
+async def _run(build: Callable[[], Program], timeline: Timeline) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, _stop_or_exit, stop)
+    program = build()
+    try:
+        await program.start()
+    except OSError as error:
+        print(f"cannot listen: {error}; choose a free address", file=sys.stderr)
+        sys.exit(EXIT_CANNOT_START)
+    timeline.record("program_started", str(os.getpid()))
+    await stop.wait()
+    await program.drain()
+    await program.close()
+    timeline.record("program_stopped", str(os.getpid()), "planned stop")
+
+
+def _stop_or_exit(stop: asyncio.Event) -> None:
+    if stop.is_set():
+        os._exit(EXIT_STOPPED_AT_ONCE)
+    stop.set()
+
+
+__all__ = ["Program", "parse_command", "run_program", "wall_ms"]
--- /dev/null
+++ b/src/tamarackshelf/cli/runner.py
@@ -0,0 +1,85 @@
+"""Command line of tamarackshelf-runner."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from tamarackshelf.cli import settings as s
+from tamarackshelf.cli.program import parse_command, run_program, wall_ms
+from tamarackshelf.net import HttpClient
+from tamarackshelf.observe import Timeline
+from tamarackshelf.runner import Runner, RunnerSettings
+
+SETTINGS = (
+    s.VM,
+    s.DATA_CENTRE,
+    s.LISTEN,
+    s.PEER_LISTEN,
+    s.CONTROLLER,
+    s.TABLE,
+    s.SECRET,
+    s.LOG_FORMAT,
+    s.SEED,
+)
+
+
+def runner(
+    vm: str | None = None,
+    data_centre: str | None = None,
+    listen: str | None = None,
+    peer_listen: str | None = None,
+    controller: str | None = None,
+    table: str | None = None,
+    log_format: str | None = None,
+    seed: int | None = None,
+    check: bool = False,
+) -> Callable[[], None]:
+    """Produces the samples of campaigns on an entry VM.
+
+    Each flag can be set by an environment variable, such as TAMARACKSHELF_VM.
+    The fleet's secret is read from TAMARACKSHELF_SECRET only.
+
+    Args:
+        vm: name of this VM.
+        data_centre: name of this VM's data centre.
+        listen: ip:port for health, metrics and the time line.
+        peer_listen: ip:port for gateways and other runners.
+        controller: ip:port of this VM's controller.
+        table: ip:port of the platform's table service.
+        log_format: text or json.
+        seed: seed of random choices.
+        check: only checks the settings.
+    """
+    values = s.require_settings(SETTINGS, locals())
+    timeline = Timeline(f"runner@{values['vm']}", wall_ms)
+    runner_settings = RunnerSettings(
+        vm=values["vm"],
+        data_centre=values["data_centre"],
+        listen=values["listen"],
+        peer_listen=values["peer_listen"],
+        controller=values["controller"],
+        table=values["table"],
+        secret=values["secret"],
+        seed=values["seed"],
+    )
+
+    def run() -> None:
+        if check:
+            print("settings are valid")
+            return
+        run_program(
+            lambda: Runner(runner_settings, HttpClient(), timeline),
+            timeline,
+            values["log_format"],
+        )
+
+    return run
+
+
+def main() -> None:
+    """Runs the program."""
+    parse_command(runner, "tamarackshelf-runner")()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/tamarackshelf/cli/standin.py
@@ -0,0 +1,75 @@
+"""Command line of tamarackshelf-standin."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+
+import msgspec
+
+from tamarackshelf.cli import settings as s
+from tamarackshelf.cli.program import parse_command, run_program, wall_ms
+from tamarackshelf.observe import Timeline
+from tamarackshelf.standin.scene import Scene, SceneSettings
+
+
+def parse_scene(text: str) -> SceneSettings:
+    """Reads a scene from a JSON file."""
+    try:
+        return msgspec.json.decode(Path(text).read_bytes(), type=SceneSettings)
+    except (OSError, msgspec.DecodeError) as error:
+        raise ValueError(str(error)) from error
+
+
+SETTINGS = (s.Setting("scene", parse_scene), s.LOG_FORMAT)
+
+
+class StandinProgram:
+    """Runs a scene as a program."""
+
+    def __init__(self, settings: SceneSettings) -> None:
+        self._scene = Scene(settings)
+
+    async def start(self) -> None:
+        """Starts the stand-ins."""
+        await self._scene.start()
+
+    async def drain(self) -> None:
+        """Has nothing to prepare."""
+
+    async def close(self) -> None:
+        """Stops the stand-ins."""
+        await self._scene.close()
+
+
+def standin(
+    scene: str | None = None, log_format: str | None = None, check: bool = False
+) -> Callable[[], None]:
+    """Runs stand-ins for the platform and for targets, for trials only.
+
+    Args:
+        scene: JSON file that names the stand-ins and their addresses.
+        log_format: text or json.
+        check: only checks the settings.
+    """
+    values = s.require_settings(SETTINGS, locals())
+    timeline = Timeline("standin", wall_ms)
+
+    def run() -> None:
+        if check:
+            print("settings are valid")
+            return
+        run_program(
+            lambda: StandinProgram(values["scene"]), timeline, values["log_format"]
+        )
+
+    return run
+
+
+def main() -> None:
+    """Runs the program."""
+    parse_command(standin, "tamarackshelf-standin")()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/tamarackshelf/contracts/__init__.py
@@ -0,0 +1,57 @@
+"""Typed contracts with targets and the platform."""
+
+from __future__ import annotations
+
+from tamarackshelf.contracts.calls import RefusedByTarget, TargetFault, call_json
+from tamarackshelf.contracts.engine import (
+    CacheEvent,
+    Chunk,
+    End,
+    EngineState,
+    GenerateRequest,
+    KvHandle,
+    Load,
+    Order,
+    OrderFenced,
+    OrderKind,
+    StreamLine,
+)
+from tamarackshelf.contracts.platform import Score, ScoreRequest, WeightEntry
+from tamarackshelf.contracts.table import (
+    ABSENT,
+    Batch,
+    Condition,
+    ReadRequest,
+    Row,
+    Transaction,
+    TransactionResult,
+    Write,
+)
+
+__all__ = [
+    "ABSENT",
+    "Batch",
+    "CacheEvent",
+    "Chunk",
+    "Condition",
+    "End",
+    "EngineState",
+    "GenerateRequest",
+    "KvHandle",
+    "Load",
+    "Order",
+    "OrderFenced",
+    "OrderKind",
+    "ReadRequest",
+    "RefusedByTarget",
+    "Row",
+    "Score",
+    "ScoreRequest",
+    "StreamLine",
+    "TargetFault",
+    "Transaction",
+    "TransactionResult",
+    "WeightEntry",
+    "Write",
+    "call_json",
+]
--- /dev/null
+++ b/src/tamarackshelf/controller/__init__.py
@@ -0,0 +1,7 @@
+"""Controller: membership, configuration, leases, orders and repair."""
+
+from __future__ import annotations
+
+from tamarackshelf.controller.program import Controller, ControllerSettings
+
+__all__ = ["Controller", "ControllerSettings"]
--- /dev/null
+++ b/src/tamarackshelf/controller/api.py
@@ -0,0 +1,167 @@
+"""HTTP interface of the controller for its VM's programs and its peers."""
+
+from __future__ import annotations
+
+import asyncio
+import hmac
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from tamarackshelf.controller.configuration_watch import ConfigurationWatch, Heads
+from tamarackshelf.controller.fleet import Fleet
+from tamarackshelf.controller.fleet_view import (
+    PUBLISHED_PREFIX,
+    TargetRank,
+    build_target_rumour,
+)
+from tamarackshelf.controller.gossip_task import GossipTask
+from tamarackshelf.errors import BadRequest, NotFound, Unauthorised
+from tamarackshelf.net import Request, Response, to_json_response
+from tamarackshelf.observe import Metrics, Timeline
+from tamarackshelf.peers import Report, ReportKind, Role, ViewAnswer
+from tamarackshelf.policy.rumours import Rumour
+
+ROLE_TIMEOUT_S = 4.0
+LONGEST_WAIT_S = 10.0
+
+
+@dataclass(slots=True)
+class RolePresence:
+    """When each program of this VM was last heard."""
+
+    heard_at_s: dict[Role, float] = field(default_factory=dict)
+    waiting: dict[Role, int] = field(default_factory=dict)
+    leaving: set[Role] = field(default_factory=set)
+
+    def present(self, now_s: float) -> set[Role]:
+        """Returns the programs that run and do not leave."""
+        return {
+            role
+            for role, at_s in self.heard_at_s.items()
+            if now_s - at_s < ROLE_TIMEOUT_S and role not in self.leaving
+        }
+
+
+class ControllerApi:
+    """Serves the view, reports and the exchange with peers."""
+
+    def __init__(
+        self,
+        secret: str,
+        fleet: Fleet,
+        gossip: GossipTask,
+        watch: ConfigurationWatch,
+        timeline: Timeline,
+        metrics: Metrics,
+    ) -> None:
+        self.presence = RolePresence()
+        self._secret = secret
+        self._fleet = fleet
+        self._gossip = gossip
+        self._watch = watch
+        self._timeline = timeline
+        self._metrics = metrics
+        self._routes: dict[str, Callable[[Request], Awaitable[Response]]] = {
+            "/v1/view": self._get_view,
+            "/v1/reports": self._take_report,
+            "/v1/sync": self._sync,
+            "/v1/heads": self._get_heads,
+            "/v1/configuration": self._get_configuration,
+            "/v1/timeline": self._get_timeline,
+            "/metrics": self._get_metrics,
+        }
+
+    async def handle(self, request: Request) -> Response:
+        """Answers one request."""
+        if request.path == "/healthz":
+            return to_json_response({"ok": True})
+        if request.path == "/readyz":
+            status = 200 if self._fleet.ready else 503
+            return to_json_response({"ready": self._fleet.ready}, status)
+        sent = request.headers.get("x-fleet-secret", "")
+        if not hmac.compare_digest(sent.encode(), self._secret.encode()):
+            raise Unauthorised(
+                "the fleet secret is wrong; set the same one on all processes"
+            )
+        route = self._routes.get(request.path)
+        if route is None:
+            raise NotFound("no such path; see docs/reference/controller.md")
+        return await route(request)
+
+    async def _get_view(self, request: Request) -> Response:
+        role = request.parameter("role")
+        if role:
+            self._note_role(Role(role))
+        after = int(request.parameter("after", "0"))
+        wait_s = min(LONGEST_WAIT_S, float(request.parameter("wait_s", "0")))
+        view = await self._fleet.wait_change(after, wait_s)
+        return to_json_response(ViewAnswer(view))
+
+    def _note_role(self, role: Role) -> None:
+        self.presence.heard_at_s[role] = _now_s()
+        self.presence.leaving.discard(role)
+        self.update_flags()
+
+    def update_flags(self) -> None:
+        """Tells the others which programs run on this VM."""
+        present = self.presence.present(_now_s())
+        self._gossip.membership.set_flags(role.value for role in present)
+        self._fleet.refresh()
+
+    async def _take_report(self, request: Request) -> Response:
+        report = request.decode(Report)
+        self._timeline.record(
+            "report_taken", report.subject, report.kind.value, version=report.version
+        )
+        if report.kind is ReportKind.TARGET_LEAVING:
+            rank = TargetRank.LEAVING
+            self._gossip.publish(
+                build_target_rumour(report.subject, report.version, rank)
+            )
+        elif report.kind is ReportKind.TARGET_CRASHED:
+            rank = TargetRank.CRASHED
+            self._gossip.publish(
+                build_target_rumour(report.subject, report.version, rank)
+            )
+        elif report.kind is ReportKind.ROLE_LEAVING:
+            self.presence.leaving.add(Role(report.subject))
+            self.update_flags()
+        elif report.kind is ReportKind.PUBLISHED:
+            subject = PUBLISHED_PREFIX + report.subject
+            self._gossip.publish(Rumour(subject, report.version))
+        elif report.kind is ReportKind.ACCEPTED:
+            pushed = await self._watch.push_head(report.version)
+            return to_json_response({"pushed": pushed})
+        return to_json_response({})
+
+    async def _sync(self, request: Request) -> Response:
+        theirs = request.decode(tuple[Rumour, ...])
+        own = self._gossip.membership.rumours.all()
+        self._gossip.take_all(theirs)
+        return to_json_response(own)
+
+    async def _get_heads(self, request: Request) -> Response:
+        del request
+        revision = self._fleet.configuration.revision
+        return to_json_response(Heads(revision, self._fleet.ready))
+
+    async def _get_configuration(self, request: Request) -> Response:
+        del request
+        if self._fleet.configuration.revision == 0:
+            raise BadRequest("no configuration was accepted yet; accept one first")
+        return to_json_response(self._fleet.configuration)
+
+    async def _get_timeline(self, request: Request) -> Response:
+        del request
+        return to_json_response(self._timeline.page())
+
+    async def _get_metrics(self, request: Request) -> Response:
+        del request
+        return Response(200, self._metrics.render(), "text/plain; version=0.0.4")
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+__all__ = ["ControllerApi", "RolePresence"]
--- /dev/null
+++ b/src/tamarackshelf/controller/configuration_watch.py
@@ -0,0 +1,192 @@
+"""Keeps the newest accepted configuration, from the table or from peers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from dataclasses import dataclass
+from random import Random
+
+from tamarackshelf.contracts import call_json
+from tamarackshelf.controller.fleet import Fleet
+from tamarackshelf.controller.fleet_view import HEAD_SUBJECT
+from tamarackshelf.controller.gossip_task import GossipTask
+from tamarackshelf.errors import StoreUnavailable
+from tamarackshelf.net import HttpClient
+from tamarackshelf.observe import Timeline
+from tamarackshelf.peers.view_watch import CALL_ERRORS
+from tamarackshelf.policy.rumours import Rumour
+from tamarackshelf.state.configuration import read_body, read_head
+from tamarackshelf.state.published import read_published
+from tamarackshelf.state.table_client import TableClient
+from tamarackshelf.world import Configuration, EntryVm
+
+POLL_S = 2.0
+PEER_TIMEOUT_S = 1.0
+PEERS_PER_PUSH = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Heads:
+    """The revision that a controller has in force."""
+
+    revision: int
+    ready: bool
+
+
+class ConfigurationWatch:
+    """Polls the head row and follows the heads that gossip names."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        gossip: GossipTask,
+        table: TableClient,
+        peers: HttpClient,
+        timeline: Timeline,
+        rng: Random,
+    ) -> None:
+        self._fleet = fleet
+        self._gossip = gossip
+        self._table = table
+        self._peers = peers
+        self._timeline = timeline
+        self._rng = rng
+        self._wake = asyncio.Event()
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Starts to follow."""
+        self._gossip.on_change(self._notice_rumour)
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def close(self) -> None:
+        """Stops to follow."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def apply(self, configuration: Configuration, source: str) -> bool:
+        """Puts a revision in force unless a higher one is."""
+        if configuration.revision <= self._fleet.configuration.revision:
+            return False
+        self._fleet.configuration = configuration
+        revision = configuration.revision
+        self._timeline.record("configuration_applied", str(revision), source)
+        self._gossip.publish(Rumour(HEAD_SUBJECT, revision))
+        self._fleet.refresh()
+        return True
+
+    async def push_head(self, revision: int) -> int:
+        """Names a committed revision to peers; returns how many took it."""
+        self._gossip.publish(Rumour(HEAD_SUBJECT, revision))
+        self._wake.set()
+        peers = self._other_entries()
+        chosen = self._rng.sample(peers, min(PEERS_PER_PUSH, len(peers)))
+        calls = [self._push_to(entry, revision) for entry in chosen]
+        return sum(await asyncio.gather(*calls))
+
+    async def _push_to(self, entry: EntryVm, revision: int) -> bool:
+        rumours = (Rumour(HEAD_SUBJECT, revision),)
+        try:
+            await call_json(
+                self._peers,
+                entry.controller,
+                "POST",
+                "/v1/sync",
+                tuple[Rumour, ...],
+                rumours,
+                PEER_TIMEOUT_S,
+            )
+        except CALL_ERRORS:
+            return False
+        return True
+
+    def _notice_rumour(self) -> None:
+        rumour = self._gossip.membership.rumours.get(HEAD_SUBJECT)
+        if rumour is not None and rumour.version > self._fleet.configuration.revision:
+            self._wake.set()
+        self._fleet.refresh()
+
+    async def _run(self) -> None:
+        while True:
+            await self._catch_up()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(POLL_S):
+                    await self._wake.wait()
+            self._wake.clear()
+
+    async def _catch_up(self) -> None:
+        try:
+            await self._read_table()
+        except StoreUnavailable:
+            await self._ask_peers()
+
+    async def _read_table(self) -> None:
+        head = await read_head(self._table)
+        current = self._fleet.configuration.revision
+        if head is not None and head.revision > current:
+            body = await read_body(self._table, head.revision)
+            if body is not None:
+                self.apply(body, "read from the table")
+        self._fleet.published = await read_published(self._table)
+        self._set_ready(head is not None, "the table answered")
+        self._fleet.refresh()
+
+    async def _ask_peers(self) -> None:
+        """Takes the highest revision of the peers.
+
+        While this node is not ready, more than half of the listed entries must
+        answer, so that one stale peer cannot take the fleet's revision back.
+        """
+        peers = self._other_entries()
+        answers = await asyncio.gather(*(self._read_heads(peer) for peer in peers))
+        known = [(h.revision, p) for h, p in zip(answers, peers, strict=True) if h]
+        if not known:
+            return
+        revision, peer = max(known, key=lambda pair: pair[0])
+        if revision > self._fleet.configuration.revision:
+            await self._fetch_from(peer, revision)
+        heard = len(known) + 1
+        if 2 * heard > len(peers) + 1 and self._fleet.configuration.revision > 0:
+            self._set_ready(True, f"{len(known)} of {len(peers)} peers answered")
+        self._fleet.refresh()
+
+    async def _read_heads(self, entry: EntryVm) -> Heads | None:
+        try:
+            return await call_json(
+                self._peers,
+                entry.controller,
+                "GET",
+                "/v1/heads",
+                Heads,
+                timeout_s=PEER_TIMEOUT_S,
+            )
+        except CALL_ERRORS:
+            return None
+
+    async def _fetch_from(self, entry: EntryVm, revision: int) -> None:
+        with contextlib.suppress(*CALL_ERRORS):
+            body = await call_json(
+                self._peers,
+                entry.controller,
+                "GET",
+                "/v1/configuration",
+                Configuration,
+                timeout_s=PEER_TIMEOUT_S,
+            )
+            if body.revision >= revision:
+                self.apply(body, f"read from {entry.name}")
+
+    def _other_entries(self) -> list[EntryVm]:
+        own = self._gossip.membership.name
+        entries = self._fleet.entries
+        return [entries[name] for name in sorted(entries) if name != own]
+
+    def _set_ready(self, ready: bool, reason: str) -> None:
+        if ready and not self._fleet.ready:
+            self._fleet.ready = True
+            self._timeline.record("ready", self._gossip.membership.name, reason)
+
+
+__all__ = ["ConfigurationWatch", "Heads"]
--- /dev/null
+++ b/src/tamarackshelf/controller/fleet.py
@@ -0,0 +1,68 @@
+"""The controller's knowledge of the fleet and those who wait for changes."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tamarackshelf.controller.fleet_view import FleetFacts, build_view
+from tamarackshelf.peers import View
+from tamarackshelf.policy.membership import Membership
+from tamarackshelf.policy.rumours import Rumour
+from tamarackshelf.world import Configuration, EntryVm, Target, VmRow
+
+
+class Fleet:
+    """Holds the facts and builds a new view at each change."""
+
+    def __init__(self, membership: Membership) -> None:
+        self.configuration = Configuration()
+        self.rows: tuple[VmRow, ...] = ()
+        self.published: dict[str, int] = {}
+        self.ready = False
+        self.view = View()
+        self._membership = membership
+        self._changed = asyncio.Event()
+
+    @property
+    def entries(self) -> dict[str, EntryVm]:
+        """Returns the listed entry VMs by name."""
+        return {row.entry.name: row.entry for row in self.rows if row.entry is not None}
+
+    @property
+    def targets(self) -> list[Target]:
+        """Returns the listed targets."""
+        return [row.target for row in self.rows if row.target is not None]
+
+    def find_rumour(self, subject: str) -> Rumour | None:
+        """Returns what gossip says of a subject."""
+        return self._membership.rumours.get(subject)
+
+    def refresh(self) -> None:
+        """Builds the view again and wakes those who wait for a change."""
+        facts = FleetFacts(
+            configuration=self.configuration,
+            rows=self.rows,
+            members=tuple(self._membership.views()),
+            published=self.published,
+        )
+        number = self.view.number
+        view = build_view(number, self.ready, facts, self._membership.rumours)
+        if view == self.view:
+            return
+        self.view = build_view(number + 1, self.ready, facts, self._membership.rumours)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def wait_change(self, after: int, timeout_s: float) -> View | None:
+        """Returns the first view later than `after`, or None at the timeout."""
+        if self.view.number != after:
+            return self.view
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._changed.wait()
+        except TimeoutError:
+            return None
+        return self.view
+
+
+__all__ = ["Fleet"]
--- /dev/null
+++ b/src/tamarackshelf/controller/fleet_view.py
@@ -0,0 +1,135 @@
+"""Builds the view of the fleet from the list, the gossip and the table."""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from tamarackshelf.peers import (
+    EntryStatus,
+    EntryView,
+    Role,
+    TargetStatus,
+    TargetView,
+    View,
+)
+from tamarackshelf.policy.membership import MemberStatus, MemberView
+from tamarackshelf.policy.rumours import Rumour, RumourMap
+from tamarackshelf.world import Configuration, EntryVm, Target, VmRow, VmState
+
+TARGET_PREFIX = "target:"
+SERVICE_PREFIX = "service:"
+PUBLISHED_PREFIX = "published:"
+HEAD_SUBJECT = "head:configuration"
+TARGET_RANKS = 4
+
+
+class TargetRank(enum.IntEnum):
+    """What gossip says of one incarnation of a target; higher values stick."""
+
+    LIVE = 0
+    LEAVING = 1
+    CRASHED = 2
+
+
+@dataclass(frozen=True, slots=True)
+class FleetFacts:
+    """Everything that a view is made of."""
+
+    configuration: Configuration
+    rows: tuple[VmRow, ...]
+    members: tuple[MemberView, ...]
+    published: dict[str, int] = field(default_factory=dict)
+
+
+def build_view(number: int, ready: bool, facts: FleetFacts, rumours: RumourMap) -> View:
+    """Returns the view of this moment."""
+    targets = [(row.target, row.state) for row in facts.rows if row.target is not None]
+    entries = [(row.entry, row.state) for row in facts.rows if row.entry is not None]
+    members = {member.name: member for member in facts.members}
+    drained = facts.configuration.drained_vms
+    return View(
+        number=number,
+        ready=ready,
+        configuration=facts.configuration,
+        targets=tuple(
+            TargetView(target, _judge_target(target, state, rumours))
+            for target, state in targets
+        ),
+        entries=tuple(
+            _build_entry(entry, state, members.get(entry.name), drained)
+            for entry, state in entries
+        ),
+        published=_merge_published(facts.published, rumours.all()),
+    )
+
+
+def build_target_rumour(target: str, incarnation: int, rank: TargetRank) -> Rumour:
+    """Returns the rumour that one incarnation of a target leaves or crashed."""
+    version = incarnation * TARGET_RANKS + rank
+    return Rumour(TARGET_PREFIX + target, version)
+
+
+def _judge_target(target: Target, state: VmState, rumours: RumourMap) -> TargetStatus:
+    rumour = rumours.get(TARGET_PREFIX + target.name)
+    incarnation, rank = divmod(rumour.version if rumour else 0, TARGET_RANKS)
+    if incarnation > target.incarnation or (
+        incarnation == target.incarnation and rank == TargetRank.CRASHED
+    ):
+        return TargetStatus.CRASHED
+    is_leaving = incarnation == target.incarnation and rank == TargetRank.LEAVING
+    if is_leaving or state is VmState.LEAVING:
+        return TargetStatus.LEAVING
+    service = rumours.get(SERVICE_PREFIX + target.name)
+    if service is not None and service.value == "out":
+        return TargetStatus.OUT_OF_SERVICE
+    return TargetStatus.LIVE
+
+
+def _build_entry(
+    entry: EntryVm,
+    state: VmState,
+    member: MemberView | None,
+    drained: tuple[str, ...],
+) -> EntryView:
+    flags = member.flags if member is not None else frozenset()
+    roles = tuple(role for role in Role if role.value in flags)
+    return EntryView(entry, _judge_entry(entry, state, member, drained), roles)
+
+
+def _judge_entry(
+    entry: EntryVm,
+    state: VmState,
+    member: MemberView | None,
+    drained: tuple[str, ...],
+) -> EntryStatus:
+    if member is None or member.status is MemberStatus.DEAD:
+        return EntryStatus.DEAD
+    if state is VmState.LEAVING or entry.name in drained:
+        return EntryStatus.LEAVING
+    if member.status is MemberStatus.SUSPECT:
+        return EntryStatus.SUSPECT
+    return EntryStatus.LIVE
+
+
+def _merge_published(
+    published: dict[str, int], rumours: Iterable[Rumour]
+) -> dict[str, int]:
+    merged = dict(published)
+    for rumour in rumours:
+        if rumour.subject.startswith(PUBLISHED_PREFIX):
+            model = rumour.subject.removeprefix(PUBLISHED_PREFIX)
+            merged[model] = max(rumour.version, merged.get(model, 0))
+    return merged
+
+
+__all__ = [
+    "HEAD_SUBJECT",
+    "PUBLISHED_PREFIX",
+    "SERVICE_PREFIX",
+    "FleetFacts",
+    "TargetRank",
+    "build_target_rumour",
+    "build_view",
+]
--- /dev/null
+++ b/src/tamarackshelf/controller/gossip_link.py
@@ -0,0 +1,97 @@
+"""Authenticated gossip datagrams over UDP."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import hmac
+from collections.abc import Callable
+
+import msgspec
+
+from tamarackshelf.policy.membership import Datagram
+from tamarackshelf.world import Address
+
+DIGEST_BYTES = 16
+STAMP_BYTES = 8
+MAX_DATAGRAM_BYTES = 1400
+REPLAY_WINDOW_MS = 30_000
+
+Receiver = Callable[[Datagram], None]
+
+
+class GossipLink(asyncio.DatagramProtocol):
+    """Owns the UDP socket; drops what is not signed with the fleet's key."""
+
+    def __init__(
+        self, key: bytes, wall_ms: Callable[[], int], receiver: Receiver
+    ) -> None:
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.rejected = 0
+        self._key = key
+        self._wall_ms = wall_ms
+        self._receiver = receiver
+        self._transport: asyncio.DatagramTransport | None = None
+
+    async def start(self, address: Address) -> Address:
+        """Binds and returns the bound address."""
+        loop = asyncio.get_running_loop()
+        local = (address.host, address.port)
+        transport, _ = await loop.create_datagram_endpoint(lambda: self, local)
+        self._transport = transport
+        host, port = transport.get_extra_info("sockname")[:2]
+        return Address(host, port)
+
+    async def close(self) -> None:
+        """Closes the socket."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def send(self, address: Address, datagram: Datagram) -> None:
+        """Signs and sends; lost datagrams are not repeated."""
+        data = seal(self._key, self._wall_ms(), datagram)
+        if self._transport is not None and len(data) <= MAX_DATAGRAM_BYTES:
+            self._transport.sendto(data, (address.host, address.port))
+            self.sent_bytes += len(data)
+
+    def datagram_received(self, data: bytes, addr: object) -> None:
+        """Checks a datagram and hands it on."""
+        self.received_bytes += len(data)
+        datagram = unseal(self._key, self._wall_ms(), data)
+        if datagram is None:
+            self.rejected += 1
+        else:
+            self._receiver(datagram)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignores refused datagrams; probes see the absence."""
+
+
+def seal(key: bytes, wall_ms: int, datagram: Datagram) -> bytes:
+    """Returns the datagram's bytes with time stamp and keyed digest."""
+    body = wall_ms.to_bytes(STAMP_BYTES, "big") + msgspec.msgpack.encode(datagram)
+    return _sign(key, body) + body
+
+
+def unseal(key: bytes, wall_ms: int, data: bytes) -> Datagram | None:
+    """Returns the datagram, or None when it is forged, old or broken."""
+    digest, body = data[:DIGEST_BYTES], data[DIGEST_BYTES:]
+    if not hmac.compare_digest(digest, _sign(key, body)):
+        return None
+    sent_ms = int.from_bytes(body[:STAMP_BYTES], "big")
+    if abs(wall_ms - sent_ms) > REPLAY_WINDOW_MS:
+        return None
+    try:
+        return _DECODER.decode(body[STAMP_BYTES:])
+    except msgspec.DecodeError:
+        return None
+
+
+def _sign(key: bytes, body: bytes) -> bytes:
+    return hashlib.blake2b(body, key=key[:64], digest_size=DIGEST_BYTES).digest()
+
+
+_DECODER = msgspec.msgpack.Decoder(Datagram)
+
+__all__ = ["GossipLink", "seal", "unseal"]
--- /dev/null
+++ b/src/tamarackshelf/controller/gossip_task.py
@@ -0,0 +1,150 @@
+"""The task that owns the gossip socket and the membership state."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from tamarackshelf.contracts import call_json
+from tamarackshelf.controller.gossip_link import GossipLink
+from tamarackshelf.net import HttpClient
+from tamarackshelf.observe import Timeline
+from tamarackshelf.peers.view_watch import CALL_ERRORS
+from tamarackshelf.policy.membership import Datagram, Membership, MemberStatus, Outgoing
+from tamarackshelf.policy.rumours import Rumour
+from tamarackshelf.world import Address, EntryVm
+
+TICK_S = 0.2
+
+
+@dataclass(frozen=True, slots=True)
+class GossipSettings:
+    """Identity and key of this member."""
+
+    vm: str
+    incarnation: int
+    key: bytes
+    address: Address
+
+
+class GossipTask:
+    """Runs the membership protocol over UDP."""
+
+    def __init__(
+        self,
+        settings: GossipSettings,
+        peers: HttpClient,
+        timeline: Timeline,
+        rng: Random,
+        wall_ms: Callable[[], int],
+    ) -> None:
+        self.membership = Membership(settings.vm, settings.incarnation, rng)
+        self.link = GossipLink(settings.key, wall_ms, self._receive)
+        self._settings = settings
+        self._peers = peers
+        self._timeline = timeline
+        self._entries: dict[str, EntryVm] = {}
+        self._listeners: list[Callable[[], None]] = []
+        self._task: asyncio.Task[None] | None = None
+        self._sync: asyncio.Task[None] | None = None
+        self._known: dict[str, MemberStatus] = {}
+        self._digest = 0
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Calls the listener when a member or a rumour changed."""
+        self._listeners.append(listener)
+
+    async def start(self) -> Address:
+        """Binds the socket and starts to probe."""
+        bound = await self.link.start(self._settings.address)
+        self._task = asyncio.get_running_loop().create_task(self._run())
+        return bound
+
+    async def close(self) -> None:
+        """Stops probing and closes the socket."""
+        tasks = [t for t in (self._task, self._sync) if t is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self.link.close()
+
+    def set_entries(self, entries: dict[str, EntryVm]) -> None:
+        """Takes the entry VMs that the platform lists."""
+        self._entries = entries
+        self.membership.set_listed(entries, _now_s())
+
+    def publish(self, rumour: Rumour) -> None:
+        """Spreads a fact, beginning at once."""
+        if self.membership.publish(rumour):
+            self._send(self.membership.tick(_now_s()))
+            self._notify()
+
+    async def _run(self) -> None:
+        while True:
+            self._send(self.membership.tick(_now_s()))
+            self._notify()
+            self._start_sync()
+            await asyncio.sleep(TICK_S)
+
+    def _receive(self, datagram: Datagram) -> None:
+        self._send(self.membership.receive(datagram, _now_s()))
+        self._notify()
+
+    def _send(self, outgoing: list[Outgoing]) -> None:
+        for out in outgoing:
+            entry = self._entries.get(out.to)
+            if entry is not None:
+                self.link.send(entry.gossip, out.datagram)
+
+    def _notify(self) -> None:
+        if self.membership.rumours.digest == self._digest:
+            return
+        self._digest = self.membership.rumours.digest
+        self._record_changes()
+        for listener in self._listeners:
+            listener()
+
+    def _record_changes(self) -> None:
+        for view in self.membership.views():
+            before = self._known.get(view.name, MemberStatus.ALIVE)
+            if view.status is not before:
+                self._timeline.record(
+                    f"member_{view.status.name.lower()}",
+                    view.name,
+                    "gossip says so",
+                    before=before.name.lower(),
+                )
+            self._known[view.name] = view.status
+
+    def _start_sync(self) -> None:
+        peer = self.membership.wants_sync_with
+        self.membership.wants_sync_with = None
+        entry = self._entries.get(peer or "")
+        if entry is None or (self._sync is not None and not self._sync.done()):
+            return
+        loop = asyncio.get_running_loop()
+        self._sync = loop.create_task(self._exchange(entry.controller))
+
+    async def _exchange(self, address: Address) -> None:
+        own = self.membership.rumours.all()
+        with contextlib.suppress(*CALL_ERRORS):
+            theirs = await call_json(
+                self._peers, address, "POST", "/v1/sync", tuple[Rumour, ...], own
+            )
+            self.take_all(theirs)
+
+    def take_all(self, rumours: tuple[Rumour, ...]) -> None:
+        """Takes the rumours of another node."""
+        for rumour in rumours:
+            self.membership.take(rumour, _now_s())
+        self._notify()
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+__all__ = ["GossipSettings", "GossipTask"]
--- /dev/null
+++ b/src/tamarackshelf/controller/program.py
@@ -0,0 +1,142 @@
+"""The controller program: membership, configuration, leases and orders."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass
+from random import Random
+
+from tamarackshelf.contracts.platform import list_vms
+from tamarackshelf.controller.api import ControllerApi
+from tamarackshelf.controller.configuration_watch import ConfigurationWatch
+from tamarackshelf.controller.fleet import Fleet
+from tamarackshelf.controller.gossip_task import GossipSettings, GossipTask
+from tamarackshelf.controller.reconciler import Reconciler, RollSettings
+from tamarackshelf.net import HttpClient, HttpServer
+from tamarackshelf.observe import Metrics, Timeline
+from tamarackshelf.peers.view_watch import CALL_ERRORS
+from tamarackshelf.policy.lease import LeaseTimes
+from tamarackshelf.state import TableClient
+from tamarackshelf.state.leases import LeaseKeeper, LeaseSettings
+from tamarackshelf.world import Address
+
+LIST_POLL_S = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class ControllerSettings:
+    """What a controller is told at its start."""
+
+    vm: str
+    data_centre: str
+    listen: Address
+    gossip: Address
+    table: Address
+    vm_list: Address
+    secret: str
+    seed: int = 0
+    lease: LeaseTimes = LeaseTimes()
+    roll: RollSettings = RollSettings()
+
+
+class Controller:
+    """One controller; `http` carries the calls to targets and the platform."""
+
+    def __init__(
+        self, settings: ControllerSettings, http: HttpClient, timeline: Timeline
+    ) -> None:
+        rng = Random(f"{settings.seed}/{settings.vm}")
+        self.timeline = timeline
+        self.metrics = Metrics()
+        self._settings = settings
+        self._http = http
+        self._peers = HttpClient(headers={"x-fleet-secret": settings.secret})
+        incarnation = time.time_ns() // 1_000_000
+        gossip = GossipSettings(
+            settings.vm, incarnation, settings.secret.encode(), settings.gossip
+        )
+        self.gossip = GossipTask(gossip, self._peers, timeline, rng, _wall_ms)
+        self.fleet = Fleet(self.gossip.membership)
+        self._table = TableClient(http, settings.table)
+        self._watch = ConfigurationWatch(
+            self.fleet, self.gossip, self._table, self._peers, timeline, rng
+        )
+        keeper = LeaseKeeper(self._table, LeaseSettings(settings.vm, settings.lease))
+        self._reconciler = Reconciler(
+            settings.vm,
+            self.fleet,
+            keeper,
+            settings.lease,
+            http,
+            timeline,
+            self.gossip.publish,
+            settings.roll,
+        )
+        self._api = ControllerApi(
+            settings.secret,
+            self.fleet,
+            self.gossip,
+            self._watch,
+            timeline,
+            self.metrics,
+        )
+        self._server = HttpServer(self._api.handle)
+        self._task: asyncio.Task[None] | None = None
+        self.address = settings.listen
+
+    async def start(self) -> None:
+        """Listens, then joins the fleet."""
+        self.address = await self._server.start(self._settings.listen)
+        await self._table.start()
+        await self.gossip.start()
+        await self._watch.start()
+        await self._reconciler.start()
+        self._task = asyncio.get_running_loop().create_task(self._follow_list())
+
+    async def drain(self) -> None:
+        """Has nothing to prepare; leases are released at the close."""
+
+    async def close(self) -> None:
+        """Releases the leases, then leaves."""
+        await self._reconciler.close()
+        await self._stop_tasks()
+        await self._server.close(1.0)
+        await self._peers.close()
+
+    async def abort(self) -> None:
+        """Stops at once, as a crash would."""
+        self._reconciler.abort()
+        await self._stop_tasks()
+        await self._server.abort()
+        await self._peers.close()
+
+    async def _stop_tasks(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        await self._watch.close()
+        await self.gossip.close()
+        await self._table.close()
+
+    async def _follow_list(self) -> None:
+        while True:
+            try:
+                rows = await list_vms(self._http, self._settings.vm_list)
+            except CALL_ERRORS:
+                # The last known list stays in use while the platform is silent.
+                pass
+            else:
+                if rows != self.fleet.rows:
+                    self.fleet.rows = rows
+                    self.gossip.set_entries(self.fleet.entries)
+                    self.fleet.refresh()
+            self._api.update_flags()
+            await asyncio.sleep(LIST_POLL_S)
+
+
+def _wall_ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
+__all__ = ["Controller", "ControllerSettings"]
--- /dev/null
+++ b/src/tamarackshelf/controller/reconciler.py
@@ -0,0 +1,303 @@
+"""Leases shards of engines and brings them to the published weights."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from tamarackshelf.contracts import EngineState, Order, OrderFenced, OrderKind
+from tamarackshelf.contracts.engine import read_state, send_order
+from tamarackshelf.controller.fleet import Fleet
+from tamarackshelf.controller.fleet_view import SERVICE_PREFIX
+from tamarackshelf.errors import StoreUnavailable
+from tamarackshelf.net import HttpClient
+from tamarackshelf.observe import Timeline
+from tamarackshelf.peers import EntryStatus, TargetStatus
+from tamarackshelf.peers.view_watch import CALL_ERRORS
+from tamarackshelf.policy.lease import (
+    HeldLease,
+    LeaseTimes,
+    may_act,
+    may_order_unfenced,
+)
+from tamarackshelf.policy.ownership import find_owner
+from tamarackshelf.policy.rumours import Rumour
+from tamarackshelf.policy.weight_roll import (
+    FAILURES_TO_REPORT,
+    EngineView,
+    RollMemory,
+    note_order,
+    plan_wave,
+)
+from tamarackshelf.state.leases import LeaseKeeper
+from tamarackshelf.world import Target, TargetKind
+
+TICK_S = 0.5
+ENGINES_PER_SHARD = 64
+ORDER_TIMEOUT_S = 10.0
+GOOD_READS_TO_RETURN = 2
+FENCING_SHIFT = 20
+
+
+@dataclass(frozen=True, slots=True)
+class RollSettings:
+    """How weights are rolled; `wave_share` is the part swapped at once."""
+
+    wave_share: float = 0.5
+    tick_s: float = TICK_S
+
+
+@dataclass(frozen=True, slots=True)
+class Shard:
+    """A group of engines that one controller orders."""
+
+    name: str
+    engines: tuple[Target, ...]
+
+
+def build_shards(targets: list[Target]) -> list[Shard]:
+    """Returns the shards of all engines, one or more for each service."""
+    by_service: dict[str, list[Target]] = {}
+    for target in sorted(targets, key=lambda t: t.name):
+        if target.kind is TargetKind.ENGINE:
+            by_service.setdefault(target.service, []).append(target)
+    shards = []
+    for service, engines in sorted(by_service.items()):
+        count = math.ceil(len(engines) / ENGINES_PER_SHARD)
+        shards += [
+            Shard(f"{service}#{i}", tuple(engines[i::count])) for i in range(count)
+        ]
+    return shards
+
+
+class Reconciler:
+    """Holds the leases of this node's shards and repeats what is not so yet."""
+
+    def __init__(
+        self,
+        vm: str,
+        fleet: Fleet,
+        leases: LeaseKeeper,
+        times: LeaseTimes,
+        http: HttpClient,
+        timeline: Timeline,
+        publish: Callable[[Rumour], None],
+        settings: RollSettings | None = None,
+    ) -> None:
+        self._vm = vm
+        self._fleet = fleet
+        self._leases = leases
+        self._times = times
+        self._http = http
+        self._timeline = timeline
+        self._publish = publish
+        self._settings = settings or RollSettings()
+        self._memory = RollMemory()
+        self._good_reads: dict[str, int] = {}
+        self._sequence = 0
+        self._ordering: dict[str, asyncio.Task[None]] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Starts to reconcile."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def close(self) -> None:
+        """Waits for orders in flight and releases the leases."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+        await asyncio.gather(*self._ordering.values(), return_exceptions=True)
+        for name in list(self._leases.held):
+            try:
+                await self._leases.release(name)
+            except StoreUnavailable:
+                return
+
+    def abort(self) -> None:
+        """Stops at once, as a crash would; leases are left to lapse."""
+        if self._task is not None:
+            self._task.cancel()
+        for task in self._ordering.values():
+            task.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._tick()
+            except StoreUnavailable as error:
+                # Without the table leases lapse and orders stop; reads go on.
+                self._timeline.record("reconcile_paused", self._vm, error.message)
+            await asyncio.sleep(self._settings.tick_s)
+
+    async def _tick(self) -> None:
+        shards = build_shards(self._fleet.targets)
+        live = [
+            view.entry.name
+            for view in self._fleet.view.entries
+            if view.status is EntryStatus.LIVE
+        ]
+        for shard in shards:
+            is_mine = find_owner(live, shard.name) == self._vm
+            lease = await self._keep_lease(shard.name, is_mine)
+            if lease is not None:
+                await self._reconcile(shard, lease)
+
+    async def _keep_lease(self, name: str, is_mine: bool) -> HeldLease | None:
+        now_s = _now_s()
+        held = self._leases.held.get(name)
+        if held is None:
+            return await self._take_lease(name) if is_mine else None
+        if not is_mine:
+            await self._leases.release(name)
+            self._timeline.record("lease_released", name, "another node owns it now")
+            return None
+        renew_at_s = held.deadline_s - self._times.lease_s + self._times.renew_every_s
+        if now_s < renew_at_s:
+            return held
+        renewed = await self._leases.renew(name, now_s)
+        if renewed is None:
+            self._timeline.record("lease_lost", name, "another node took it")
+        return renewed
+
+    async def _take_lease(self, name: str) -> HeldLease | None:
+        row = await self._leases.read_row(name)
+        lease = await self._leases.take(name, row, _now_s())
+        if lease is not None:
+            number = lease.fencing_number
+            self._timeline.record("lease_taken", name, "it was free", fencing=number)
+        return lease
+
+    async def _reconcile(self, shard: Shard, lease: HeldLease) -> None:
+        names = {
+            view.target.name
+            for view in self._fleet.view.targets
+            if view.status in (TargetStatus.LIVE, TargetStatus.OUT_OF_SERVICE)
+        }
+        engines = [engine for engine in shard.engines if engine.name in names]
+        states = await asyncio.gather(*(self._read(engine) for engine in engines))
+        known = [(e, s) for e, s in zip(engines, states, strict=True) if s is not None]
+        for engine, state in known:
+            self._judge(engine, state, lease)
+        for model in self._models_of(shard):
+            newest = self._fleet.view.published.get(model, 0)
+            self._roll(model, newest, known, lease)
+
+    async def _read(self, engine: Target) -> EngineState | None:
+        try:
+            return await read_state(self._http, engine.address)
+        except CALL_ERRORS:
+            return None
+
+    def _models_of(self, shard: Shard) -> list[str]:
+        service = shard.name.rpartition("#")[0]
+        campaigns = self._fleet.configuration.campaigns.values()
+        return sorted({c.model for c in campaigns if c.service == service})
+
+    def _roll(
+        self,
+        model: str,
+        newest: int,
+        known: list[tuple[Target, EngineState]],
+        lease: HeldLease,
+    ) -> None:
+        views = [
+            EngineView(
+                name=f"{engine.name}/{model}",
+                version=state.versions.get(model, -1),
+                load=float(state.load.running + state.load.queued),
+                swapping=state.swapping or engine.name in self._ordering,
+                failed_swap=state.failed_swap,
+            )
+            for engine, state in known
+        ]
+        wave = plan_wave(
+            views, newest, self._settings.wave_share, self._memory, _now_s()
+        )
+        for engine, _ in known:
+            if f"{engine.name}/{model}" in wave and engine.name not in self._ordering:
+                order = Order(
+                    OrderKind.LOAD_VERSION, lease.fencing_number, model, newest
+                )
+                self._start_order(engine, order, lease)
+
+    def _start_order(self, engine: Target, order: Order, lease: HeldLease) -> None:
+        now_s = _now_s()
+        current = self._leases.held.get(lease.name, lease)
+        if not may_act(current, now_s, self._times):
+            return
+        if not engine.checks_fencing and not may_order_unfenced(
+            current, now_s, self._times
+        ):
+            return
+        task = asyncio.get_running_loop().create_task(self._order(engine, order))
+        self._ordering[engine.name] = task
+        task.add_done_callback(lambda _: self._ordering.pop(engine.name, None))
+
+    async def _order(self, engine: Target, order: Order) -> None:
+        self._timeline.record(
+            "order_sent",
+            engine.name,
+            f"{order.model} version {order.version} is the newest",
+            fencing=order.fencing_number,
+        )
+        succeeded = False
+        reason = "the engine did not do it"
+        try:
+            state = await send_order(self._http, engine.address, order, ORDER_TIMEOUT_S)
+            is_there = state.versions.get(order.model) == order.version
+            succeeded = is_there and not state.failed_swap
+        except OrderFenced as error:
+            reason = str(error)
+        except CALL_ERRORS as error:
+            reason = str(error)
+        failures = note_order(
+            self._memory,
+            f"{engine.name}/{order.model}",
+            succeeded=succeeded,
+            now_s=_now_s(),
+        )
+        if succeeded:
+            self._timeline.record(
+                "order_done", engine.name, version=order.version, model=order.model
+            )
+            return
+        self._timeline.record("order_failed", engine.name, reason, failures=failures)
+        if failures == FAILURES_TO_REPORT:
+            self._set_service(engine.name, "out", order.fencing_number, reason)
+
+    def _judge(self, engine: Target, state: EngineState, lease: HeldLease) -> None:
+        rumour = self._fleet.find_rumour(SERVICE_PREFIX + engine.name)
+        is_out = rumour is not None and rumour.value == "out"
+        if state.failed_swap:
+            self._good_reads[engine.name] = 0
+            if not is_out:
+                reason = "its swap failed and it may serve a mix of versions"
+                self._set_service(engine.name, "out", lease.fencing_number, reason)
+            return
+        if not is_out:
+            return
+        reads = self._good_reads.get(engine.name, 0) + 1
+        self._good_reads[engine.name] = reads
+        if reads >= GOOD_READS_TO_RETURN and self._is_current(engine, state):
+            reason = f"its state read back whole {reads} times"
+            self._set_service(engine.name, "in", lease.fencing_number, reason)
+
+    def _is_current(self, engine: Target, state: EngineState) -> bool:
+        failures = self._memory.failures
+        return not any(failures.get(f"{engine.name}/{m}", 0) for m in state.versions)
+
+    def _set_service(self, engine: str, value: str, fencing: int, reason: str) -> None:
+        self._sequence += 1
+        version = (fencing << FENCING_SHIFT) + self._sequence
+        self._timeline.record(f"target_service_{value}", engine, reason)
+        self._publish(Rumour(SERVICE_PREFIX + engine, version, value))
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+__all__ = ["Reconciler", "RollSettings", "Shard", "build_shards"]
--- /dev/null
+++ b/src/tamarackshelf/dispatch/__init__.py
@@ -0,0 +1,33 @@
+"""Choosing targets and running attempts at them."""
+
+from __future__ import annotations
+
+from tamarackshelf.dispatch.completion import (
+    Abandoned,
+    CompletionJob,
+    run_completion,
+)
+from tamarackshelf.dispatch.dispatcher import (
+    Dispatcher,
+    PeerActions,
+    Place,
+    Work,
+    retry_not_run,
+)
+from tamarackshelf.dispatch.idempotent import run_idempotent
+from tamarackshelf.dispatch.pool import Ask, Permit, TargetPool
+
+__all__ = [
+    "Abandoned",
+    "Ask",
+    "CompletionJob",
+    "Dispatcher",
+    "PeerActions",
+    "Permit",
+    "Place",
+    "TargetPool",
+    "Work",
+    "retry_not_run",
+    "run_completion",
+    "run_idempotent",
+]
--- /dev/null
+++ b/src/tamarackshelf/dispatch/completion.py
@@ -0,0 +1,148 @@
+"""Completions that survive the loss of the engine that runs them."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, replace
+
+from tamarackshelf.contracts import Chunk, GenerateRequest, RefusedByTarget, TargetFault
+from tamarackshelf.contracts.engine import generate
+from tamarackshelf.dispatch.dispatcher import Dispatcher, Place, Work
+from tamarackshelf.errors import AnswerLost, NoTarget, Overloaded, Unattributable
+from tamarackshelf.net import ConnectFailed, ConnectionLost
+from tamarackshelf.policy.attribution import AnswerBuilder
+
+
+@dataclass(frozen=True, slots=True)
+class CompletionJob:
+    """One completion to run until it is whole.
+
+    `restart_on_doubt` throws away all tokens when one chunk cannot be
+    attributed; otherwise the tokens before it are kept.
+    """
+
+    work: Work
+    model: str
+    prompt: str
+    seed: int
+    max_tokens: int
+    restart_on_doubt: bool = False
+
+
+class Abandoned(Exception):
+    """The watcher of a completion said that it is not worth going on."""
+
+
+Watcher = Callable[[AnswerBuilder], str]
+
+
+def keep_going(builder: AnswerBuilder) -> str:
+    """Never abandons a completion."""
+    del builder
+    return ""
+
+
+async def run_completion(
+    dispatcher: Dispatcher,
+    job: CompletionJob,
+    builder: AnswerBuilder,
+    watch: Watcher = keep_going,
+) -> AsyncIterator[Chunk]:
+    """Yields the chunks of one whole answer, over several engines if need be.
+
+    After the last chunk the builder holds the whole answer. `watch` may return
+    a reason to stop, which raises Abandoned.
+    """
+    dispatcher.note_request(job.work.ask.organisation)
+    may_have_run = False
+    excluded: set[str] = set()
+    for attempt in itertools.count():
+        work = _exclude(job.work, excluded)
+        reason = ""
+        try:
+            async with _place(dispatcher, work, may_have_run) as place:
+                try:
+                    async for chunk in _stream(dispatcher, job, builder, place):
+                        yield chunk
+                        stop = watch(builder)
+                        if stop:
+                            raise Abandoned(stop)
+                except (ConnectFailed, RefusedByTarget) as error:
+                    await dispatcher.note_not_run(place.target, error)
+                    reason = str(error)
+                except (ConnectionLost, TargetFault) as error:
+                    may_have_run = True
+                    await dispatcher.note_lost(job.work, place.target)
+                    reason = str(error)
+                except Unattributable as error:
+                    may_have_run = True
+                    dispatcher.note_doubt(place.target, error.message)
+                    reason = error.message
+                    if job.restart_on_doubt:
+                        builder.clear()
+                else:
+                    dispatcher.suspects.clear(job.work.fingerprint)
+                    return
+                excluded.add(place.target.name)
+        except NoTarget:
+            if not excluded:
+                raise
+            excluded.clear()
+            reason = "all targets were tried"
+        await dispatcher.pause_before_retry(job.work, attempt, reason, may_have_run)
+
+
+@contextlib.asynccontextmanager
+async def _place(
+    dispatcher: Dispatcher, work: Work, may_have_run: bool
+) -> AsyncIterator[Place]:
+    """Holds a place; never says "not run" once an attempt may have run."""
+    try:
+        async with dispatcher.place(work) as place:
+            yield place
+    except (Overloaded, NoTarget) as error:
+        is_final = isinstance(error, Overloaded) or not work.ask.need.excluded
+        if may_have_run and is_final:
+            raise AnswerLost(error.message, retry_after_s=error.retry_after_s) from None
+        raise
+
+
+async def _stream(
+    dispatcher: Dispatcher, job: CompletionJob, builder: AnswerBuilder, place: Place
+) -> AsyncIterator[Chunk]:
+    builder.start_attempt()
+    request = GenerateRequest(
+        request_id=job.work.request_id,
+        model=job.model,
+        prompt=job.prompt,
+        seed=job.seed,
+        max_tokens=job.max_tokens,
+        prefix=tuple(builder.tokens),
+        priority=int(job.work.ask.work_class),
+    )
+    timeout_s = job.work.ask.deadline_s - asyncio.get_running_loop().time()
+    address = place.target.address
+    lines = generate(dispatcher.http, address, request, timeout_s)
+    try:
+        async for line in lines:
+            if line.chunk is not None:
+                builder.add(line.chunk)
+                yield line.chunk
+            if line.end is not None:
+                builder.finish(line.end)
+                place.load = line.end.load
+                return
+    finally:
+        await lines.aclose()  # type: ignore[attr-defined]
+    raise ConnectionLost(f"{address} ended the stream without an end marker")
+
+
+def _exclude(work: Work, excluded: set[str]) -> Work:
+    need = replace(work.ask.need, excluded=frozenset(excluded))
+    return replace(work, ask=replace(work.ask, need=need))
+
+
+__all__ = ["Abandoned", "CompletionJob", "Watcher", "run_completion"]
--- /dev/null
+++ b/src/tamarackshelf/dispatch/idempotent.py
@@ -0,0 +1,59 @@
+"""Requests that may be run again until one answer is whole."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from typing import TypeVar
+
+from tamarackshelf.contracts import RefusedByTarget, TargetFault
+from tamarackshelf.dispatch.dispatcher import Dispatcher, Place, Work
+from tamarackshelf.errors import AnswerLost, NoTarget, Overloaded
+from tamarackshelf.net import ConnectFailed, ConnectionLost
+
+T = TypeVar("T")
+
+
+async def run_idempotent(
+    dispatcher: Dispatcher, work: Work, attempt: Callable[[Place], Awaitable[T]]
+) -> T:
+    """Repeats an attempt at other targets within the retry budget.
+
+    Raises AnswerLost once an attempt may have run, NoTarget or Overloaded when
+    none did.
+    """
+    dispatcher.note_request(work.ask.organisation)
+    may_have_run = False
+    excluded: set[str] = set()
+    for number in itertools.count():
+        need = replace(work.ask.need, excluded=frozenset(excluded))
+        trial = replace(work, ask=replace(work.ask, need=need))
+        try:
+            async with dispatcher.place(trial) as place:
+                try:
+                    answer = await attempt(place)
+                except (ConnectFailed, RefusedByTarget) as error:
+                    await dispatcher.note_not_run(place.target, error)
+                    reason = str(error)
+                except (ConnectionLost, TargetFault) as error:
+                    may_have_run = True
+                    await dispatcher.note_lost(work, place.target)
+                    reason = str(error)
+                else:
+                    dispatcher.suspects.clear(work.fingerprint)
+                    return answer
+                excluded.add(place.target.name)
+        except (NoTarget, Overloaded) as error:
+            if isinstance(error, NoTarget) and excluded:
+                excluded.clear()
+                reason = "all targets were tried"
+            elif may_have_run:
+                raise AnswerLost(error.message, retry_after_s=1.0) from None
+            else:
+                raise
+        await dispatcher.pause_before_retry(work, number, reason, may_have_run)
+    raise AnswerLost("no attempt was made; send it again")
+
+
+__all__ = ["run_idempotent"]
--- /dev/null
+++ b/src/tamarackshelf/dispatch/pool.py
@@ -0,0 +1,242 @@
+"""The targets as one process sees them and who waits for a place at one."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from random import Random
+
+from tamarackshelf.contracts import Load
+from tamarackshelf.errors import NoTarget, Overloaded
+from tamarackshelf.peers import TargetStatus, TargetView
+from tamarackshelf.policy.admission import FairQueue, Waiter, WorkClass
+from tamarackshelf.policy.routing import (
+    Candidate,
+    Choice,
+    Need,
+    Router,
+    compute_share,
+    route,
+)
+from tamarackshelf.world import Target
+
+AVOID_S = 1.0
+REPORT_FADES_S = 5.0
+NO_TARGET_WAIT_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """Who asks for a place and until when."""
+
+    need: Need
+    organisation: str
+    work_class: WorkClass
+    deadline_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Permit:
+    """A place at a target; give it back with `release`."""
+
+    target: Target
+    organisation: str
+    reason: str
+
+
+@dataclass(slots=True)
+class _Entry:
+    view: TargetView
+    own_in_flight: int = 0
+    others: int = 0
+    reported_at_s: float = 0.0
+    avoid_until_s: float = 0.0
+    avoid_reason: str = ""
+    gone_incarnation: int = -1
+
+
+@dataclass(slots=True)
+class _Waiting:
+    ask: Ask
+    waiter: Waiter
+    answer: asyncio.Future[Permit] = field(repr=False)
+
+
+class TargetPool:
+    """Grants places at targets; customers go before trainers."""
+
+    def __init__(self, data_centre: str, rng: Random, router: Router = route) -> None:
+        self._data_centre = data_centre
+        self._rng = rng
+        self._router = router
+        self._entries: dict[str, _Entry] = {}
+        self._by_service: dict[str, list[_Entry]] = {}
+        self._sharers = 1
+        self._queue = FairQueue()
+        self._waiting: dict[int, _Waiting] = {}
+        self._numbers = itertools.count()
+
+    @property
+    def waiting(self) -> int:
+        """Returns how many requests wait for a place."""
+        return len(self._waiting)
+
+    def update(self, views: Iterable[TargetView], sharers: int) -> None:
+        """Takes the targets of a new view and how many nodes share them."""
+        entries = {}
+        for view in views:
+            entry = self._entries.get(view.target.name) or _Entry(view)
+            if entry.view.target.incarnation != view.target.incarnation:
+                entry.others = 0
+                entry.avoid_until_s = 0.0
+            entry.view = view
+            entries[view.target.name] = entry
+        self._entries = entries
+        self._by_service = {}
+        for entry in entries.values():
+            self._by_service.setdefault(entry.view.target.service, []).append(entry)
+        self._sharers = sharers
+        self._serve_waiting()
+
+    def names_of(self, service: str) -> tuple[str, ...]:
+        """Returns the targets of a service that may get work now."""
+        return tuple(
+            entry.view.target.name
+            for entry in self._by_service.get(service, [])
+            if not self._rule_out(entry)
+        )
+
+    async def acquire(self, ask: Ask) -> Permit:
+        """Waits for a place until the deadline.
+
+        Raises NoTarget when no target may serve the request and Overloaded when
+        none becomes free; in both cases nothing was sent.
+        """
+        choice = await self._choose_soon(ask)
+        if choice.target is not None:
+            return self._grant(ask, choice)
+        waiter = Waiter(
+            next(self._numbers), ask.organisation, ask.work_class, ask.deadline_s
+        )
+        refusal = self._queue.may_wait(waiter, _now_s())
+        if refusal:
+            raise Overloaded(f"{refusal}; send it again later", retry_after_s=1.0)
+        return await self._wait(ask, waiter)
+
+    def release(self, permit: Permit, load: Load | None = None) -> None:
+        """Gives a place back with the load that the target reported."""
+        self._queue.note_end(permit.organisation, _now_s())
+        entry = self._entries.get(permit.target.name)
+        if entry is not None:
+            entry.own_in_flight = max(0, entry.own_in_flight - 1)
+            if load is not None:
+                others = load.running + load.queued - 1 - entry.own_in_flight
+                entry.others = max(0, others)
+                entry.reported_at_s = _now_s()
+        self._serve_waiting()
+
+    def avoid(self, target: Target, reason: str, duration_s: float = AVOID_S) -> None:
+        """Sends no new work to a target for a while."""
+        entry = self._entries.get(target.name)
+        if entry is not None:
+            entry.avoid_until_s = _now_s() + duration_s
+            entry.avoid_reason = reason
+
+    def note_gone(self, target: Target) -> None:
+        """Sends nothing more to this incarnation of a target."""
+        entry = self._entries.get(target.name)
+        if entry is not None:
+            entry.gone_incarnation = target.incarnation
+
+    async def _choose_soon(self, ask: Ask) -> Choice:
+        """Chooses; gives a target that is briefly avoided time to come back."""
+        loop = asyncio.get_running_loop()
+        give_up_s = min(ask.deadline_s, loop.time() + NO_TARGET_WAIT_S)
+        while True:
+            choice = self._choose(ask)
+            if choice.target is not None or choice.is_full:
+                return choice
+            if ask.need.excluded or loop.time() >= give_up_s:
+                raise NoTarget(
+                    f"no target may serve this now ({choice.reason}); send it again "
+                    "later",
+                    retry_after_s=1.0,
+                )
+            await asyncio.sleep(0.05)
+
+    async def _wait(self, ask: Ask, waiter: Waiter) -> Permit:
+        loop = asyncio.get_running_loop()
+        answer: asyncio.Future[Permit] = loop.create_future()
+        self._queue.push(waiter)
+        self._waiting[waiter.number] = _Waiting(ask, waiter, answer)
+        try:
+            async with asyncio.timeout_at(ask.deadline_s):
+                return await answer
+        except TimeoutError:
+            raise Overloaded(
+                "no target became free before the deadline; send it again later",
+                retry_after_s=1.0,
+            ) from None
+        except asyncio.CancelledError:
+            if answer.done() and not answer.cancelled():
+                self.release(answer.result())
+            raise
+        finally:
+            self._queue.remove(waiter.number)
+            self._waiting.pop(waiter.number, None)
+
+    def _choose(self, ask: Ask) -> Choice:
+        entries = self._by_service.get(ask.need.service, [])
+        candidates = [self._to_candidate(entry) for entry in entries]
+        return self._router(candidates, ask.need, self._rng)
+
+    def _to_candidate(self, entry: _Entry) -> Candidate:
+        target = entry.view.target
+        age_s = _now_s() - entry.reported_at_s
+        weight = max(0.0, 1.0 - age_s / REPORT_FADES_S)
+        return Candidate(
+            target=target,
+            own_in_flight=entry.own_in_flight,
+            others_in_flight=round(entry.others * weight),
+            share=compute_share(target.concurrency, self._sharers),
+            ruled_out=self._rule_out(entry),
+        )
+
+    def _rule_out(self, entry: _Entry) -> str:
+        if entry.view.status is not TargetStatus.LIVE:
+            return entry.view.status.value
+        if entry.gone_incarnation >= entry.view.target.incarnation:
+            return "this incarnation is gone"
+        if entry.avoid_until_s > _now_s():
+            return entry.avoid_reason
+        return ""
+
+    def _grant(self, ask: Ask, choice: Choice) -> Permit:
+        assert choice.target is not None
+        self._entries[choice.target.name].own_in_flight += 1
+        self._queue.note_start(ask.organisation)
+        return Permit(choice.target, ask.organisation, choice.reason)
+
+    def _serve_waiting(self) -> None:
+        if not self._waiting:
+            return
+        full: set[str] = set()
+        for waiter in self._queue.order():
+            waiting = self._waiting[waiter.number]
+            service = waiting.ask.need.service
+            if waiting.answer.done() or service in full:
+                continue
+            choice = self._choose(waiting.ask)
+            if choice.target is not None:
+                waiting.answer.set_result(self._grant(waiting.ask, choice))
+            elif choice.is_full:
+                full.add(service)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+__all__ = ["Ask", "Permit", "TargetPool"]
--- /dev/null
+++ b/src/tamarackshelf/errors.py
@@ -0,0 +1,192 @@
+"""Typed errors; each message names the remedy."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import ClassVar
+
+
+class ShelfError(Exception):
+    """Base of all errors that a caller may see.
+
+    `not_run` is true only when no byte of the request left for any target, or
+    when the target itself said that it did not run the request.
+    """
+
+    kind: ClassVar[str] = "internal"
+    status: ClassVar[int] = 500
+    not_run: ClassVar[bool] = False
+
+    def __init__(self, message: str, *, retry_after_s: float | None = None) -> None:
+        super().__init__(message)
+        self.message = message
+        self.retry_after_s = retry_after_s
+
+
+class BadRequest(ShelfError):
+    """The request can never succeed as it is."""
+
+    kind = "bad_request"
+    status = 400
+    not_run = True
+
+
+class Unauthorised(ShelfError):
+    """The token belongs to no organisation or operator."""
+
+    kind = "unauthorised"
+    status = 401
+    not_run = True
+
+
+class NotFound(ShelfError):
+    """The named service, campaign or step does not exist."""
+
+    kind = "not_found"
+    status = 404
+    not_run = True
+
+
+class KeyConflict(ShelfError):
+    """The idempotency key was used before with another body."""
+
+    kind = "key_conflict"
+    status = 409
+    not_run = True
+
+
+class RevisionConflict(ShelfError):
+    """Another operator's edit was accepted first."""
+
+    kind = "revision_conflict"
+    status = 409
+    not_run = True
+
+
+class CursorRequired(ShelfError):
+    """A pull came without a cursor for a step that was pulled before."""
+
+    kind = "cursor_required"
+    status = 409
+    not_run = True
+
+
+class PullSuperseded(ShelfError):
+    """A later pull of the same trainer replaced this one."""
+
+    kind = "pull_superseded"
+    status = 409
+    not_run = True
+
+
+class Quarantined(ShelfError):
+    """The request crashed the targets that ran it."""
+
+    kind = "quarantined"
+    status = 422
+
+
+class Overloaded(ShelfError):
+    """No capacity became free before the deadline."""
+
+    kind = "overloaded"
+    status = 429
+    not_run = True
+
+
+class NoTarget(ShelfError):
+    """No target that may serve the request is known."""
+
+    kind = "no_target"
+    status = 503
+    not_run = True
+
+
+class StoreUnavailable(ShelfError):
+    """The table service did not answer in time."""
+
+    kind = "store_unavailable"
+    status = 503
+    not_run = True
+
+
+class Draining(ShelfError):
+    """This gateway is stopping and takes no new requests."""
+
+    kind = "draining"
+    status = 503
+    not_run = True
+
+
+class NotReady(ShelfError):
+    """This process has no configuration yet."""
+
+    kind = "not_ready"
+    status = 503
+    not_run = True
+
+
+class OutcomeUnknown(ShelfError):
+    """The request may have run, but its answer was not seen."""
+
+    kind = "outcome_unknown"
+    status = 504
+
+
+class Unattributable(ShelfError):
+    """The engine's stream does not prove which weights produced it."""
+
+    kind = "unattributable"
+    status = 502
+
+
+class AnswerLost(ShelfError):
+    """An idempotent request was tried and no attempt gave a whole answer."""
+
+    kind = "answer_lost"
+    status = 502
+
+
+@dataclass(frozen=True, slots=True)
+class ErrorBody:
+    """The JSON form of an error; `entries` lists other gateways as ip:port."""
+
+    kind: str
+    message: str
+    not_run: bool
+    retry_after_s: float | None = None
+    entries: tuple[str, ...] = ()
+
+
+def to_error_body(error: ShelfError, entries: tuple[str, ...] = ()) -> ErrorBody:
+    """Returns the body that tells a caller about the error."""
+    return ErrorBody(
+        kind=error.kind,
+        message=error.message,
+        not_run=error.not_run,
+        retry_after_s=error.retry_after_s,
+        entries=entries,
+    )
+
+
+__all__ = [
+    "AnswerLost",
+    "BadRequest",
+    "CursorRequired",
+    "Draining",
+    "ErrorBody",
+    "KeyConflict",
+    "NoTarget",
+    "NotFound",
+    "NotReady",
+    "OutcomeUnknown",
+    "Overloaded",
+    "PullSuperseded",
+    "Quarantined",
+    "RevisionConflict",
+    "ShelfError",
+    "StoreUnavailable",
+    "Unattributable",
+    "Unauthorised",
+    "to_error_body",
+]
--- /dev/null
+++ b/src/tamarackshelf/gateway/api.py
@@ -0,0 +1,121 @@
+"""HTTP interface of the gateway."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from tamarackshelf.errors import Draining, NotFound, ShelfError
+from tamarackshelf.gateway.caller import identify_caller
+from tamarackshelf.gateway.calls import Calls
+from tamarackshelf.gateway.completions import Completions
+from tamarackshelf.gateway.operators import Operators
+from tamarackshelf.gateway.trainers import Trainers
+from tamarackshelf.net import Request, Response, to_error_response, to_json_response
+from tamarackshelf.observe import Metrics, Timeline
+from tamarackshelf.peers import Role, ViewWatch
+from tamarackshelf.policy.entries import VALID_FOR_S, choose_entries
+
+
+@dataclass(frozen=True, slots=True)
+class Parts:
+    """What serves the requests of a gateway."""
+
+    completions: Completions
+    calls: Calls
+    trainers: Trainers
+    operators: Operators
+    timeline: Timeline
+    metrics: Metrics
+
+
+class GatewayApi:
+    """Routes requests; refuses new work as not run while draining."""
+
+    def __init__(
+        self, watch: ViewWatch, parts: Parts, valid_for_s: float = VALID_FOR_S
+    ) -> None:
+        self.is_refusing = False
+        self._watch = watch
+        self._parts = parts
+        self._valid_for_s = valid_for_s
+
+    async def handle(self, request: Request) -> Response:
+        """Answers one request; errors name other entries."""
+        try:
+            return await self._route(request)
+        except ShelfError as error:
+            self._parts.metrics.count(f"errors_{error.kind}")
+            return to_error_response(error, self._other_entries())
+
+    async def _route(self, request: Request) -> Response:
+        parts = request.path.strip("/").split("/")
+        if parts == ["healthz"]:
+            return to_json_response({"ok": True})
+        if parts == ["readyz"]:
+            is_ready = self._watch.view.ready and not self.is_refusing
+            return to_json_response({"ready": is_ready}, 200 if is_ready else 503)
+        if parts == ["metrics"]:
+            text = "text/plain; version=0.0.4"
+            return Response(200, self._parts.metrics.render(), text)
+        if parts == ["v1", "entries"]:
+            return self._get_entries(request)
+        if parts == ["v1", "timeline"] or parts[:2] == ["v1", "operator"]:
+            return await self._route_operator(request, parts)
+        if self.is_refusing:
+            raise Draining(
+                "this entry is stopping and did not run the request; use another",
+                retry_after_s=0.1,
+            )
+        return await self._route_caller(request, parts)
+
+    async def _route_caller(self, request: Request, parts: list[str]) -> Response:
+        configuration = self._watch.ready_view().configuration
+        caller = identify_caller(request, configuration)
+        match request.method, parts:
+            case "POST", ["v1", "services", service, "completions"]:
+                return await self._parts.completions.serve(service, caller, request)
+            case "POST", ["v1", "services", service, "call", *path]:
+                name = "/".join(path)
+                return await self._parts.calls.serve(service, name, caller, request)
+            case "POST", ["v1", "campaigns", campaign, "steps"]:
+                return await self._parts.trainers.open_step(campaign, caller, request)
+            case "POST", ["v1", "steps", step, "pull"]:
+                return await self._parts.trainers.pull(step, caller, request)
+            case "POST", ["v1", "models", model, "published"]:
+                return await self._parts.trainers.announce(model, caller, request)
+        raise NotFound("no such path; see docs/reference/callers.md")
+
+    async def _route_operator(self, request: Request, parts: list[str]) -> Response:
+        operators = self._parts.operators
+        operators.authorise(request)
+        match request.method, parts:
+            case "GET", ["v1", "timeline"]:
+                return to_json_response(self._parts.timeline.page())
+            case "GET", ["v1", "operator", "configuration"]:
+                return await operators.show_configuration()
+            case "GET", ["v1", "operator", "status"]:
+                return await operators.show_status()
+            case "POST", ["v1", "operator", "templates"]:
+                return await operators.edit_template(request)
+            case "POST", ["v1", "operator", "campaigns"]:
+                return await operators.edit_campaign(request)
+            case "POST", ["v1", "operator", "drains"]:
+                return await operators.drain(request)
+        raise NotFound("no such path; see docs/reference/operators.md")
+
+    def _get_entries(self, request: Request) -> Response:
+        view = self._watch.ready_view()
+        answer = choose_entries(
+            view.find_entries(Role.GATEWAY),
+            request.parameter("caller"),
+            request.parameter("data_centre"),
+            self._valid_for_s,
+        )
+        return to_json_response(answer)
+
+    def _other_entries(self) -> tuple[str, ...]:
+        entries = self._watch.view.find_entries(Role.GATEWAY)
+        return tuple(str(entry.gateway) for entry in entries)[:3]
+
+
+__all__ = ["GatewayApi", "Parts"]
--- /dev/null
+++ b/src/tamarackshelf/gateway/calls.py
@@ -0,0 +1,96 @@
+"""Calls to plain services, idempotent ones and those that run at most once."""
+
+from __future__ import annotations
+
+from tamarackshelf.contracts import TargetFault
+from tamarackshelf.dispatch import (
+    Ask,
+    Dispatcher,
+    Place,
+    Work,
+    retry_not_run,
+    run_idempotent,
+)
+from tamarackshelf.errors import BadRequest
+from tamarackshelf.gateway.at_most_once import AtMostOnce
+from tamarackshelf.gateway.caller import Caller
+from tamarackshelf.gateway.plain_call import PlainCall, build_unknown, send_call
+from tamarackshelf.net import ConnectionLost, Request, Response
+from tamarackshelf.policy.quarantine import fingerprint_request
+from tamarackshelf.policy.routing import Need
+from tamarackshelf.world import matches_route
+
+
+class Calls:
+    """Runs calls to plain services."""
+
+    def __init__(
+        self, dispatcher: Dispatcher, once: AtMostOnce, data_centre: str
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._once = once
+        self._data_centre = data_centre
+
+    async def serve(
+        self, service: str, path: str, caller: Caller, request: Request
+    ) -> Response:
+        """Answers one call."""
+        organisation = caller.organisation
+        if service not in organisation.services:
+            raise BadRequest(
+                f"service {service} is not open to this organisation; ask an operator"
+            )
+        if not path or ".." in path:
+            raise BadRequest("the call names no path; add it behind /call/")
+        self._check_key(service, path, caller)
+        call = self._build_call(service, path, caller, request)
+        if not matches_route(organisation.non_idempotent_routes, service, path):
+            return _to_response(await self._run_idempotent(call))
+        if caller.key:
+            key = f"{organisation.organisation}/{caller.key}"
+            return _to_response(await self._once.run(key, call))
+        return _to_response(await self._run_unkeyed(call))
+
+    def _check_key(self, service: str, path: str, caller: Caller) -> None:
+        routes = caller.organisation.key_required_routes
+        if matches_route(routes, service, path) and not caller.key:
+            raise BadRequest(
+                "this call runs at most once and needs a key; send the header "
+                "idempotency-key with a new UUID"
+            )
+
+    def _build_call(
+        self, service: str, path: str, caller: Caller, request: Request
+    ) -> PlainCall:
+        organisation = caller.organisation.organisation
+        need = Need(service=service, data_centre=self._data_centre)
+        ask = Ask(need, organisation, caller.work_class, caller.deadline_s)
+        body = path.encode() + b"\0" + request.body
+        fingerprint = fingerprint_request(organisation, service, body)
+        work = Work(caller.request_id, fingerprint, ask)
+        return PlainCall(path, request.body, work)
+
+    async def _run_unkeyed(self, call: PlainCall) -> bytes:
+        """Sends a non-idempotent call once; nothing is sent a second time."""
+
+        async def attempt(place: Place) -> bytes:
+            try:
+                return await send_call(self._dispatcher, place, call)
+            except (ConnectionLost, TargetFault) as error:
+                await self._dispatcher.note_lost(call.work, place.target)
+                raise build_unknown(str(error)) from error
+
+        return await retry_not_run(self._dispatcher, call.work, attempt)
+
+    async def _run_idempotent(self, call: PlainCall) -> bytes:
+        async def attempt(place: Place) -> bytes:
+            return await send_call(self._dispatcher, place, call)
+
+        return await run_idempotent(self._dispatcher, call.work, attempt)
+
+
+def _to_response(body: bytes) -> Response:
+    return Response(200, body)
+
+
+__all__ = ["Calls"]
--- /dev/null
+++ b/src/tamarackshelf/gateway/peer_api.py
@@ -0,0 +1,80 @@
+"""Calls that other gateways and runners make to this gateway."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+
+from tamarackshelf.dispatch import Dispatcher
+from tamarackshelf.errors import ShelfError
+from tamarackshelf.gateway.answers import AnswerBook, KeyHome
+from tamarackshelf.net.rpc import Method, RpcHandler
+from tamarackshelf.peers.messages import (
+    ATTACH,
+    ISOLATE,
+    NOTE_CRASH,
+    REGISTER,
+    RELEASE_ISOLATION,
+    STORE_ANSWER,
+    Acknowledged,
+    AttachAnswer,
+    AttachRequest,
+    IsolationAnswer,
+    IsolationRelease,
+    IsolationRequest,
+    RegisterAnswer,
+    RegisterRequest,
+    StoreAnswerRequest,
+)
+from tamarackshelf.policy.quarantine import Crash, IsolationTable
+
+
+def build_handlers(
+    dispatcher: Dispatcher, book: AnswerBook, home: KeyHome
+) -> dict[Method, RpcHandler]:
+    """Returns the handlers of the gateway's calls."""
+    isolation = IsolationTable()
+
+    async def note_crash(crash: Crash) -> Acknowledged:
+        dispatcher.note_crash(crash, "a peer saw it in flight at a crash")
+        return Acknowledged()
+
+    async def isolate(request: IsolationRequest) -> IsolationAnswer:
+        now_s = asyncio.get_running_loop().time()
+        target = isolation.grant(request.fingerprint, request.targets, now_s)
+        return IsolationAnswer(target or "")
+
+    async def release(request: IsolationRelease) -> Acknowledged:
+        isolation.release(request.fingerprint, request.target)
+        return Acknowledged()
+
+    async def register(request: RegisterRequest) -> RegisterAnswer:
+        return home.register(request)
+
+    async def store_answer(request: StoreAnswerRequest) -> Acknowledged:
+        home.store(request.key, request.answer)
+        return Acknowledged()
+
+    async def attach(request: AttachRequest) -> AttachAnswer:
+        progress = book.find(request.key)
+        if progress is None:
+            return AttachAnswer(is_known=False)
+        try:
+            async with asyncio.timeout(request.wait_s):
+                answer = await progress.wait_whole()
+        except (TimeoutError, ShelfError):
+            return AttachAnswer(is_known=False)
+        return AttachAnswer(is_known=True, answer=msgspec.msgpack.encode(answer))
+
+    return {
+        NOTE_CRASH: note_crash,
+        ISOLATE: isolate,
+        RELEASE_ISOLATION: release,
+        REGISTER: register,
+        STORE_ANSWER: store_answer,
+        ATTACH: attach,
+    }
+
+
+__all__ = ["build_handlers"]
--- /dev/null
+++ b/src/tamarackshelf/net/__init__.py
@@ -0,0 +1,34 @@
+"""Sockets: HTTP by h11 on both sides and calls between own processes by gRPC."""
+
+from __future__ import annotations
+
+from tamarackshelf.net.http_client import (
+    Answer,
+    ConnectFailed,
+    ConnectionLost,
+    HttpClient,
+    StreamedAnswer,
+)
+from tamarackshelf.net.http_server import HttpServer, ServerLimits
+from tamarackshelf.net.http_types import (
+    Request,
+    Response,
+    decode_error,
+    to_error_response,
+    to_json_response,
+)
+
+__all__ = [
+    "Answer",
+    "ConnectFailed",
+    "ConnectionLost",
+    "HttpClient",
+    "HttpServer",
+    "Request",
+    "Response",
+    "ServerLimits",
+    "StreamedAnswer",
+    "decode_error",
+    "to_error_response",
+    "to_json_response",
+]
--- /dev/null
+++ b/src/tamarackshelf/net/http_server.py
@@ -0,0 +1,252 @@
+"""HTTP/1.1 server on asyncio streams with h11."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import AsyncGenerator, Awaitable, Callable
+from dataclasses import dataclass
+
+import h11
+
+from tamarackshelf.errors import BadRequest, ShelfError
+from tamarackshelf.net.http_types import (
+    Request,
+    Response,
+    to_error_response,
+)
+from tamarackshelf.world import Address
+
+Handler = Callable[[Request], Awaitable[Response]]
+
+READ_SIZE_BYTES = 64 * 1024
+
+log = logging.getLogger("tamarackshelf")
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """Bounds on what one connection may use."""
+
+    head_bytes: int = 16 * 1024
+    body_bytes: int = 1024 * 1024
+    request_read_s: float = 10.0
+    idle_s: float = 60.0
+    connections: int = 4096
+
+
+class HttpServer:
+    """Serves one handler; closes gracefully."""
+
+    def __init__(self, handler: Handler, limits: ServerLimits | None = None) -> None:
+        self._handler = handler
+        self._limits = limits or ServerLimits()
+        self._server: asyncio.Server | None = None
+        self._connections: dict[asyncio.Task[None], _Connection] = {}
+        self._closing = False
+
+    async def start(self, address: Address) -> Address:
+        """Listens and returns the bound address."""
+        self._server = await asyncio.start_server(
+            self._accept, address.host, address.port, limit=READ_SIZE_BYTES
+        )
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return Address(host, port)
+
+    async def close(self, grace_s: float = 30.0) -> None:
+        """Stops listening, lets requests in flight finish, then closes."""
+        self._closing = True
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections.values()):
+            connection.close_when_idle()
+        tasks = list(self._connections)
+        if tasks:
+            _, pending = await asyncio.wait(tasks, timeout=grace_s)
+            await _cancel_all(pending)
+
+    async def abort(self) -> None:
+        """Closes at once and cuts every connection, as a crash would."""
+        self._closing = True
+        if self._server is not None:
+            self._server.close()
+        for connection in list(self._connections.values()):
+            connection.cut()
+        await _cancel_all(set(self._connections))
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self._closing or len(self._connections) >= self._limits.connections:
+            writer.close()
+            return
+        task = asyncio.current_task()
+        assert task is not None
+        connection = _Connection(reader, writer, self._handler, self._limits)
+        self._connections[task] = connection
+        try:
+            await connection.serve()
+        except (ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            del self._connections[task]
+            writer.close()
+
+
+class _Connection:
+    """One accepted connection and its parser."""
+
+    def __init__(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        handler: Handler,
+        limits: ServerLimits,
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._handler = handler
+        self._limits = limits
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.head_bytes
+        )
+        self._idle = True
+        self._last = False
+
+    def close_when_idle(self) -> None:
+        """Closes now when no request is in flight, else after it."""
+        self._last = True
+        if self._idle:
+            self._reader.feed_eof()
+
+    def cut(self) -> None:
+        """Resets the connection."""
+        self._writer.transport.abort()
+
+    async def serve(self) -> None:
+        """Serves requests until either side ends the connection."""
+        while True:
+            request = await self._read_request()
+            if request is None:
+                return
+            response = await self._call_handler(request)
+            await self._send(response)
+            if self._last or self._http.our_state is not h11.DONE:
+                return
+            if self._http.their_state is not h11.DONE:
+                return
+            self._http.start_next_cycle()
+            self._idle = True
+
+    async def _read_request(self) -> Request | None:
+        try:
+            head = await self._next_event(self._limits.idle_s)
+            if not isinstance(head, h11.Request):
+                return None
+            self._idle = False
+            async with asyncio.timeout(self._limits.request_read_s):
+                body = await self._read_body()
+        except TimeoutError:
+            if not self._idle:
+                await self._refuse(408, "the request came too slowly; send it faster")
+            return None
+        except h11.RemoteProtocolError as error:
+            await self._refuse(error.error_status_hint, f"not valid HTTP: {error}")
+            return None
+        if body is None:
+            limit = self._limits.body_bytes
+            await self._refuse(413, f"the body is over {limit} bytes; send less")
+            return None
+        return _to_request(head, body)
+
+    async def _read_body(self) -> bytes | None:
+        body = bytearray()
+        while True:
+            event = await self._next_event(None)
+            if isinstance(event, h11.Data):
+                body += event.data
+                if len(body) > self._limits.body_bytes:
+                    return None
+            elif isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            else:
+                raise ConnectionError("the caller left in the middle of a request")
+
+    async def _next_event(self, timeout_s: float | None) -> object:
+        async with asyncio.timeout(timeout_s):
+            while True:
+                event = self._http.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                if self._http.they_are_waiting_for_100_continue:
+                    go_on = h11.InformationalResponse(status_code=100, headers=[])
+                    self._write(go_on)
+                self._http.receive_data(await self._reader.read(READ_SIZE_BYTES))
+
+    async def _call_handler(self, request: Request) -> Response:
+        try:
+            return await self._handler(request)
+        except ShelfError as error:
+            return to_error_response(error)
+        except (ConnectionError, asyncio.CancelledError):
+            raise
+        except Exception:
+            log.exception("handler_failed")
+            text = "an internal fault; the log of this process has its trace"
+            return to_error_response(ShelfError(text))
+
+    async def _refuse(self, status: int, message: str) -> None:
+        body = to_error_response(BadRequest(message)).body
+        self._last = True
+        if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            with contextlib.suppress(ConnectionError, h11.LocalProtocolError):
+                await self._send(Response(status=status, body=body))
+
+    async def _send(self, response: Response) -> None:
+        headers = {"content-type": response.content_type, **response.headers}
+        if isinstance(response.body, bytes):
+            headers["content-length"] = str(len(response.body))
+        if self._last:
+            headers["connection"] = "close"
+        head = h11.Response(status_code=response.status, headers=list(headers.items()))
+        if isinstance(response.body, bytes):
+            self._write(head, h11.Data(data=response.body), h11.EndOfMessage())
+            await self._writer.drain()
+            return
+        self._write(head)
+        chunks = response.body
+        try:
+            async for chunk in chunks:
+                self._write(h11.Data(data=chunk))
+                await self._writer.drain()
+        except (ShelfError, ConnectionError):
+            # Without the end marker the caller sees that the answer is not whole.
+            self.cut()
+            raise ConnectionError("the answer ended early") from None
+        finally:
+            if isinstance(chunks, AsyncGenerator):
+                await chunks.aclose()
+        self._write(h11.EndOfMessage())
+        await self._writer.drain()
+
+    def _write(self, *events: h11.Event) -> None:
+        data = b"".join(self._http.send(event) or b"" for event in events)
+        self._writer.write(data)
+
+
+def _to_request(head: h11.Request, body: bytes) -> Request:
+    path, _, query = head.target.decode("latin-1").partition("?")
+    headers = {
+        name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers
+    }
+    return Request(head.method.decode(), path, query, headers, body)
+
+
+async def _cancel_all(tasks: set[asyncio.Task[None]]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+__all__ = ["Handler", "HttpServer", "ServerLimits"]
--- /dev/null
+++ b/src/tamarackshelf/observe/__init__.py
@@ -0,0 +1,9 @@
+"""What a process tells about itself: events, logs and metrics."""
+
+from __future__ import annotations
+
+from tamarackshelf.observe.logs import set_up_logs
+from tamarackshelf.observe.metrics import Metrics
+from tamarackshelf.observe.timeline import Event, EventPage, Timeline, merge_pages
+
+__all__ = ["Event", "EventPage", "Metrics", "Timeline", "merge_pages", "set_up_logs"]
--- /dev/null
+++ b/src/tamarackshelf/observe/logs.py
@@ -0,0 +1,44 @@
+"""Log lines of key=value pairs, or JSON on request."""
+
+from __future__ import annotations
+
+import json
+import logging
+import sys
+
+from pythonjsonlogger.json import JsonFormatter
+
+
+def set_up_logs(log_format: str, level: str = "INFO") -> None:
+    """Sends the log to stderr in `text` or `json` form."""
+    handler = logging.StreamHandler(sys.stderr)
+    if log_format == "json":
+        handler.setFormatter(JsonFormatter("%(asctime)s %(levelname)s %(message)s"))
+    else:
+        handler.setFormatter(_KeyValueFormatter())
+    root = logging.getLogger("tamarackshelf")
+    root.handlers = [handler]
+    root.setLevel(level)
+    root.propagate = False
+
+
+class _KeyValueFormatter(logging.Formatter):
+    """Formats a record as key=value pairs on one line."""
+
+    def format(self, record: logging.LogRecord) -> str:
+        pairs = {
+            "at": self.formatTime(record),
+            "level": record.levelname.lower(),
+            "event": record.getMessage(),
+        }
+        pairs.update(getattr(record, "event", {}))
+        return " ".join(f"{k}={_quote(v)}" for k, v in pairs.items() if v != "")
+
+
+def _quote(value: object) -> str:
+    text = str(value)
+    plain = text.isprintable() and not any(c in text for c in ' "=')
+    return text if plain else json.dumps(text)
+
+
+__all__ = ["set_up_logs"]
--- /dev/null
+++ b/src/tamarackshelf/peers/__init__.py
@@ -0,0 +1,29 @@
+"""What the processes of the fleet tell each other."""
+
+from __future__ import annotations
+
+from tamarackshelf.peers.view import (
+    EntryStatus,
+    EntryView,
+    Report,
+    ReportKind,
+    Role,
+    TargetStatus,
+    TargetView,
+    View,
+    ViewAnswer,
+)
+from tamarackshelf.peers.view_watch import ViewWatch
+
+__all__ = [
+    "EntryStatus",
+    "EntryView",
+    "Report",
+    "ReportKind",
+    "Role",
+    "TargetStatus",
+    "TargetView",
+    "View",
+    "ViewAnswer",
+    "ViewWatch",
+]
--- /dev/null
+++ b/src/tamarackshelf/peers/view_watch.py
@@ -0,0 +1,113 @@
+"""Keeps the newest view of the VM's controller; survives its absence."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from tamarackshelf.contracts import RefusedByTarget, TargetFault, call_json
+from tamarackshelf.errors import NotReady
+from tamarackshelf.net import ConnectFailed, ConnectionLost, HttpClient
+from tamarackshelf.peers.view import Report, Role, View, ViewAnswer
+from tamarackshelf.world import Address
+
+LONG_POLL_S = 1.0
+RETRY_GAP_S = 0.2
+REPORT_TRIES = 3
+
+CALL_ERRORS = (ConnectFailed, ConnectionLost, RefusedByTarget, TargetFault)
+
+
+class ViewWatch:
+    """Follows one controller for a program of the same VM."""
+
+    def __init__(self, http: HttpClient, controller: Address, role: Role) -> None:
+        self.view = View()
+        self._http = http
+        self._controller = controller
+        self._role = role
+        self._announces = True
+        self._listeners: list[Callable[[View], None]] = []
+        self._task: asyncio.Task[None] | None = None
+        self._changed = asyncio.Event()
+
+    def on_change(self, listener: Callable[[View], None]) -> None:
+        """Calls the listener with each new view."""
+        self._listeners.append(listener)
+
+    async def start(self) -> None:
+        """Starts to follow the controller."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def close(self) -> None:
+        """Stops to follow."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.gather(self._task, return_exceptions=True)
+
+    def stop_announcing(self) -> None:
+        """Keeps following without counting as a running program."""
+        self._announces = False
+
+    def ready_view(self) -> View:
+        """Returns the view; raises NotReady before the first whole one."""
+        if not self.view.ready:
+            raise NotReady(
+                "no configuration is known here yet; use another entry",
+                retry_after_s=1.0,
+            )
+        return self.view
+
+    async def wait_ready(self, timeout_s: float) -> bool:
+        """Waits for the first whole view."""
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + timeout_s
+        while not self.view.ready:
+            self._changed.clear()
+            try:
+                async with asyncio.timeout_at(deadline_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                return False
+        return True
+
+    async def report(self, report: Report) -> bool:
+        """Tells the controller; returns False when it does not answer."""
+        for _ in range(REPORT_TRIES):
+            try:
+                await call_json(
+                    self._http, self._controller, "POST", "/v1/reports", dict, report
+                )
+            except CALL_ERRORS:
+                await asyncio.sleep(RETRY_GAP_S)
+            else:
+                return True
+        return False
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._poll()
+            except CALL_ERRORS:
+                await asyncio.sleep(RETRY_GAP_S)
+
+    async def _poll(self) -> None:
+        role = self._role.value if self._announces else ""
+        query = f"after={self.view.number}&role={role}&wait_s={LONG_POLL_S}"
+        answer = await call_json(
+            self._http,
+            self._controller,
+            "GET",
+            f"/v1/view?{query}",
+            ViewAnswer,
+            timeout_s=LONG_POLL_S + 2.0,
+        )
+        if answer.view is None:
+            return
+        self.view = answer.view
+        self._changed.set()
+        for listener in self._listeners:
+            listener(answer.view)
+
+
+__all__ = ["CALL_ERRORS", "ViewWatch"]
--- /dev/null
+++ b/src/tamarackshelf/policy/membership.py
@@ -0,0 +1,330 @@
+"""Failure detection and gossip among controllers, without sockets.
+
+The method is SWIM (Das, Gupta, Motivala 2002): random probes, indirect probes,
+suspicion that the suspect can refute, and rumours on every datagram.
+"""
+
+from __future__ import annotations
+
+import enum
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from random import Random
+
+from tamarackshelf.policy.rumours import Rumour, RumourMap
+
+MEMBER_PREFIX = "vm:"
+RUMOUR_SPACE_BYTES = 900
+RANKS = 4
+
+
+class MemberStatus(enum.IntEnum):
+    """What is known of a member; higher values win at the same incarnation."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    DEAD = 2
+
+
+class DatagramKind(enum.StrEnum):
+    """What a datagram asks for."""
+
+    PING = "ping"
+    ACK = "ack"
+    PING_REQUEST = "ping-request"
+    GOSSIP = "gossip"
+
+
+@dataclass(frozen=True, slots=True)
+class Datagram:
+    """One message; `about` names the member that an indirect probe is for."""
+
+    kind: DatagramKind
+    sender: str
+    number: int
+    digest: int
+    about: str = ""
+    rumours: tuple[Rumour, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Outgoing:
+    """A datagram and the member it goes to."""
+
+    to: str
+    datagram: Datagram
+
+
+@dataclass(frozen=True, slots=True)
+class GossipTimes:
+    """Periods of the protocol."""
+
+    probe_every_s: float = 1.0
+    ack_within_s: float = 0.4
+    suspect_for_s: float = 1.5
+    dead_probe_every_s: float = 5.0
+    sync_gap_s: float = 5.0
+    fanout: int = 2
+    indirect: int = 3
+
+
+@dataclass(frozen=True, slots=True)
+class MemberView:
+    """A member as this node sees it; `flags` come from the member itself."""
+
+    name: str
+    status: MemberStatus
+    flags: frozenset[str]
+
+
+@dataclass(slots=True)
+class _Probe:
+    member: str
+    number: int
+    sent_at_s: float
+    indirect: bool = False
+
+
+class Membership:
+    """State of one member; `tick` and `receive` return what to send."""
+
+    def __init__(
+        self,
+        name: str,
+        incarnation: int,
+        rng: Random,
+        times: GossipTimes | None = None,
+    ) -> None:
+        self.name = name
+        self.rumours = RumourMap()
+        self.wants_sync_with: str | None = None
+        self._incarnation = incarnation
+        self._flags: frozenset[str] = frozenset()
+        self._rng = rng
+        self._times = times or GossipTimes()
+        self._members: dict[str, float] = {}
+        self._order: list[str] = []
+        self._probe: _Probe | None = None
+        self._relays: dict[int, tuple[str, int]] = {}
+        self._number = 0
+        self._next_probe_s = 0.0
+        self._next_dead_probe_s = 0.0
+        self._next_sync_s = 0.0
+        self._mismatches = 0
+        self._publish_self()
+
+    def set_flags(self, flags: Iterable[str]) -> None:
+        """Tells the others what runs here and whether this VM is leaving."""
+        flags = frozenset(flags)
+        if flags != self._flags:
+            self._flags = flags
+            self._incarnation += 1
+            self._publish_self()
+
+    def set_listed(self, names: Iterable[str], now_s: float) -> None:
+        """Takes the members that the platform lists."""
+        listed = set(names) - {self.name}
+        for name in listed - self._members.keys():
+            self._members[name] = now_s
+        for name in self._members.keys() - listed:
+            del self._members[name]
+
+    def publish(self, rumour: Rumour) -> bool:
+        """Spreads a fact of this node's; returns False when it is not newer."""
+        return self.rumours.put(rumour, len(self._members))
+
+    def views(self) -> list[MemberView]:
+        """Returns all members with this node among them."""
+        names = [self.name, *self._members]
+        return [MemberView(n, self.status(n), self._flags_of(n)) for n in names]
+
+    def status(self, name: str) -> MemberStatus:
+        """Returns what is known of a member; unheard ones count as alive."""
+        rumour = self.rumours.get(MEMBER_PREFIX + name)
+        if rumour is None:
+            return MemberStatus.ALIVE
+        return MemberStatus(rumour.version % RANKS)
+
+    def tick(self, now_s: float) -> list[Outgoing]:
+        """Runs what is due and returns what to send."""
+        out = self._check_probe(now_s)
+        self._bury_suspects(now_s)
+        if now_s >= self._next_probe_s:
+            self._next_probe_s = now_s + self._times.probe_every_s
+            out += self._start_probe(now_s)
+        if now_s >= self._next_dead_probe_s:
+            self._next_dead_probe_s = now_s + self._times.dead_probe_every_s
+            out += self._probe_dead()
+        out += self._gossip()
+        return out
+
+    def receive(self, datagram: Datagram, now_s: float) -> list[Outgoing]:
+        """Takes a datagram and returns the answers to it."""
+        for rumour in datagram.rumours:
+            self.take(rumour, now_s)
+        self._compare(datagram, now_s)
+        if self.status(datagram.sender) is not MemberStatus.ALIVE:
+            # Whoever is wrongly suspected must hear of it to refute it.
+            self.rumours.heat([MEMBER_PREFIX + datagram.sender], len(self._members))
+        if datagram.kind is DatagramKind.PING:
+            return [self._send(datagram.sender, DatagramKind.ACK, datagram.number)]
+        if datagram.kind is DatagramKind.PING_REQUEST:
+            number = self._next_number()
+            self._relays[number] = (datagram.sender, datagram.number)
+            self._trim_relays()
+            return [self._send(datagram.about, DatagramKind.PING, number)]
+        if datagram.kind is DatagramKind.ACK:
+            return self._take_ack(datagram.number)
+        return []
+
+    def take(self, rumour: Rumour, now_s: float) -> bool:
+        """Takes a rumour; refutes one that calls this node suspect or dead."""
+        subject = rumour.subject
+        if subject == MEMBER_PREFIX + self.name:
+            return self._refute(rumour)
+        is_new = self.rumours.put(rumour, len(self._members))
+        if is_new and subject.startswith(MEMBER_PREFIX):
+            name = subject.removeprefix(MEMBER_PREFIX)
+            if name in self._members:
+                self._members[name] = now_s
+        return is_new
+
+    def _refute(self, rumour: Rumour) -> bool:
+        own = self.rumours.get(rumour.subject)
+        if own is not None and rumour.version <= own.version:
+            return False
+        self._incarnation = rumour.version // RANKS + 1
+        self._publish_self()
+        return True
+
+    def _publish_self(self) -> None:
+        version = self._incarnation * RANKS + MemberStatus.ALIVE
+        value = ",".join(sorted(self._flags))
+        self.publish(Rumour(MEMBER_PREFIX + self.name, version, value))
+
+    def _flags_of(self, name: str) -> frozenset[str]:
+        rumour = self.rumours.get(MEMBER_PREFIX + name)
+        if rumour is None or not rumour.value:
+            return frozenset()
+        return frozenset(rumour.value.split(","))
+
+    def _set_status(self, name: str, status: MemberStatus, now_s: float) -> None:
+        rumour = self.rumours.get(MEMBER_PREFIX + name)
+        base = Rumour(MEMBER_PREFIX + name, 0) if rumour is None else rumour
+        incarnation = base.version // RANKS
+        changed = replace(base, version=incarnation * RANKS + status)
+        if self.rumours.put(changed, len(self._members)):
+            self._members[name] = now_s
+
+    def _start_probe(self, now_s: float) -> list[Outgoing]:
+        member = self._next_member()
+        if member is None:
+            return []
+        self._probe = _Probe(member, self._next_number(), now_s)
+        return [self._send(member, DatagramKind.PING, self._probe.number)]
+
+    def _next_member(self) -> str | None:
+        while True:
+            if not self._order:
+                self._order = list(self._members)
+                self._rng.shuffle(self._order)
+                if not self._order:
+                    return None
+            name = self._order.pop()
+            if name not in self._members:
+                continue
+            if self.status(name) is not MemberStatus.DEAD:
+                return name
+            if all(self.status(m) is MemberStatus.DEAD for m in self._members):
+                return None
+
+    def _check_probe(self, now_s: float) -> list[Outgoing]:
+        probe = self._probe
+        if probe is None:
+            return []
+        waited_s = now_s - probe.sent_at_s
+        if waited_s >= 2 * self._times.ack_within_s:
+            self._probe = None
+            if self.status(probe.member) is MemberStatus.ALIVE:
+                self._set_status(probe.member, MemberStatus.SUSPECT, now_s)
+            return []
+        if probe.indirect or waited_s < self._times.ack_within_s:
+            return []
+        probe.indirect = True
+        helpers = self._pick_alive(self._times.indirect, probe.member)
+        kind = DatagramKind.PING_REQUEST
+        return [self._send(h, kind, probe.number, probe.member) for h in helpers]
+
+    def _bury_suspects(self, now_s: float) -> None:
+        for name, since_s in self._members.items():
+            if self.status(name) is not MemberStatus.SUSPECT:
+                continue
+            if now_s - since_s >= self._times.suspect_for_s:
+                self._set_status(name, MemberStatus.DEAD, now_s)
+
+    def _probe_dead(self) -> list[Outgoing]:
+        dead = [m for m in self._members if self.status(m) is MemberStatus.DEAD]
+        if not dead:
+            return []
+        name = self._rng.choice(sorted(dead))
+        self.rumours.heat([MEMBER_PREFIX + name], len(self._members))
+        return [self._send(name, DatagramKind.PING, self._next_number())]
+
+    def _gossip(self) -> list[Outgoing]:
+        if not self.rumours.has_hot:
+            return []
+        peers = self._pick_alive(self._times.fanout, "")
+        return [self._send(p, DatagramKind.GOSSIP, 0) for p in peers]
+
+    def _pick_alive(self, count: int, excluded: str) -> list[str]:
+        names = [
+            name
+            for name in self._members
+            if name != excluded and self.status(name) is MemberStatus.ALIVE
+        ]
+        return self._rng.sample(names, min(count, len(names)))
+
+    def _take_ack(self, number: int) -> list[Outgoing]:
+        if self._probe is not None and self._probe.number == number:
+            self._probe = None
+        relay = self._relays.pop(number, None)
+        if relay is None:
+            return []
+        return [self._send(relay[0], DatagramKind.ACK, relay[1])]
+
+    def _trim_relays(self) -> None:
+        while len(self._relays) > len(self._members) + 16:
+            del self._relays[next(iter(self._relays))]
+
+    def _compare(self, datagram: Datagram, now_s: float) -> None:
+        if datagram.digest == self.rumours.digest or self.rumours.has_hot:
+            self._mismatches = 0
+            return
+        self._mismatches += 1
+        if self._mismatches >= 2 and now_s >= self._next_sync_s:
+            self._mismatches = 0
+            self._next_sync_s = now_s + self._times.sync_gap_s
+            self.wants_sync_with = datagram.sender
+
+    def _next_number(self) -> int:
+        self._number += 1
+        return self._number
+
+    def _send(
+        self, to: str, kind: DatagramKind, number: int, about: str = ""
+    ) -> Outgoing:
+        rumours = self.rumours.pick(RUMOUR_SPACE_BYTES)
+        digest = self.rumours.digest
+        return Outgoing(to, Datagram(kind, self.name, number, digest, about, rumours))
+
+
+__all__ = [
+    "MEMBER_PREFIX",
+    "Datagram",
+    "DatagramKind",
+    "GossipTimes",
+    "MemberStatus",
+    "MemberView",
+    "Membership",
+    "Outgoing",
+]
--- /dev/null
+++ b/src/tamarackshelf/policy/retry.py
@@ -0,0 +1,37 @@
+"""Retry budgets and back-off with jitter."""
+
+from __future__ import annotations
+
+from random import Random
+
+BUDGET_PER_REQUEST = 0.1
+BUDGET_BURST = 32.0
+FIRST_DELAY_S = 0.02
+LONGEST_DELAY_S = 1.0
+
+
+class RetryBudget:
+    """Lets retries be a bounded share of an organisation's requests."""
+
+    def __init__(self) -> None:
+        self._tokens = BUDGET_BURST
+
+    def note_request(self) -> None:
+        """Earns a part of a retry."""
+        self._tokens = min(BUDGET_BURST, self._tokens + BUDGET_PER_REQUEST)
+
+    def take(self) -> bool:
+        """Takes one retry, or returns False when the budget is spent."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+def backoff_s(attempt: int, rng: Random) -> float:
+    """Returns the pause before retry `attempt`, counted from zero."""
+    longest_s = min(LONGEST_DELAY_S, FIRST_DELAY_S * 2**attempt)
+    return rng.uniform(longest_s / 2, longest_s)
+
+
+__all__ = ["RetryBudget", "backoff_s"]
--- /dev/null
+++ b/src/tamarackshelf/policy/routing.py
@@ -0,0 +1,164 @@
+"""Which target a request goes to, and why."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from random import Random
+
+from tamarackshelf.policy.ownership import find_owner
+from tamarackshelf.world import Target
+
+AFFINITY_BOUND = 1.25
+FAR_PENALTY = 0.05
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A target as this node sees it; loads count requests."""
+
+    target: Target
+    own_in_flight: int = 0
+    others_in_flight: int = 0
+    share: int = 1
+    ruled_out: str = ""
+
+    @property
+    def load(self) -> float:
+        """Returns the estimated requests per place of the target."""
+        total = self.own_in_flight + self.others_in_flight
+        return total / self.target.concurrency
+
+    @property
+    def has_room(self) -> bool:
+        """Tells whether one more request fits.
+
+        A node may always use its share; beyond it, it borrows what the load
+        reports show as free.
+        """
+        if self.own_in_flight < self.share:
+            return True
+        total = self.own_in_flight + self.others_in_flight
+        return total < self.target.concurrency
+
+
+@dataclass(frozen=True, slots=True)
+class Need:
+    """What a request asks of a target."""
+
+    service: str
+    affinity: str = ""
+    data_centre: str = ""
+    excluded: frozenset[str] = frozenset()
+    only: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """The chosen target, or None with `is_full` when waiting may help."""
+
+    target: Target | None
+    reason: str
+    is_full: bool = False
+
+
+Router = Callable[[Sequence[Candidate], Need, Random], Choice]
+
+
+def compute_share(concurrency: int, sharers: int) -> int:
+    """Returns how many requests of a target each node may always have."""
+    return max(1, math.floor(concurrency / max(1, sharers)))
+
+
+def route(candidates: Sequence[Candidate], need: Need, rng: Random) -> Choice:
+    """Chooses by constraints, capacity, prefix affinity, then load."""
+    allowed = _filter_allowed(candidates, need)
+    if not allowed:
+        return Choice(None, _explain_none(candidates, need))
+    free = [candidate for candidate in allowed if candidate.has_room]
+    if not free:
+        return Choice(None, f"all {len(allowed)} targets are full", is_full=True)
+    preferred = _find_preferred(allowed, need)
+    if preferred is not None and preferred.has_room:
+        mean = sum(candidate.load for candidate in allowed) / len(allowed)
+        if preferred.load <= AFFINITY_BOUND * mean + 1 / preferred.target.concurrency:
+            return Choice(preferred.target, f"prefix affinity, load {preferred.load}")
+    pair = rng.sample(free, min(2, len(free)))
+    best = min(pair, key=lambda c: (_cost(c, need), c.target.name))
+    names = ", ".join(f"{c.target.name} {_cost(c, need):.2f}" for c in pair)
+    return Choice(best.target, f"lower load of {names}")
+
+
+def build_round_robin() -> Router:
+    """Returns a router that takes the targets in turn, as a baseline."""
+    turn = 0
+
+    def choose(candidates: Sequence[Candidate], need: Need, rng: Random) -> Choice:
+        nonlocal turn
+        del rng
+        allowed = _filter_allowed(candidates, need)
+        if not allowed:
+            return Choice(None, _explain_none(candidates, need))
+        turn += 1
+        return Choice(allowed[turn % len(allowed)].target, "its turn")
+
+    return choose
+
+
+def route_least_outstanding(
+    candidates: Sequence[Candidate], need: Need, rng: Random
+) -> Choice:
+    """Chooses the fewest own requests in flight, as a baseline."""
+    allowed = _filter_allowed(candidates, need)
+    if not allowed:
+        return Choice(None, _explain_none(candidates, need))
+    best = min(allowed, key=lambda c: (c.own_in_flight, rng.random()))
+    return Choice(best.target, "fewest own requests")
+
+
+def _filter_allowed(candidates: Sequence[Candidate], need: Need) -> list[Candidate]:
+    return [c for c in candidates if not _rule_out(c, need)]
+
+
+def _rule_out(candidate: Candidate, need: Need) -> str:
+    name = candidate.target.name
+    if candidate.ruled_out:
+        return candidate.ruled_out
+    if name in need.excluded:
+        return "tried before"
+    if need.only and name != need.only:
+        return "not the granted one"
+    return ""
+
+
+def _explain_none(candidates: Sequence[Candidate], need: Need) -> str:
+    if not candidates:
+        return f"no target of {need.service} is known"
+    reasons = [f"{c.target.name}: {_rule_out(c, need)}" for c in candidates]
+    return "; ".join(reasons)
+
+
+def _find_preferred(allowed: list[Candidate], need: Need) -> Candidate | None:
+    if not need.affinity:
+        return None
+    by_name = {candidate.target.name: candidate for candidate in allowed}
+    owner = find_owner(by_name, need.affinity)
+    return None if owner is None else by_name[owner]
+
+
+def _cost(candidate: Candidate, need: Need) -> float:
+    is_far = candidate.target.data_centre != need.data_centre
+    return candidate.load + (FAR_PENALTY if is_far else 0.0)
+
+
+__all__ = [
+    "Candidate",
+    "Choice",
+    "Need",
+    "Router",
+    "build_round_robin",
+    "compute_share",
+    "route",
+    "route_least_outstanding",
+]
--- /dev/null
+++ b/src/tamarackshelf/policy/staleness.py
@@ -0,0 +1,49 @@
+"""Whether a sample is fresh enough, now or by the time it is done."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from tamarackshelf.world import Parameters, Sample
+
+
+@dataclass(frozen=True, slots=True)
+class Freshness:
+    """What is known when a sample is judged."""
+
+    newest_version: int
+    now_s: float
+
+
+def is_deliverable(
+    sample: Sample, parameters: Parameters, freshness: Freshness
+) -> bool:
+    """Tells whether the sample is within the organisation's bound."""
+    oldest = sample.oldest_version
+    if oldest is None:
+        return True
+    if not is_version_in_bound(oldest, parameters, freshness.newest_version):
+        return False
+    bound_s = parameters.staleness_bound_s
+    return bound_s is None or freshness.now_s - sample.produced_at_s <= bound_s
+
+
+def is_version_in_bound(
+    version: int, parameters: Parameters, newest_version: int
+) -> bool:
+    """Tells whether tokens of this version may still be delivered."""
+    return newest_version - version <= parameters.staleness_bound_versions
+
+
+def may_start(version: int, parameters: Parameters, newest_version: int) -> bool:
+    """Tells whether starting on this version is worth its tokens.
+
+    Organisations that weigh staleness above idle time start only on versions
+    that stay in bound after one more publication.
+    """
+    margin = int(parameters.staleness_weight > parameters.idle_weight)
+    allowed = max(0, parameters.staleness_bound_versions - margin)
+    return newest_version - version <= allowed
+
+
+__all__ = ["Freshness", "is_deliverable", "is_version_in_bound", "may_start"]
--- /dev/null
+++ b/src/tamarackshelf/runner/crew.py
@@ -0,0 +1,248 @@
+"""Runs the groups that this runner owns and settles their samples."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Awaitable, Callable
+
+from tamarackshelf.errors import ShelfError, StoreUnavailable
+from tamarackshelf.net.rpc import PeerRefused, PeerUnreachable, RpcClient
+from tamarackshelf.observe import Timeline
+from tamarackshelf.peers import Role, ViewWatch
+from tamarackshelf.peers.messages import SETTLED, SettledRequest
+from tamarackshelf.policy.ownership import find_owner, rank_owners
+from tamarackshelf.runner.board import ActiveStep
+from tamarackshelf.runner.sampler import Sampler, SlotJob
+from tamarackshelf.state import TableClient
+from tamarackshelf.state.steps import (
+    read_open_steps,
+    read_slots,
+    read_step,
+    settle_slot,
+)
+from tamarackshelf.world import Campaign, EntryVm, Sample
+
+SCAN_EVERY_S = 2.0
+TICK_S = 0.25
+MAX_RUNNING = 64
+SETTLE_TIMEOUT_S = 2.0
+SETTLE_GAP_S = 0.5
+PUSH_TIMEOUT_S = 2.0
+FAILED_SLOT_PAUSE_S = 0.5
+
+Accept = Callable[[Sample], Awaitable[None]]
+
+
+class Crew:
+    """Owns the board of steps and the tasks that run slots."""
+
+    def __init__(
+        self,
+        vm: str,
+        sampler: Sampler,
+        watch: ViewWatch,
+        table: TableClient,
+        rpc: RpcClient,
+        timeline: Timeline,
+    ) -> None:
+        self.steps: dict[str, ActiveStep] = {}
+        self._vm = vm
+        self._sampler = sampler
+        self._watch = watch
+        self._table = table
+        self._rpc = rpc
+        self._timeline = timeline
+        self._tasks: dict[tuple[str, int], asyncio.Task[None]] = {}
+        self._writes: set[asyncio.Task[None]] = set()
+        self._loops: list[asyncio.Task[None]] = []
+        self._owned: dict[str, frozenset[int]] = {}
+        self._wake = asyncio.Event()
+        self._is_leaving = False
+
+    async def start(self) -> None:
+        """Starts to look for steps and to run slots."""
+        loop = asyncio.get_running_loop()
+        self._loops = [
+            loop.create_task(self._repeat(self._scan, SCAN_EVERY_S)),
+            loop.create_task(self._repeat(self._run_owned, TICK_S)),
+        ]
+
+    async def leave(self) -> None:
+        """Starts no new slots and finishes those in flight."""
+        self._is_leaving = True
+        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+        await asyncio.gather(*self._writes, return_exceptions=True)
+
+    async def close(self) -> None:
+        """Stops all tasks."""
+        tasks = [*self._loops, *self._tasks.values(), *self._writes]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def find_step(self, name: str) -> ActiveStep | None:
+        """Returns a step with its settled samples, from the table if need be."""
+        active = self.steps.get(name)
+        if active is None:
+            known = await read_step(self._table, name)
+            if known is None:
+                return None
+            active = self.steps.setdefault(name, ActiveStep(known.row.step))
+            active.last_cursor = active.last_cursor or known.row.cursor
+        if not active.is_loaded:
+            with contextlib.suppress(StoreUnavailable):
+                await self.load_slots(active)
+        self._wake.set()
+        return active
+
+    async def load_slots(self, active: ActiveStep) -> None:
+        """Takes what other runners have settled."""
+        for sample in await read_slots(self._table, active.step.name):
+            active.put(sample)
+        active.is_loaded = True
+
+    def drop_step(self, name: str) -> None:
+        """Ends the work on a step that its trainer has wholly received."""
+        self.steps.pop(name, None)
+        self._owned.pop(name, None)
+        for (step, _), task in list(self._tasks.items()):
+            if step == name:
+                task.cancel()
+
+    def run_again(self, active: ActiveStep, stale: Sample) -> None:
+        """Runs a slot whose sample became too old."""
+        active.samples.pop(stale.slot, None)
+        if stale.slot not in active.running:
+            self._start_slot(active, stale.slot, stale.generation + 1)
+
+    async def _repeat(
+        self, action: Callable[[], Awaitable[None]], period_s: float
+    ) -> None:
+        while True:
+            with contextlib.suppress(StoreUnavailable):
+                await action()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(period_s):
+                    await self._wake.wait()
+            self._wake.clear()
+
+    async def _scan(self) -> None:
+        names = set(await read_open_steps(self._table))
+        for name in names - self.steps.keys():
+            await self.find_step(name)
+        for name in self.steps.keys() - names:
+            # A done step leaves the open list; its owner keeps it for late pulls.
+            known = await read_step(self._table, name)
+            if known is not None and known.row.state.value == "done":
+                self.drop_step(name)
+
+    async def _run_owned(self) -> None:
+        if not self._watch.view.ready or self._is_leaving:
+            return
+        runners = [e.name for e in self._watch.view.find_entries(Role.RUNNER)]
+        for active in list(self.steps.values()):
+            name = active.step.name
+            groups = range(len(active.step.prompts))
+            owned = frozenset(
+                g for g in groups if find_owner(runners, f"{name}/{g}") == self._vm
+            )
+            before = self._owned.get(name)
+            if before is not None and owned - before:
+                # Groups of a lost runner: keep what it has settled.
+                reason = "their runner left or died"
+                self._timeline.record(
+                    "groups_taken", name, reason, groups=len(owned - before)
+                )
+                await self.load_slots(active)
+            self._owned[name] = owned
+            for group in sorted(owned):
+                for slot in active.missing_slots(group):
+                    if len(self._tasks) >= MAX_RUNNING:
+                        return
+                    self._start_slot(active, slot, 0)
+
+    def _start_slot(self, active: ActiveStep, slot: int, generation: int) -> None:
+        job = self._build_job(active, slot, generation)
+        if job is None or self._is_leaving:
+            return
+        active.running[slot] = generation
+        key = (active.step.name, slot)
+        task = asyncio.get_running_loop().create_task(self._run_slot(active, job))
+        self._tasks[key] = task
+
+        def end(_: asyncio.Task[None]) -> None:
+            self._tasks.pop(key, None)
+            active.running.pop(slot, None)
+            self._wake.set()
+
+        task.add_done_callback(end)
+
+    def _build_job(
+        self, active: ActiveStep, slot: int, generation: int
+    ) -> SlotJob | None:
+        configuration = self._watch.view.configuration
+        campaign: Campaign | None = configuration.campaigns.get(active.step.campaign)
+        if campaign is None:
+            return None
+        parameters = configuration.organisations[campaign.organisation]
+        return SlotJob(active.step, slot, generation, campaign, parameters)
+
+    async def _run_slot(self, active: ActiveStep, job: SlotJob) -> None:
+        name = f"{job.step.name}.{job.slot}.{job.generation}"
+        try:
+            sample = await self._sampler.produce(job)
+        except ShelfError as error:
+            self._timeline.record("sample_failed", name, error.message)
+            await asyncio.sleep(FAILED_SLOT_PAUSE_S)
+            return
+        self._timeline.record("sample_produced", name, version=sample.oldest_version)
+        settled = await self._settle(sample)
+        active.put(settled)
+        await self._push(settled)
+
+    async def _settle(self, sample: Sample) -> Sample:
+        """Writes the sample; while the table is down it goes on unwritten.
+
+        The trainer's cursor alone makes delivery exactly once, so an unwritten
+        sample may be handed over; its loss means only that the slot runs again.
+        """
+        if self._table.is_up:
+            with contextlib.suppress(StoreUnavailable):
+                return await settle_slot(self._table, sample, SETTLE_TIMEOUT_S)
+        self._timeline.record(
+            "sample_unwritten",
+            f"{sample.step}.{sample.slot}",
+            "the table service is unavailable",
+        )
+        task = asyncio.get_running_loop().create_task(self._write_later(sample))
+        self._writes.add(task)
+        task.add_done_callback(self._writes.discard)
+        return sample
+
+    async def _write_later(self, sample: Sample) -> None:
+        while sample.step in self.steps:
+            try:
+                await settle_slot(self._table, sample, SETTLE_TIMEOUT_S)
+            except StoreUnavailable:
+                await asyncio.sleep(SETTLE_GAP_S)
+            else:
+                return
+
+    async def _push(self, sample: Sample) -> None:
+        """Tells the step's owner; a lost push is found in the table."""
+        owner = self.find_owner(sample.step)
+        if owner is None or owner.name == self._vm:
+            return
+        request = SettledRequest((sample,))
+        with contextlib.suppress(PeerUnreachable, PeerRefused):
+            await self._rpc.call(owner.runner_peer, SETTLED, request, PUSH_TIMEOUT_S)
+
+    def find_owner(self, step: str) -> EntryVm | None:
+        """Returns the runner that answers the step's pulls."""
+        entries = {e.name: e for e in self._watch.view.find_entries(Role.RUNNER)}
+        ranked = rank_owners(entries, step)
+        return entries[ranked[0]] if ranked else None
+
+
+__all__ = ["Crew"]
--- /dev/null
+++ b/src/tamarackshelf/runner/delivery.py
@@ -0,0 +1,173 @@
+"""Hands samples over to trainers, each slot once, none out of bound."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import Callable
+from dataclasses import replace
+
+from tamarackshelf.errors import (
+    CursorRequired,
+    NotFound,
+    PullSuperseded,
+    StoreUnavailable,
+)
+from tamarackshelf.observe import Timeline
+from tamarackshelf.peers import ViewWatch
+from tamarackshelf.peers.messages import (
+    Acknowledged,
+    PullAnswer,
+    PullRequest,
+    SettledRequest,
+)
+from tamarackshelf.policy.cursor import Cursor, decode_cursor, encode_cursor
+from tamarackshelf.policy.staleness import Freshness, is_deliverable
+from tamarackshelf.runner.board import ActiveStep
+from tamarackshelf.runner.crew import Crew
+from tamarackshelf.state import TableClient
+from tamarackshelf.state.steps import StepState, read_step, update_step
+from tamarackshelf.world import Sample
+
+RESCAN_EVERY_S = 2.0
+WRITE_TIMEOUT_S = 2.0
+
+
+class Delivery:
+    """Answers pulls; the cursor alone decides what a trainer still lacks."""
+
+    def __init__(
+        self,
+        crew: Crew,
+        watch: ViewWatch,
+        table: TableClient,
+        timeline: Timeline,
+        wall_s: Callable[[], float],
+    ) -> None:
+        self._crew = crew
+        self._watch = watch
+        self._table = table
+        self._timeline = timeline
+        self._wall_s = wall_s
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def take_settled(self, request: SettledRequest) -> Acknowledged:
+        """Takes samples that another runner has settled."""
+        for sample in request.samples:
+            active = await self._crew.find_step(sample.step)
+            if active is not None:
+                active.put(sample)
+        return Acknowledged()
+
+    async def pull(self, request: PullRequest) -> PullAnswer:
+        """Returns samples outside the cursor, waiting for the first of them."""
+        active = await self._crew.find_step(request.step)
+        if active is None:
+            raise NotFound("no such step; open it first")
+        active.pull_number += 1
+        number = active.pull_number
+        active.notify()
+        cursor = self._read_cursor(active, request)
+        self._remember(active, cursor)
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + request.wait_s
+        while True:
+            samples = self._collect(active, cursor, request)
+            is_done = cursor.count == active.step.slot_count
+            if samples or is_done or loop.time() >= deadline_s:
+                return self._answer(active, cursor, request, samples)
+            await self._wait(active, deadline_s - loop.time())
+            if active.pull_number != number:
+                raise PullSuperseded(
+                    "a later pull of this step replaced this one; use its answer"
+                )
+
+    async def close(self) -> None:
+        """Waits for rows that are still to be written."""
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _read_cursor(self, active: ActiveStep, request: PullRequest) -> Cursor:
+        step = active.step
+        if request.cursor is not None:
+            return decode_cursor(request.cursor, step.name, step.slot_count)
+        if active.last_cursor and not request.rewind:
+            raise CursorRequired(
+                "the step was pulled before; send its newest cursor, or rewind=true "
+                f"to get all samples again; the last one seen is {active.last_cursor}"
+            )
+        return Cursor(step.name)
+
+    def _remember(self, active: ActiveStep, cursor: Cursor) -> None:
+        text = encode_cursor(cursor)
+        if cursor.count == 0 or text == active.last_cursor:
+            return
+        active.last_cursor = text
+        is_done = cursor.count == active.step.slot_count
+        task = asyncio.get_running_loop().create_task(
+            self._write_cursor(active.step.name, text, is_done)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _write_cursor(self, step: str, cursor: str, is_done: bool) -> None:
+        with contextlib.suppress(StoreUnavailable):
+            known = await read_step(self._table, step)
+            if known is None:
+                return
+            state = StepState.DONE if is_done else known.row.state
+            row = replace(known.row, cursor=cursor, state=state)
+            await update_step(self._table, known, row, WRITE_TIMEOUT_S)
+
+    def _collect(
+        self, active: ActiveStep, cursor: Cursor, request: PullRequest
+    ) -> list[Sample]:
+        configuration = self._watch.view.configuration
+        campaign = configuration.campaigns[active.step.campaign]
+        parameters = configuration.organisations[campaign.organisation]
+        known = self._watch.view.published.get(campaign.model, 0)
+        newest = max(request.newest_version, known)
+        freshness = Freshness(newest, self._wall_s())
+        fresh = []
+        for slot in sorted(active.samples):
+            sample = active.samples[slot]
+            if cursor.has(slot):
+                continue
+            if is_deliverable(sample, parameters, freshness):
+                fresh.append(sample)
+                continue
+            name = f"{sample.step}.{slot}.{sample.generation}"
+            reason = f"out of bound at hand-over, the newest version is {newest}"
+            self._timeline.record("sample_too_old", name, reason)
+            self._crew.run_again(active, sample)
+        return fresh[: request.max_samples]
+
+    async def _wait(self, active: ActiveStep, remaining_s: float) -> None:
+        before = len(active.samples)
+        timeout_s = min(RESCAN_EVERY_S, max(0.0, remaining_s))
+        await active.wait_change(timeout_s)
+        if len(active.samples) == before:
+            with contextlib.suppress(StoreUnavailable):
+                await self._crew.load_slots(active)
+
+    def _answer(
+        self,
+        active: ActiveStep,
+        cursor: Cursor,
+        request: PullRequest,
+        samples: list[Sample],
+    ) -> PullAnswer:
+        slots = [sample.slot for sample in samples]
+        after = cursor.with_slots(slots)
+        self._timeline.record(
+            "samples_handed_over",
+            active.step.name,
+            "outside the pull's cursor",
+            pull=request.pull_id,
+            slots=",".join(map(str, slots)),
+        )
+        is_complete = after.count == active.step.slot_count
+        text = encode_cursor(after)
+        return PullAnswer(request.pull_id, tuple(samples), text, is_complete)
+
+
+__all__ = ["Delivery"]
--- /dev/null
+++ b/src/tamarackshelf/runner/program.py
@@ -0,0 +1,164 @@
+"""The runner program: samples of steps, from engines to trainers."""
+
+from __future__ import annotations
+
+import hmac
+import time
+from dataclasses import dataclass
+from random import Random
+
+from tamarackshelf.dispatch import Dispatcher, PeerActions, TargetPool
+from tamarackshelf.errors import NotFound, Unauthorised
+from tamarackshelf.net import (
+    HttpClient,
+    HttpServer,
+    Request,
+    Response,
+    to_json_response,
+)
+from tamarackshelf.net.rpc import RpcClient, RpcServer
+from tamarackshelf.observe import Metrics, Timeline
+from tamarackshelf.peers import Report, ReportKind, Role, View, ViewWatch
+from tamarackshelf.peers.messages import (
+    NOTE_CRASH,
+    PULL,
+    SETTLED,
+    STEP_OPENED,
+    Acknowledged,
+    StepOpened,
+)
+from tamarackshelf.peers.suspect_link import SuspectLink
+from tamarackshelf.policy.quarantine import Crash
+from tamarackshelf.policy.routing import Router, route
+from tamarackshelf.runner.crew import Crew
+from tamarackshelf.runner.delivery import Delivery
+from tamarackshelf.runner.sampler import Sampler
+from tamarackshelf.state import TableClient
+from tamarackshelf.world import Address
+
+
+@dataclass(frozen=True, slots=True)
+class RunnerSettings:
+    """What a runner is told at its start."""
+
+    vm: str
+    data_centre: str
+    listen: Address
+    peer_listen: Address
+    controller: Address
+    table: Address
+    secret: str
+    seed: int = 0
+
+
+class Runner:
+    """One runner; `http` carries the calls to targets and the platform."""
+
+    def __init__(
+        self,
+        settings: RunnerSettings,
+        http: HttpClient,
+        timeline: Timeline,
+        router: Router = route,
+    ) -> None:
+        self.timeline = timeline
+        self.metrics = Metrics()
+        self.address = settings.listen
+        self._settings = settings
+        self._internal = HttpClient(headers={"x-fleet-secret": settings.secret})
+        self.watch = ViewWatch(self._internal, settings.controller, Role.RUNNER)
+        self._rpc = RpcClient(settings.secret)
+        self._table = TableClient(http, settings.table)
+        rng = Random(f"{settings.seed}/{settings.vm}/runner")
+        self.pool = TargetPool(settings.data_centre, rng, router)
+        link = SuspectLink(self._rpc, self.watch)
+        actions = PeerActions(
+            link.isolate, link.release, link.announce, self.watch.report
+        )
+        self.dispatcher = Dispatcher(
+            self.pool, http, actions, timeline, self.metrics, rng
+        )
+        sampler = Sampler(self.dispatcher, self.watch, settings.data_centre, time.time)
+        self.crew = Crew(
+            settings.vm, sampler, self.watch, self._table, self._rpc, timeline
+        )
+        self._delivery = Delivery(
+            self.crew, self.watch, self._table, timeline, time.time
+        )
+        self._server = HttpServer(self._handle)
+        self._rpc_server = RpcServer(
+            {
+                NOTE_CRASH: self._note_crash,
+                STEP_OPENED: self._take_opened,
+                SETTLED: self._delivery.take_settled,
+                PULL: self._delivery.pull,
+            },
+            settings.secret,
+        )
+
+    async def start(self) -> None:
+        """Listens and follows the controller."""
+        self.watch.on_change(self._take_view)
+        await self._table.start()
+        await self._rpc_server.start(self._settings.peer_listen)
+        self.address = await self._server.start(self._settings.listen)
+        await self.watch.start()
+        await self.crew.start()
+
+    async def drain(self) -> None:
+        """Hands its groups over and finishes the samples in flight."""
+        self.timeline.record("drain_started", self._settings.vm, "planned stop")
+        self.watch.stop_announcing()
+        await self.watch.report(Report(ReportKind.ROLE_LEAVING, Role.RUNNER.value))
+        await self.crew.leave()
+
+    async def close(self) -> None:
+        """Lets pulls in flight finish, then closes."""
+        await self._rpc_server.close(10.0)
+        await self._delivery.close()
+        await self.dispatcher.close()
+        await self._close_links()
+
+    async def abort(self) -> None:
+        """Stops at once, as a crash would."""
+        await self._rpc_server.close(0.0)
+        await self._close_links()
+
+    async def _close_links(self) -> None:
+        await self.crew.close()
+        await self.watch.close()
+        await self._server.close(0.0)
+        await self._rpc.close()
+        await self._table.close()
+        await self._internal.close()
+
+    def _take_view(self, view: View) -> None:
+        gateways = len(view.find_entries(Role.GATEWAY))
+        runners = len(view.find_entries(Role.RUNNER))
+        self.pool.update(view.targets, max(1, gateways + runners))
+
+    async def _take_opened(self, message: StepOpened) -> Acknowledged:
+        await self.crew.find_step(message.step)
+        return Acknowledged()
+
+    async def _note_crash(self, crash: Crash) -> Acknowledged:
+        self.dispatcher.note_crash(crash, "a peer saw it in flight at a crash")
+        return Acknowledged()
+
+    async def _handle(self, request: Request) -> Response:
+        if request.path == "/healthz":
+            return to_json_response({"ok": True})
+        if request.path == "/readyz":
+            is_ready = self.watch.view.ready
+            return to_json_response({"ready": is_ready}, 200 if is_ready else 503)
+        sent = request.headers.get("x-fleet-secret", "")
+        if not hmac.compare_digest(sent.encode(), self._settings.secret.encode()):
+            raise Unauthorised("the fleet secret is wrong; set the same one everywhere")
+        if request.path == "/metrics":
+            return Response(200, self.metrics.render(), "text/plain; version=0.0.4")
+        if request.path == "/v1/timeline":
+            return to_json_response(self.timeline.page())
+        raise NotFound("no such path; see docs/reference/runner.md")
+
+
+__all__ = ["Runner", "RunnerSettings"]
--- /dev/null
+++ b/src/tamarackshelf/runner/sampler.py
@@ -0,0 +1,162 @@
+"""Produces one scored, attributed sample for a slot."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import xxhash
+
+from tamarackshelf.contracts import ScoreRequest
+from tamarackshelf.contracts.platform import score
+from tamarackshelf.dispatch import (
+    Abandoned,
+    Ask,
+    CompletionJob,
+    Dispatcher,
+    Place,
+    Work,
+    run_completion,
+    run_idempotent,
+)
+from tamarackshelf.errors import Quarantined
+from tamarackshelf.peers import ViewWatch
+from tamarackshelf.policy.admission import WorkClass
+from tamarackshelf.policy.attribution import AnswerBuilder
+from tamarackshelf.policy.quarantine import fingerprint_request
+from tamarackshelf.policy.routing import Need
+from tamarackshelf.policy.staleness import is_version_in_bound, may_start
+from tamarackshelf.world import Campaign, Parameters, Sample, Step
+
+SAMPLE_DEADLINE_S = 600.0
+SCORE_TIMEOUT_S = 5.0
+RESTART_PAUSE_S = 0.1
+
+
+@dataclass(frozen=True, slots=True)
+class SlotJob:
+    """One generation of one slot."""
+
+    step: Step
+    slot: int
+    generation: int
+    campaign: Campaign
+    parameters: Parameters
+
+    @property
+    def prompt(self) -> str:
+        """Returns the prompt that the slot belongs to."""
+        return self.step.prompts[self.slot // self.step.group_size]
+
+    @property
+    def seed(self) -> int:
+        """Returns the same seed for the same slot on every runner."""
+        return xxhash.xxh32_intdigest(f"{self.step.name}/{self.slot}".encode()) >> 1
+
+
+class Sampler:
+    """Runs slots through the dispatcher."""
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        watch: ViewWatch,
+        data_centre: str,
+        wall_s: Callable[[], float],
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._watch = watch
+        self._data_centre = data_centre
+        self._wall_s = wall_s
+
+    async def produce(self, job: SlotJob) -> Sample:
+        """Returns a whole sample that is in bound when its score is known."""
+        tries = 0
+        while True:
+            builder = AnswerBuilder()
+            name = f"{job.step.name}.{job.slot}.{job.generation}.{tries}"
+            tries += 1
+            try:
+                await self._complete(job, name, builder)
+                sample = await self._score(job, name, builder)
+            except Abandoned as reason:
+                self._dispatcher.timeline.record("sample_restarted", name, str(reason))
+                await asyncio.sleep(RESTART_PAUSE_S)
+            except Quarantined as error:
+                return self._build_sample(job, AnswerBuilder(), 0.0, error.message)
+            else:
+                return sample
+
+    async def _complete(self, job: SlotJob, name: str, builder: AnswerBuilder) -> None:
+        work = self._build_work(job, name, job.campaign.service, job.prompt)
+        completion = CompletionJob(
+            work=work,
+            model=job.campaign.model,
+            prompt=job.prompt,
+            seed=job.seed,
+            max_tokens=job.step.max_tokens,
+            restart_on_doubt=True,
+        )
+        chunks = run_completion(
+            self._dispatcher, completion, builder, lambda b: self._judge(job, b)
+        )
+        async for _ in chunks:
+            pass
+
+    def _judge(self, job: SlotJob, builder: AnswerBuilder) -> str:
+        """Says why a sample is not worth going on with, or nothing."""
+        newest = self._watch.view.published.get(job.campaign.model, 0)
+        oldest = builder.oldest_version
+        if oldest is None:
+            return ""
+        if not is_version_in_bound(oldest, job.parameters, newest):
+            return f"version {oldest} is out of bound, the newest is {newest}"
+        if builder.is_single_chunk and not may_start(oldest, job.parameters, newest):
+            return f"version {oldest} would not last, the newest is {newest}"
+        return ""
+
+    async def _score(self, job: SlotJob, name: str, builder: AnswerBuilder) -> Sample:
+        tokens = tuple(builder.tokens)
+        request = ScoreRequest(name, job.prompt, tokens)
+        work = self._build_work(job, name, job.campaign.scorer, "\0".join(tokens))
+
+        async def attempt(place: Place) -> float:
+            address = place.target.address
+            http = self._dispatcher.http
+            return (await score(http, address, request, SCORE_TIMEOUT_S)).score
+
+        value = await run_idempotent(self._dispatcher, work, attempt)
+        return self._build_sample(job, builder, value)
+
+    def _build_sample(
+        self, job: SlotJob, builder: AnswerBuilder, value: float, failure: str = ""
+    ) -> Sample:
+        return Sample(
+            step=job.step.name,
+            slot=job.slot,
+            generation=job.generation,
+            prompt=job.prompt,
+            tokens=tuple(builder.tokens),
+            segments=builder.segments,
+            score=value,
+            produced_at_s=self._wall_s(),
+            failure=failure,
+        )
+
+    def _build_work(self, job: SlotJob, name: str, service: str, body: str) -> Work:
+        organisation = job.parameters.organisation
+        need = Need(
+            service=service,
+            affinity=f"{job.campaign.model}/{job.prompt}",
+            data_centre=self._data_centre,
+        )
+        deadline_s = asyncio.get_running_loop().time() + SAMPLE_DEADLINE_S
+        ask = Ask(need, organisation, WorkClass.TRAINER, deadline_s)
+        fingerprint = fingerprint_request(
+            organisation, service, f"{job.seed}\0{body}".encode()
+        )
+        return Work(name, fingerprint, ask)
+
+
+__all__ = ["Sampler", "SlotJob"]
--- /dev/null
+++ b/src/tamarackshelf/standin/__init__.py
@@ -0,0 +1,35 @@
+"""Small stand-ins for what the platform gives; for tests and the demo."""
+
+from __future__ import annotations
+
+from tamarackshelf.standin.engine import (
+    EngineSpeed,
+    EngineStandin,
+    answer_length,
+    produce_token,
+)
+from tamarackshelf.standin.faults import (
+    FaultChange,
+    StoreFaults,
+    TargetFaults,
+    VmListFaults,
+)
+from tamarackshelf.standin.platform import PlatformStandin
+from tamarackshelf.standin.services import ServiceStandin, answer_call, score_tokens
+from tamarackshelf.standin.table import TableStandin
+
+__all__ = [
+    "EngineSpeed",
+    "EngineStandin",
+    "FaultChange",
+    "PlatformStandin",
+    "ServiceStandin",
+    "StoreFaults",
+    "TableStandin",
+    "TargetFaults",
+    "VmListFaults",
+    "answer_call",
+    "answer_length",
+    "produce_token",
+    "score_tokens",
+]
--- /dev/null
+++ b/src/tamarackshelf/standin/engine.py
@@ -0,0 +1,288 @@
+"""Stand-in for a model engine whose tokens prove which weights made them."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from collections import deque
+from collections.abc import AsyncIterator, Awaitable, Callable
+from dataclasses import dataclass, replace
+
+import msgspec
+import xxhash
+
+from tamarackshelf.contracts import (
+    CacheEvent,
+    Chunk,
+    End,
+    EngineState,
+    GenerateRequest,
+    KvHandle,
+    Load,
+    Order,
+    OrderKind,
+    StreamLine,
+    WeightEntry,
+)
+from tamarackshelf.errors import BadRequest, NotFound, Overloaded, ShelfError
+from tamarackshelf.net import HttpServer, Request, Response, to_json_response
+from tamarackshelf.standin.faults import FaultChange, TargetFaults, apply_change
+from tamarackshelf.world import Address, Target
+
+CHUNK_TOKENS = 8
+CACHE_EVENTS_KEPT = 256
+
+
+@dataclass(frozen=True, slots=True)
+class EngineSpeed:
+    """How fast an engine stand-in works."""
+
+    chunk_s: float = 0.01
+    prefill_s: float = 0.005
+    swap_s: float = 0.05
+    queue_limit: int = 64
+
+
+class Fenced(ShelfError):
+    """The order's fencing number is too old."""
+
+    kind = "fenced"
+    status = 409
+
+
+class Leaving(ShelfError):
+    """The target is leaving."""
+
+    kind = "leaving"
+    status = 503
+
+
+def produce_token(model: str, version: int, prompt: str, seed: int, index: int) -> str:
+    """Returns the token that this weight version makes at this place."""
+    text = f"{model}/{version}/{seed}/{index}/{prompt}"
+    return f"{xxhash.xxh32_intdigest(text.encode()) & 0xFFFF:04x}"
+
+
+def answer_length(
+    prompt: str, seed: int, max_tokens: int, straggler_share: float
+) -> int:
+    """Returns how long the answer is; a share of them is ten times longer."""
+    draw = xxhash.xxh64_intdigest(f"{seed}/{prompt}".encode())
+    base = max(1, max_tokens // 16)
+    length = base + draw % max(1, base)
+    if (draw >> 32) % 1000 < straggler_share * 1000:
+        length *= 8
+    return int(min(length, max_tokens))
+
+
+class EngineStandin:
+    """One engine process; `crash` cuts all streams and refuses connections."""
+
+    def __init__(
+        self,
+        target: Target,
+        versions: dict[str, int],
+        speed: EngineSpeed | None = None,
+        fetch: Callable[[WeightEntry], Awaitable[None]] | None = None,
+        straggler_share: float = 0.02,
+    ) -> None:
+        self.target = target
+        self.faults = TargetFaults()
+        self.state = EngineState(target.incarnation, versions=dict(versions))
+        self.requests_seen = 0
+        self.crashed = asyncio.Event()
+        self._speed = speed or EngineSpeed()
+        self._fetch = fetch
+        self._straggler_share = straggler_share
+        self._slots = asyncio.Semaphore(target.concurrency)
+        self._running = 0
+        self._queued = 0
+        self._exported: dict[str, tuple[str, ...]] = {}
+        self._progress: dict[str, list[str]] = {}
+        self._cancelled: set[str] = set()
+        self._cache: deque[CacheEvent] = deque(maxlen=CACHE_EVENTS_KEPT)
+        self._sequence = itertools.count(1)
+        self._mix = itertools.count()
+        self._crash: asyncio.Task[None] | None = None
+        self._server = HttpServer(self._handle)
+
+    async def start(self) -> Address:
+        """Listens and returns the bound address."""
+        address = await self._server.start(self.target.address)
+        self.target = replace(self.target, address=address)
+        return address
+
+    async def close(self) -> None:
+        """Stops listening."""
+        await self._server.close(0.1)
+
+    async def crash(self) -> None:
+        """Cuts all streams and refuses connections until a restart."""
+        self.crashed.set()
+        await self._server.abort()
+
+    async def _crash_now(self) -> None:
+        # The crash cancels the task that asks for it, so it needs its own.
+        self._crash = asyncio.get_running_loop().create_task(self.crash())
+        await asyncio.Event().wait()
+
+    async def restart(self) -> None:
+        """Starts a new incarnation at the same address."""
+        incarnation = self.state.incarnation + 1
+        self.target = replace(self.target, incarnation=incarnation)
+        versions = dict(self.state.versions)
+        self.state = EngineState(incarnation, versions=versions)
+        self.crashed.clear()
+        self._slots = asyncio.Semaphore(self.target.concurrency)
+        self._running = self._queued = 0
+        self.faults.die_after_chunks = 0
+        self._server = HttpServer(self._handle)
+        await self.start()
+
+    async def _handle(self, request: Request) -> Response:
+        path = request.path
+        if path == "/v1/generate":
+            return await self._generate(request.decode(GenerateRequest))
+        if path == "/v1/state":
+            return to_json_response(self.read_state())
+        if path == "/v1/orders":
+            return await self._obey(request.decode(Order))
+        if path == "/v1/cache-events":
+            after = int(request.parameter("after", "0"))
+            events = tuple(e for e in self._cache if e.sequence > after)
+            return to_json_response(events)
+        if path.startswith("/v1/kv/export/"):
+            return self._export(path.rpartition("/")[2])
+        if path == "/standin/faults":
+            apply_change(self.faults, request.decode(FaultChange))
+            return to_json_response({})
+        raise BadRequest("no such path")
+
+    def read_state(self) -> EngineState:
+        """Returns the state with the load of this moment."""
+        load = Load(self._running, self._queued)
+        return replace(self.state, load=load, leaving=self.faults.leaving)
+
+    async def _generate(self, request: GenerateRequest) -> Response:
+        self.requests_seen += 1
+        if self.faults.leaving:
+            raise Leaving("this engine is leaving; use another")
+        if request.model not in self.state.versions:
+            raise NotFound("the model is not loaded; order it first")
+        if self._queued >= self._speed.queue_limit:
+            raise Overloaded("the engine's queue is full; use another")
+        if any(mark in request.prompt for mark in self.faults.poison):
+            await self._crash_now()
+        return Response(200, self._stream(request), "application/x-ndjson")
+
+    async def _stream(self, request: GenerateRequest) -> AsyncIterator[bytes]:
+        self._queued += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self._queued -= 1
+        slots = self._slots
+        self._running += 1
+        tokens = list(self._exported.pop(request.kv_handle, request.prefix))
+        self._progress[request.request_id] = tokens
+        try:
+            async for line in self._produce(request, tokens):
+                yield msgspec.json.encode(line) + b"\n"
+        finally:
+            self._running -= 1
+            slots.release()
+            self._progress.pop(request.request_id, None)
+
+    async def _produce(
+        self, request: GenerateRequest, tokens: list[str]
+    ) -> AsyncIterator[StreamLine]:
+        await self._prefill(request)
+        length = answer_length(
+            request.prompt, request.seed, request.max_tokens, self._straggler_share
+        )
+        sent = 0
+        while len(tokens) < length:
+            await asyncio.sleep(self._speed.chunk_s + self.faults.delay_s)
+            if request.request_id in self._cancelled:
+                raise ConnectionError("the request was exported")
+            chunk = self._produce_chunk(request, len(tokens), length)
+            tokens += chunk.tokens
+            yield StreamLine(self._name_line(request), chunk=chunk)
+            sent += 1
+            if self.faults.die_after_chunks and sent >= self.faults.die_after_chunks:
+                await self._crash_now()
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            raise ConnectionError("the end is lost")
+        load = Load(self._running, self._queued)
+        yield StreamLine(request.request_id, end=End(len(tokens), load))
+
+    async def _prefill(self, request: GenerateRequest) -> None:
+        digest = xxhash.xxh64_hexdigest(request.prompt.encode())
+        hit = any(e.prefix_digest == digest for e in self._cache)
+        if not hit:
+            await asyncio.sleep(self._speed.prefill_s)
+            event = CacheEvent(next(self._sequence), digest, cached=True)
+            if self.faults.cache_event_gaps:
+                event = replace(event, sequence=next(self._sequence))
+            self._cache.append(event)
+
+    def _produce_chunk(
+        self, request: GenerateRequest, start: int, length: int
+    ) -> Chunk:
+        version = self.state.versions[request.model]
+        if self.state.failed_swap and next(self._mix) % 2:
+            version = max(0, version - 1)
+        end = min(length, start + CHUNK_TOKENS)
+        tokens = tuple(
+            produce_token(request.model, version, request.prompt, request.seed, i)
+            for i in range(start, end)
+        )
+        return Chunk(start, tokens, None if self.faults.omit_version else version)
+
+    def _name_line(self, request: GenerateRequest) -> str:
+        if self.faults.cross_answers > 0:
+            self.faults.cross_answers -= 1
+            return f"crossed-{request.request_id}"
+        return request.request_id
+
+    def _export(self, request_id: str) -> Response:
+        tokens = self._progress.get(request_id)
+        if tokens is None:
+            raise NotFound("no such request in progress")
+        self._cancelled.add(request_id)
+        self._exported[request_id] = tuple(tokens)
+        return to_json_response(KvHandle(request_id, tuple(tokens)))
+
+    async def _obey(self, order: Order) -> Response:
+        seen = self.state.fencing_number
+        if self.target.checks_fencing and order.fencing_number < seen:
+            raise Fenced(f"fencing number {seen} was seen; give up the lease")
+        self.state = replace(self.state, fencing_number=max(seen, order.fencing_number))
+        if order.kind is OrderKind.CHANGE_ROLE:
+            self.state = replace(self.state, role=order.role)
+        elif order.kind is OrderKind.LOAD_ADAPTER:
+            adapters = tuple(sorted({*self.state.adapters, order.adapter}))
+            self.state = replace(self.state, adapters=adapters)
+        else:
+            await self._swap(order)
+        return to_json_response(self.read_state())
+
+    async def _swap(self, order: Order) -> None:
+        if self.faults.swap_ignored > 0:
+            self.faults.swap_ignored -= 1
+            return
+        self.state = replace(self.state, swapping=True)
+        try:
+            if self._fetch is not None:
+                await self._fetch(WeightEntry(order.model, order.version))
+            await asyncio.sleep(self._speed.swap_s)
+        finally:
+            self.state = replace(self.state, swapping=False)
+        versions = {**self.state.versions, order.model: order.version}
+        fails = self.faults.swap_fails > 0
+        self.faults.swap_fails = max(0, self.faults.swap_fails - 1)
+        self.state = replace(self.state, versions=versions, failed_swap=fails)
+
+
+__all__ = ["EngineSpeed", "EngineStandin", "answer_length", "produce_token"]
--- /dev/null
+++ b/src/tamarackshelf/standin/services.py
@@ -0,0 +1,121 @@
+"""Stand-ins for plain services and scorers."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from dataclasses import replace
+
+import msgspec
+import xxhash
+
+from tamarackshelf.contracts import EngineState, Load, Score, ScoreRequest
+from tamarackshelf.errors import BadRequest, Overloaded
+from tamarackshelf.net import HttpServer, Request, Response, to_json_response
+from tamarackshelf.standin.engine import Leaving
+from tamarackshelf.standin.faults import FaultChange, TargetFaults, apply_change
+from tamarackshelf.world import Address, Target
+
+
+def score_tokens(prompt: str, tokens: tuple[str, ...]) -> float:
+    """Returns the score that belongs to exactly these tokens."""
+    text = prompt + "\0" + " ".join(tokens)
+    return float(xxhash.xxh32_intdigest(text.encode()) % 10_000) / 10_000
+
+
+def answer_call(path: str, body: bytes) -> str:
+    """Returns the answer that belongs to exactly this call."""
+    return xxhash.xxh64_hexdigest(path.encode() + b"\0" + body)
+
+
+class ServiceStandin:
+    """One plain service or scorer; counts the runs of each body."""
+
+    def __init__(self, target: Target, service_s: float = 0.005) -> None:
+        self.target = target
+        self.faults = TargetFaults()
+        self.runs: Counter[str] = Counter()
+        self._service_s = service_s
+        self._running = 0
+        self._crash: asyncio.Task[None] | None = None
+        self._server = HttpServer(self._handle)
+
+    async def start(self) -> Address:
+        """Listens and returns the bound address."""
+        address = await self._server.start(self.target.address)
+        self.target = replace(self.target, address=address)
+        return address
+
+    async def close(self) -> None:
+        """Stops listening."""
+        await self._server.close(0.1)
+
+    async def crash(self) -> None:
+        """Cuts all calls and refuses connections until a restart."""
+        await self._server.abort()
+
+    async def restart(self) -> None:
+        """Starts a new incarnation at the same address."""
+        incarnation = self.target.incarnation + 1
+        self.target = replace(self.target, incarnation=incarnation)
+        self._running = 0
+        self._server = HttpServer(self._handle)
+        await self.start()
+
+    async def _handle(self, request: Request) -> Response:
+        path = request.path
+        if path == "/v1/state":
+            load = Load(self._running)
+            leaving = self.faults.leaving
+            incarnation = self.target.incarnation
+            return to_json_response(
+                EngineState(incarnation, load=load, leaving=leaving)
+            )
+        if path == "/standin/faults":
+            apply_change(self.faults, request.decode(FaultChange))
+            return to_json_response({})
+        if path == "/standin/runs":
+            return to_json_response(dict(self.runs))
+        if self.faults.leaving:
+            raise Leaving("this service is leaving; use another")
+        if self._running >= 4 * self.target.concurrency:
+            raise Overloaded("the service is full; use another")
+        self._running += 1
+        try:
+            return await self._run(request)
+        finally:
+            self._running -= 1
+
+    async def _run(self, request: Request) -> Response:
+        if request.path == "/v1/score":
+            await asyncio.sleep(self._service_s + self.faults.delay_s)
+            return self._score(request.decode(ScoreRequest))
+        if not request.path.startswith("/v1/call/"):
+            raise BadRequest("no such path; use /v1/call/PATH or /v1/score")
+        path = request.path.removeprefix("/v1/call/")
+        if any(mark in request.body.decode() for mark in self.faults.poison):
+            # The crash cancels the task that asks for it, so it needs its own.
+            self._crash = asyncio.get_running_loop().create_task(self.crash())
+            await asyncio.Event().wait()
+        self.runs[f"{path} {request.body.decode()}"] += 1
+        await asyncio.sleep(self._service_s + self.faults.delay_s)
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            raise ConnectionError("the answer is lost after the run")
+        request_id = request.headers.get("x-request-id", "")
+        if self.faults.cross_answers > 0:
+            self.faults.cross_answers -= 1
+            request_id = f"crossed-{request_id}"
+        body = msgspec.json.encode({"answer": answer_call(path, request.body)})
+        return Response(200, body, headers={"x-request-id": request_id})
+
+    def _score(self, request: ScoreRequest) -> Response:
+        sample_id = request.sample_id
+        if self.faults.cross_answers > 0:
+            self.faults.cross_answers -= 1
+            sample_id = f"crossed-{sample_id}"
+        score = score_tokens(request.prompt, request.tokens)
+        return to_json_response(Score(sample_id, score))
+
+
+__all__ = ["ServiceStandin", "answer_call", "score_tokens"]
--- /dev/null
+++ b/src/tamarackshelf/standin/table.py
@@ -0,0 +1,104 @@
+"""Stand-in for the platform's transactional table service."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tamarackshelf.contracts import (
+    ABSENT,
+    Batch,
+    ReadRequest,
+    Row,
+    Transaction,
+    TransactionResult,
+)
+from tamarackshelf.errors import BadRequest
+from tamarackshelf.net import HttpServer, Request, Response, to_json_response
+from tamarackshelf.net.http_server import ServerLimits
+from tamarackshelf.standin.faults import FaultChange, StoreFaults, apply_change
+from tamarackshelf.world import Address
+
+BODY_LIMIT_BYTES = 64 * 1024 * 1024
+
+
+class TableStandin:
+    """Keeps rows in memory and counts the operations."""
+
+    def __init__(self) -> None:
+        self.faults = StoreFaults()
+        self.rows: dict[str, Row] = {}
+        self.rows_read = 0
+        self.rows_written = 0
+        self.requests = 0
+        limits = ServerLimits(body_bytes=BODY_LIMIT_BYTES)
+        self._server = HttpServer(self._handle, limits)
+
+    async def start(self, address: Address) -> Address:
+        """Listens and returns the bound address."""
+        return await self._server.start(address)
+
+    async def close(self) -> None:
+        """Stops listening."""
+        await self._server.close(0.1)
+
+    async def _handle(self, request: Request) -> Response:
+        if request.path == "/standin/faults":
+            apply_change(self.faults, request.decode(FaultChange))
+            return to_json_response({})
+        self.requests += 1
+        if self.faults.down:
+            raise ConnectionError("the table service is down")
+        if self.faults.delay_s:
+            await asyncio.sleep(self.faults.delay_s)
+        if request.path == "/v1/reads":
+            return to_json_response(self.read(request.decode(ReadRequest)))
+        if request.path == "/v1/transactions":
+            batch = request.decode(Batch)
+            results = tuple(self.commit(t) for t in batch.transactions)
+            self._lose_answer(batch)
+            return to_json_response(results)
+        raise BadRequest("no such path; use /v1/reads or /v1/transactions")
+
+    def read(self, request: ReadRequest) -> tuple[Row, ...]:
+        """Returns the rows asked for."""
+        found = [self.rows[key] for key in request.keys if key in self.rows]
+        if request.prefix is not None:
+            keys = sorted(k for k in self.rows if k.startswith(request.prefix))
+            found += [self.rows[key] for key in keys]
+        self.rows_read += max(1, len(found))
+        return tuple(found)
+
+    def commit(self, transaction: Transaction) -> TransactionResult:
+        """Applies the writes when all conditions hold."""
+        conflicts = []
+        for condition in transaction.conditions:
+            row = self.rows.get(condition.key)
+            revision = ABSENT if row is None else row.revision
+            if revision != condition.revision:
+                conflicts.append(row or Row(condition.key, "", ABSENT))
+        if conflicts:
+            return TransactionResult(False, tuple(conflicts))
+        for write in transaction.writes:
+            self._write(write.key, write.value)
+        return TransactionResult(True)
+
+    def _write(self, key: str, value: str | None) -> None:
+        self.rows_written += 1
+        if value is None:
+            self.rows.pop(key, None)
+            return
+        row = self.rows.get(key)
+        revision = ABSENT if row is None else row.revision
+        self.rows[key] = Row(key, value, revision + 1)
+
+    def _lose_answer(self, batch: Batch) -> None:
+        if self.faults.lose_answers <= 0:
+            return
+        prefix = self.faults.lose_writes_under
+        keys = [w.key for t in batch.transactions for w in t.writes]
+        if any(key.startswith(prefix) for key in keys):
+            self.faults.lose_answers -= 1
+            raise ConnectionError("the answer is lost after the write")
+
+
+__all__ = ["TableStandin"]
--- /dev/null
+++ b/src/tamarackshelf/state/claims.py
@@ -0,0 +1,152 @@
+"""Claims that make a non-idempotent request run at most once."""
+
+from __future__ import annotations
+
+import enum
+import uuid
+from dataclasses import dataclass, replace
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from tamarackshelf.contracts import ABSENT, Condition, Row, Transaction, Write
+from tamarackshelf.state.table_client import (
+    Conflict,
+    Priority,
+    TableClient,
+)
+
+
+class ClaimState(enum.StrEnum):
+    """How far a claimed request got."""
+
+    CLAIMED = "claimed"
+    RELEASED = "released"
+    ANSWERED = "answered"
+    UNKNOWN = "unknown"
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """The row of one idempotency key; `answer` is kept for resends."""
+
+    key: str
+    nonce: str
+    state: ClaimState
+    body_digest: str
+    gateway: str
+    target: str
+    answer: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class HeldClaim:
+    """A claim that this gateway holds and the row revision it wrote."""
+
+    claim: Claim
+    revision: int
+
+
+def build_claim(key: str, body_digest: str, gateway: str, target: str) -> Claim:
+    """Returns a new claim with a fresh nonce."""
+    nonce = uuid.uuid4().hex
+    return Claim(key, nonce, ClaimState.CLAIMED, body_digest, gateway, target)
+
+
+async def take_claim(
+    table: TableClient, claim: Claim, timeout_s: float
+) -> Result[HeldClaim, Claim]:
+    """Inserts the claim, or replaces a released one; else returns the other's.
+
+    Raises AmbiguousWrite or StoreUnavailable when the table does not answer.
+    """
+    revision = ABSENT
+    while True:
+        result = await _write(table, claim, revision, timeout_s)
+        if isinstance(result, Success):
+            return Success(HeldClaim(claim, revision + 1))
+        row = result.failure().rows[0]
+        other = _decode(row) if row.value else None
+        if other is None:
+            revision = ABSENT
+        elif other.nonce == claim.nonce:
+            return Success(HeldClaim(claim, row.revision))
+        elif _may_replace(other, claim):
+            revision = row.revision
+        else:
+            return Failure(other)
+
+
+async def move_claim(
+    table: TableClient, held: HeldClaim, target: str, timeout_s: float
+) -> Result[HeldClaim, Claim]:
+    """Points the claim to another target before any byte was sent."""
+    return await _update(table, held, replace(held.claim, target=target), timeout_s)
+
+
+async def settle_claim(
+    table: TableClient,
+    held: HeldClaim,
+    state: ClaimState,
+    timeout_s: float,
+    answer: str = "",
+) -> Result[HeldClaim, Claim]:
+    """Writes the outcome of a claimed request."""
+    settled = replace(held.claim, state=state, answer=answer)
+    return await _update(table, held, settled, timeout_s)
+
+
+async def read_claim(table: TableClient, key: str, timeout_s: float) -> Claim | None:
+    """Returns the claim of a key, or None when there is none."""
+    row = (await table.read(_to_row_key(key), timeout_s=timeout_s)).get(
+        _to_row_key(key)
+    )
+    return None if row is None else _decode(row)
+
+
+async def _update(
+    table: TableClient, held: HeldClaim, changed: Claim, timeout_s: float
+) -> Result[HeldClaim, Claim]:
+    result = await _write(table, changed, held.revision, timeout_s)
+    if isinstance(result, Success):
+        return Success(HeldClaim(changed, held.revision + 1))
+    row = result.failure().rows[0]
+    return Failure(_decode(row) if row.value else held.claim)
+
+
+async def _write(
+    table: TableClient, claim: Claim, revision: int, timeout_s: float
+) -> Result[object, Conflict]:
+    key = _to_row_key(claim.key)
+    value = msgspec.json.encode(claim).decode()
+    transaction = Transaction((Condition(key, revision),), (Write(key, value),))
+
+    def owns(row: Row) -> bool:
+        return row.value == value
+
+    return await table.commit(transaction, Priority.CLAIM, timeout_s, owns)
+
+
+def _may_replace(other: Claim, claim: Claim) -> bool:
+    is_same_body = other.body_digest == claim.body_digest
+    return other.state is ClaimState.RELEASED and is_same_body
+
+
+def _decode(row: Row) -> Claim:
+    return msgspec.json.decode(row.value, type=Claim)
+
+
+def _to_row_key(key: str) -> str:
+    return f"claims/{key}"
+
+
+__all__ = [
+    "Claim",
+    "ClaimState",
+    "HeldClaim",
+    "build_claim",
+    "move_claim",
+    "read_claim",
+    "settle_claim",
+    "take_claim",
+]
--- /dev/null
+++ b/src/tamarackshelf/state/configuration.py
@@ -0,0 +1,113 @@
+"""Configuration revisions in the table: one head row and one row a revision."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from tamarackshelf.contracts import ABSENT, Condition, Row, Transaction, Write
+from tamarackshelf.errors import BadRequest, RevisionConflict
+from tamarackshelf.state.table_client import Conflict, Priority, TableClient
+from tamarackshelf.world import Configuration
+
+HEAD_KEY = "configuration/head"
+BODY_PREFIX = "configuration/body/"
+
+
+@dataclass(frozen=True, slots=True)
+class Head:
+    """Names the accepted revision and who accepted it."""
+
+    revision: int
+    author: str
+    nonce: str
+
+
+Edit = Callable[[Configuration], Configuration]
+
+
+async def read_head(table: TableClient, timeout_s: float = 2.0) -> Head | None:
+    """Returns the accepted head, or None when nothing was accepted yet."""
+    rows = await table.read(HEAD_KEY, timeout_s=timeout_s)
+    row = rows.get(HEAD_KEY)
+    return None if row is None else msgspec.json.decode(row.value, type=Head)
+
+
+async def read_body(
+    table: TableClient, revision: int, timeout_s: float = 2.0
+) -> Configuration | None:
+    """Returns the configuration of a revision, or None when there is none."""
+    key = f"{BODY_PREFIX}{revision:08d}"
+    row = (await table.read(key, timeout_s=timeout_s)).get(key)
+    if row is None:
+        return None
+    return msgspec.json.decode(row.value, type=Configuration)
+
+
+async def accept(
+    table: TableClient, author: str, based_on: int, edit: Edit, timeout_s: float
+) -> Result[Configuration, RevisionConflict]:
+    """Commits an edit of revision `based_on`, or tells who was first."""
+    current = await read_body(table, based_on, timeout_s)
+    if current is None and based_on != 0:
+        raise BadRequest(f"revision {based_on} does not exist; read the newest first")
+    changed = replace(edit(current or Configuration()), revision=based_on + 1)
+    head = Head(based_on + 1, author, uuid.uuid4().hex)
+    rows = await table.read(HEAD_KEY, timeout_s=timeout_s)
+    head_row = rows.get(HEAD_KEY)
+    if head_row is not None and _decode_head(head_row).revision != based_on:
+        return Failure(_to_conflict(head_row))
+    transaction = _build_transaction(head_row, head, changed)
+    result = await table.commit(
+        transaction, Priority.CONFIGURATION, timeout_s, _recognise(head)
+    )
+    if isinstance(result, Success):
+        return Success(changed)
+    return Failure(_to_conflict(_find_head(result.failure())))
+
+
+def _build_transaction(
+    head_row: Row | None, head: Head, changed: Configuration
+) -> Transaction:
+    revision = ABSENT if head_row is None else head_row.revision
+    body_key = f"{BODY_PREFIX}{changed.revision:08d}"
+    return Transaction(
+        conditions=(Condition(HEAD_KEY, revision), Condition(body_key, ABSENT)),
+        writes=(
+            Write(HEAD_KEY, msgspec.json.encode(head).decode()),
+            Write(body_key, msgspec.json.encode(changed).decode()),
+        ),
+    )
+
+
+def _recognise(head: Head) -> Callable[[Row], bool]:
+    def owns(row: Row) -> bool:
+        return row.key == HEAD_KEY and _decode_head(row).nonce == head.nonce
+
+    return owns
+
+
+def _find_head(conflict: Conflict) -> Row:
+    row = conflict.find(HEAD_KEY)
+    return conflict.rows[0] if row is None else row
+
+
+def _to_conflict(row: Row) -> RevisionConflict:
+    if row.key != HEAD_KEY or not row.value:
+        return RevisionConflict("another edit came first; read the newest and retry")
+    head = _decode_head(row)
+    return RevisionConflict(
+        f"{head.author} accepted revision {head.revision} first; read it, apply "
+        "your change to it and accept again"
+    )
+
+
+def _decode_head(row: Row) -> Head:
+    return msgspec.json.decode(row.value, type=Head)
+
+
+__all__ = ["Head", "accept", "read_body", "read_head"]
--- /dev/null
+++ b/src/tamarackshelf/state/leases.py
@@ -0,0 +1,109 @@
+"""Leases with fencing numbers in the table."""
+
+from __future__ import annotations
+
+import uuid
+from dataclasses import dataclass
+
+import msgspec
+from returns.result import Success
+
+from tamarackshelf.contracts import ABSENT, Condition, Row, Transaction, Write
+from tamarackshelf.policy.lease import HeldLease, LeaseRow, LeaseTimes, LeaseWatch
+from tamarackshelf.state.table_client import Priority, TableClient
+
+LEASE_PREFIX = "leases/"
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseSettings:
+    """Who takes leases here and for how long."""
+
+    holder: str
+    times: LeaseTimes
+
+
+class LeaseKeeper:
+    """Takes, renews and releases the leases of one node."""
+
+    def __init__(self, table: TableClient, settings: LeaseSettings) -> None:
+        self._table = table
+        self._settings = settings
+        self._watch = LeaseWatch(settings.times)
+        self._held: dict[str, HeldLease] = {}
+
+    @property
+    def held(self) -> dict[str, HeldLease]:
+        """Returns the leases by name; check `may_act` before each use."""
+        return self._held
+
+    async def read_row(self, name: str) -> Row | None:
+        """Returns the row of a lease, or None when it was never granted."""
+        key = LEASE_PREFIX + name
+        return (await self._table.read(key)).get(key)
+
+    async def take(self, name: str, row: Row | None, now_s: float) -> HeldLease | None:
+        """Takes a lease that is free or has lapsed; returns None otherwise.
+
+        A new grant raises the fencing number; the deadline counts from before
+        the write was sent.
+        """
+        before = LeaseRow("", 0, "") if row is None else decode_lease(row)
+        revision = ABSENT if row is None else row.revision
+        if not self._watch.may_take(name, revision, before.holder, now_s):
+            return None
+        fencing_number = before.fencing_number + 1
+        return await self._write(name, revision, fencing_number, now_s, now_s)
+
+    async def renew(self, name: str, now_s: float) -> HeldLease | None:
+        """Renews a held lease; forgets it when another node has taken it."""
+        lease = self._held[name]
+        number = lease.fencing_number
+        return await self._write(
+            name, lease.revision, number, now_s, lease.granted_at_s
+        )
+
+    async def release(self, name: str) -> None:
+        """Gives a lease back so that another node need not wait."""
+        lease = self._held.pop(name, None)
+        if lease is None:
+            return
+        row = LeaseRow("", lease.fencing_number, uuid.uuid4().hex)
+        await self._commit(name, lease.revision, row)
+
+    async def _write(
+        self,
+        name: str,
+        revision: int,
+        fencing_number: int,
+        now_s: float,
+        granted_at_s: float,
+    ) -> HeldLease | None:
+        row = LeaseRow(self._settings.holder, fencing_number, uuid.uuid4().hex)
+        if not await self._commit(name, revision, row):
+            self._held.pop(name, None)
+            return None
+        deadline_s = now_s + self._settings.times.lease_s
+        lease = HeldLease(name, fencing_number, revision + 1, deadline_s, granted_at_s)
+        self._held[name] = lease
+        return lease
+
+    async def _commit(self, name: str, revision: int, row: LeaseRow) -> bool:
+        key = LEASE_PREFIX + name
+        value = msgspec.json.encode(row).decode()
+        transaction = Transaction((Condition(key, revision),), (Write(key, value),))
+        result = await self._table.commit(
+            transaction,
+            Priority.LEASE,
+            self._settings.times.lease_s / 2,
+            lambda row: row.value == value,
+        )
+        return isinstance(result, Success)
+
+
+def decode_lease(row: Row) -> LeaseRow:
+    """Decodes a lease's row."""
+    return msgspec.json.decode(row.value, type=LeaseRow)
+
+
+__all__ = ["LeaseKeeper", "LeaseSettings", "decode_lease"]
--- /dev/null
+++ b/src/tamarackshelf/world/__init__.py
@@ -0,0 +1,41 @@
+"""Frozen data about the world: VMs, data centres, organisations and targets."""
+
+from __future__ import annotations
+
+from tamarackshelf.world.address import Address, parse_address
+from tamarackshelf.world.link import Link, LinkDelay, build_link_delay, no_delay
+from tamarackshelf.world.organisation import (
+    Campaign,
+    Configuration,
+    Parameters,
+    digest_token,
+    find_organisation,
+    is_operator,
+    matches_route,
+)
+from tamarackshelf.world.sample import Sample, Segment, Step
+from tamarackshelf.world.vm import EntryVm, Target, TargetKind, VmRow, VmState
+
+__all__ = [
+    "Address",
+    "Campaign",
+    "Configuration",
+    "EntryVm",
+    "Link",
+    "LinkDelay",
+    "Parameters",
+    "Sample",
+    "Segment",
+    "Step",
+    "Target",
+    "TargetKind",
+    "VmRow",
+    "VmState",
+    "build_link_delay",
+    "digest_token",
+    "find_organisation",
+    "is_operator",
+    "matches_route",
+    "no_delay",
+    "parse_address",
+]
--- /dev/null
+++ b/src/tamarackshelf/world/address.py
@@ -0,0 +1,30 @@
+"""Network addresses by IP number."""
+
+from __future__ import annotations
+
+import ipaddress
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True, order=True)
+class Address:
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+def parse_address(text: str) -> Address:
+    """Parses `ip:port`; raises ValueError when it is anything else."""
+    host, _, port = text.rpartition(":")
+    ipaddress.ip_address(host)
+    number = int(port)
+    if not 0 <= number <= 65535:
+        raise ValueError(f"port {number} is not between 0 and 65535")
+    return Address(host, number)
+
+
+__all__ = ["Address", "parse_address"]
