--- /dev/null
+++ b/src/tamarackshelf/world/link.py
@@ -0,0 +1,39 @@
+"""Delays of the links between data centres."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+LinkDelay = Callable[[str, str], float]
+
+
+@dataclass(frozen=True, slots=True)
+class Link:
+    """One-way delays in seconds within and between data centres."""
+
+    between_s: float
+    client_s: float
+    within_s: float = 0.0
+
+
+def build_link_delay(link: Link, client_zone: str = "client") -> LinkDelay:
+    """Returns a function that gives the one-way delay between two places."""
+
+    def delay_s(origin: str, destination: str) -> float:
+        if client_zone in (origin, destination):
+            return link.client_s
+        if origin == destination:
+            return link.within_s
+        return link.between_s
+
+    return delay_s
+
+
+def no_delay(origin: str, destination: str) -> float:
+    """Returns zero for every link."""
+    del origin, destination
+    return 0.0
+
+
+__all__ = ["Link", "LinkDelay", "build_link_delay", "no_delay"]
--- /dev/null
+++ b/src/tamarackshelf/world/organisation.py
@@ -0,0 +1,87 @@
+"""Organisations, their templates, their campaigns and the configuration."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class Parameters:
+    """What an operator fills in for one organisation."""
+
+    organisation: str
+    services: tuple[str, ...]
+    models: tuple[str, ...] = ()
+    trainers: tuple[str, ...] = ()
+    token_digests: tuple[str, ...] = ()
+    staleness_bound_versions: int = 2
+    staleness_bound_s: float | None = None
+    staleness_weight: float = 0.5
+    idle_weight: float = 0.5
+    non_idempotent_routes: tuple[str, ...] = ()
+    key_required_routes: tuple[str, ...] = ()
+    max_concurrent: int = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Campaign:
+    """A rollout campaign of one organisation."""
+
+    name: str
+    organisation: str
+    service: str
+    model: str
+    scorer: str
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """One accepted revision; higher revisions replace lower ones."""
+
+    revision: int = 0
+    organisations: dict[str, Parameters] = field(default_factory=dict)
+    campaigns: dict[str, Campaign] = field(default_factory=dict)
+    operator_digests: tuple[str, ...] = ()
+    drained_vms: tuple[str, ...] = ()
+
+
+def digest_token(token: str) -> str:
+    """Returns the digest under which a token is kept."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+def find_organisation(configuration: Configuration, token: str) -> Parameters | None:
+    """Returns the organisation that the token belongs to."""
+    digest = digest_token(token)
+    found: Parameters | None = None
+    for parameters in configuration.organisations.values():
+        for known in parameters.token_digests:
+            if hmac.compare_digest(known, digest):
+                found = parameters
+    return found
+
+
+def is_operator(configuration: Configuration, token: str) -> bool:
+    """Tells whether the token belongs to an operator."""
+    digest = digest_token(token)
+    return any(
+        hmac.compare_digest(known, digest) for known in configuration.operator_digests
+    )
+
+
+def matches_route(routes: tuple[str, ...], service: str, path: str) -> bool:
+    """Tells whether `service/path` is one of the routes."""
+    return f"{service}/{path.strip('/')}" in routes
+
+
+__all__ = [
+    "Campaign",
+    "Configuration",
+    "Parameters",
+    "digest_token",
+    "find_organisation",
+    "is_operator",
+    "matches_route",
+]
--- /dev/null
+++ b/src/tamarackshelf/world/vm.py
@@ -0,0 +1,64 @@
+"""VMs of the platform and the targets and entries that live on them."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+from tamarackshelf.world.address import Address
+
+
+class VmState(enum.StrEnum):
+    """What the platform's list says of a VM."""
+
+    LIVE = "live"
+    LEAVING = "leaving"
+
+
+class TargetKind(enum.StrEnum):
+    """What kind of work a target does."""
+
+    ENGINE = "engine"
+    PLAIN = "plain"
+    SCORER = "scorer"
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """One back end process that answers requests of a service."""
+
+    name: str
+    service: str
+    kind: TargetKind
+    data_centre: str
+    address: Address
+    incarnation: int
+    concurrency: int
+    checks_fencing: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class EntryVm:
+    """One VM that runs a gateway, a runner and a controller."""
+
+    name: str
+    data_centre: str
+    gateway: Address
+    gateway_peer: Address
+    runner_peer: Address
+    controller: Address
+    gossip: Address
+    runner: Address | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class VmRow:
+    """One row of the platform's list: an entry VM or a target VM."""
+
+    name: str
+    state: VmState
+    target: Target | None = None
+    entry: EntryVm | None = None
+
+
+__all__ = ["EntryVm", "Target", "TargetKind", "VmRow", "VmState"]
