--- /dev/null
+++ b/src/tamarackshelf/cli/demo.py
@@ -0,0 +1,101 @@
+"""Command line of tamarackshelf-demo."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+
+from tamarackshelf.cli.program import parse_command
+from tamarackshelf.demo.deployments import DEPLOYMENTS, Deployment
+from tamarackshelf.demo.report import render_report
+from tamarackshelf.demo.run import RunResult, RunSettings, run_deployment
+from tamarackshelf.demo.scenarios import SCENARIOS
+from tamarackshelf.observe import set_up_logs
+from tamarackshelf.observe.page import render_page
+
+EXIT_PROMISE_BROKEN = 1
+EXIT_USAGE = 2
+
+
+def demo(
+    scenario: str = "calm",
+    seed: int = 1,
+    duration_s: float = 20.0,
+    deployment: str = "all",
+    report_path: str = "",
+    timeline_path: str = "",
+) -> Callable[[], None]:
+    """Runs both deployments in one process over loopback with stand-ins.
+
+    Args:
+        scenario: what befalls the fleet; `list` names them all.
+        seed: seed of all random choices.
+        duration_s: how long customers and trainers work.
+        deployment: name of one deployment, or all.
+        report_path: HTML file for the report.
+        timeline_path: HTML file for the merged time line.
+    """
+
+    def run() -> None:
+        if scenario == "list":
+            for name, action in SCENARIOS.items():
+                print(f"{name:16} {action.__doc__}")
+            return
+        chosen = [d for d in DEPLOYMENTS if deployment in ("all", d.name)]
+        if scenario not in SCENARIOS or not chosen:
+            print(
+                "no such scenario or deployment; see --scenario=list", file=sys.stderr
+            )
+            sys.exit(EXIT_USAGE)
+        set_up_logs("text", "WARNING")
+        settings = RunSettings(seed, duration_s)
+        results = asyncio.run(_run_all(chosen, scenario, settings))
+        _write_pages(results, report_path, timeline_path)
+        _close(results)
+
+    return run
+
+
+async def _run_all(
+    chosen: list[Deployment], scenario: str, settings: RunSettings
+) -> list[RunResult]:
+    started_s = time.monotonic()
+
+    def say(text: str) -> None:
+        print(f"{time.monotonic() - started_s:6.1f} s  {text}", flush=True)
+
+    runs = [run_deployment(d, SCENARIOS[scenario], settings, say) for d in chosen]
+    return list(await asyncio.gather(*runs))
+
+
+def _write_pages(results: list[RunResult], report: str, timeline: str) -> None:
+    if timeline:
+        events = [event for result in results for event in result.events]
+        Path(timeline).write_text(render_page(events))
+    if report:
+        Path(report).write_text(render_report(results))
+
+
+def _close(results: list[RunResult]) -> None:
+    broken = False
+    for result in results:
+        print(result.counts.format())
+        for name in result.counts.broken:
+            print(f"promise broken: {name}", file=sys.stderr)
+        if not result.is_finished:
+            print("promise broken: a step was not whole in time", file=sys.stderr)
+        broken = broken or bool(result.counts.broken) or not result.is_finished
+    if broken:
+        sys.exit(EXIT_PROMISE_BROKEN)
+
+
+def main() -> None:
+    """Runs the program."""
+    parse_command(demo, "tamarackshelf-demo")()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/tamarackshelf/controller/program.py
+++ b/src/tamarackshelf/controller/program.py
@@ -84,12 +84,13 @@
         self._server = HttpServer(self._api.handle)
         self._task: asyncio.Task[None] | None = None
         self.address = settings.listen
+        self.gossip_address = settings.gossip
 
     async def start(self) -> None:
         """Listens, then joins the fleet."""
         self.address = await self._server.start(self._settings.listen)
         await self._table.start()
-        await self.gossip.start()
+        self.gossip_address = await self.gossip.start()
         await self._watch.start()
         await self._reconciler.start()
         self._task = asyncio.get_running_loop().create_task(self._follow_list())
--- /dev/null
+++ b/src/tamarackshelf/demo/checkers.py
@@ -0,0 +1,230 @@
+"""Independent checks of the promises from what the outside saw.
+
+Tokens of the engine stand-in prove which weights made them, so no counter of
+the system is needed here.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, fields
+
+from tamarackshelf.demo.ledger import (
+    Ledger,
+    SeenCall,
+    SeenCompletion,
+    SeenSample,
+    SeenStep,
+)
+from tamarackshelf.standin import (
+    answer_call,
+    answer_length,
+    produce_token,
+    score_tokens,
+)
+
+REFUSALS = ("overloaded", "no_target", "store_unavailable", "draining", "not_ready")
+
+
+@dataclass(frozen=True, slots=True)
+class Counts:
+    """The closing line of one deployment."""
+
+    deployment: str
+    samples_delivered: int
+    samples_duplicated: int
+    samples_lost: int
+    samples_stale: int
+    samples_misattributed: int
+    requests_answered: int
+    requests_refused_not_run: int
+    requests_unknown: int
+    requests_failed: int
+    requests_wrong: int
+    refused_but_run: int
+    non_idempotent_double_runs: int
+    trainer_idle_ratio: float
+    staleness_p50_versions: float
+    staleness_p99_versions: float
+    latency_p50_ms: float
+    latency_p99_ms: float
+
+    @property
+    def broken(self) -> list[str]:
+        """Returns the names of the counts that must be zero and are not."""
+        return [name for name in MUST_BE_ZERO if getattr(self, name)]
+
+    def format(self) -> str:
+        """Returns the line of key=value pairs."""
+        pairs = []
+        for field in fields(self):
+            value = getattr(self, field.name)
+            text = f"{value:.3f}" if isinstance(value, float) else str(value)
+            pairs.append(f"{field.name}={text}")
+        return " ".join(pairs)
+
+
+MUST_BE_ZERO = (
+    "samples_duplicated",
+    "samples_lost",
+    "samples_stale",
+    "samples_misattributed",
+    "requests_wrong",
+    "refused_but_run",
+    "non_idempotent_double_runs",
+)
+
+
+def count_duplicated(samples: Iterable[SeenSample]) -> int:
+    """Returns how many deliveries went beyond the first of their slot."""
+    seen = Counter((s.sample.step, s.sample.slot) for s in samples)
+    return sum(count - 1 for count in seen.values())
+
+
+def count_lost(steps: Iterable[SeenStep], samples: Iterable[SeenSample]) -> int:
+    """Returns how many slots of finished steps their trainer never got."""
+    seen: dict[str, set[int]] = {}
+    for entry in samples:
+        seen.setdefault(entry.sample.step, set()).add(entry.sample.slot)
+    return sum(step.slot_count - len(seen.get(step.name, ())) for step in steps)
+
+
+def count_stale(samples: Iterable[SeenSample], bound_versions: int) -> int:
+    """Returns how many samples were over the bound when they were taken."""
+    return sum(staleness_of(entry) > bound_versions for entry in samples)
+
+
+def staleness_of(entry: SeenSample) -> int:
+    """Returns how many versions the sample's oldest token is behind."""
+    oldest = entry.sample.oldest_version
+    return 0 if oldest is None else entry.newest_version - oldest
+
+
+def count_misattributed(samples: Iterable[SeenSample], straggler_share: float) -> int:
+    """Returns how many samples name versions that did not produce them.
+
+    Samples that are not whole or carry another sample's score count too.
+    """
+    return sum(not _is_true_sample(entry, straggler_share) for entry in samples)
+
+
+def count_wrong(
+    completions: Iterable[SeenCompletion],
+    calls: Iterable[SeenCall],
+    straggler_share: float,
+) -> int:
+    """Returns how many callers got an answer that is not whole or not theirs."""
+    wrong = sum(not _is_true_completion(c, straggler_share) for c in completions)
+    return wrong + sum(
+        not c.outcome and c.answer != answer_call(c.path, c.body.encode())
+        for c in calls
+    )
+
+
+def count_double_runs(runs: Mapping[str, int]) -> int:
+    """Returns how many runs went beyond the first of their call."""
+    return sum(count - 1 for count in runs.values())
+
+
+def count_refused_but_run(calls: Iterable[SeenCall], runs: Mapping[str, int]) -> int:
+    """Returns how many calls ran although their caller was told they did not."""
+    return sum(
+        bool(call.outcome)
+        and call.not_run
+        and runs.get(f"{call.path} {call.body}", 0) > 0
+        for call in calls
+    )
+
+
+def count_all(
+    deployment: str,
+    ledger: Ledger,
+    runs: Mapping[str, int],
+    bound_versions: int,
+    straggler_share: float,
+) -> Counts:
+    """Returns all counts of one deployment."""
+    stalenesses = sorted(staleness_of(entry) for entry in ledger.samples)
+    latencies_s = sorted(ledger.latencies_s)
+    total_s = ledger.waiting_s + ledger.working_s
+    answered = len(ledger.completions) + sum(not c.outcome for c in ledger.calls)
+    refused = sum(ledger.errors.get(kind, 0) for kind in REFUSALS)
+    unknown = ledger.errors.get("outcome_unknown", 0)
+    errors = sum(n for k, n in ledger.errors.items() if not k.startswith("trainer_"))
+    return Counts(
+        deployment=deployment,
+        samples_delivered=len(ledger.samples),
+        samples_duplicated=count_duplicated(ledger.samples),
+        samples_lost=count_lost(ledger.steps, ledger.samples),
+        samples_stale=count_stale(ledger.samples, bound_versions),
+        samples_misattributed=count_misattributed(ledger.samples, straggler_share),
+        requests_answered=answered,
+        requests_refused_not_run=refused,
+        requests_unknown=unknown,
+        requests_failed=errors - refused - unknown,
+        requests_wrong=count_wrong(ledger.completions, ledger.calls, straggler_share),
+        refused_but_run=count_refused_but_run(ledger.calls, runs),
+        non_idempotent_double_runs=count_double_runs(runs),
+        trainer_idle_ratio=ledger.waiting_s / total_s if total_s else 0.0,
+        staleness_p50_versions=float(find_quantile(stalenesses, 0.5)),
+        staleness_p99_versions=float(find_quantile(stalenesses, 0.99)),
+        latency_p50_ms=find_quantile(latencies_s, 0.5) * 1000,
+        latency_p99_ms=find_quantile(latencies_s, 0.99) * 1000,
+    )
+
+
+def find_quantile(ordered: list[float] | list[int], quantile: float) -> float:
+    """Returns a quantile of sorted values, or zero when there are none."""
+    if not ordered:
+        return 0.0
+    return float(ordered[min(len(ordered) - 1, int(quantile * len(ordered)))])
+
+
+def _is_true_sample(entry: SeenSample, straggler_share: float) -> bool:
+    sample = entry.sample
+    if sample.failure:
+        return not sample.tokens
+    versions = tuple(
+        segment.version
+        for segment in sample.segments
+        for _ in range(segment.start, segment.end)
+    )
+    seen = SeenCompletion(
+        entry.model,
+        sample.prompt,
+        sample.seed,
+        entry.max_tokens,
+        sample.tokens,
+        versions,
+    )
+    is_own_score = sample.score == score_tokens(sample.prompt, sample.tokens)
+    return is_own_score and _is_true_completion(seen, straggler_share)
+
+
+def _is_true_completion(seen: SeenCompletion, straggler_share: float) -> bool:
+    length = answer_length(seen.prompt, seen.seed, seen.max_tokens, straggler_share)
+    if not len(seen.tokens) == len(seen.versions) == length:
+        return False
+    return all(
+        token == produce_token(seen.model, version, seen.prompt, seen.seed, index)
+        for index, (token, version) in enumerate(
+            zip(seen.tokens, seen.versions, strict=True)
+        )
+    )
+
+
+__all__ = [
+    "MUST_BE_ZERO",
+    "Counts",
+    "count_all",
+    "count_double_runs",
+    "count_duplicated",
+    "count_lost",
+    "count_misattributed",
+    "count_refused_but_run",
+    "count_stale",
+    "count_wrong",
+    "find_quantile",
+    "staleness_of",
+]
--- /dev/null
+++ b/src/tamarackshelf/demo/client.py
@@ -0,0 +1,135 @@
+"""A caller that asks for entries, keeps the answer and tries them in order."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+from typing import Any
+
+import msgspec
+
+from tamarackshelf.demo.fleet import CLIENT, DemoFleet
+from tamarackshelf.demo.ledger import Ledger
+from tamarackshelf.errors import ErrorBody
+from tamarackshelf.net import ConnectFailed, ConnectionLost, HttpClient, decode_error
+from tamarackshelf.policy.entries import EntryAnswer
+from tamarackshelf.world import Address, parse_address
+
+TRY_GAP_S = 0.05
+REQUEST_TIMEOUT_S = 30.0
+
+
+class CallerGaveUp(Exception):
+    """No entry gave an answer within the caller's patience."""
+
+
+class CallFailed(Exception):
+    """The system answered with a typed error."""
+
+    def __init__(self, error: ErrorBody) -> None:
+        super().__init__(error.message)
+        self.error = error
+
+
+class DemoClient:
+    """Sends requests through whichever entries the system names."""
+
+    def __init__(
+        self, fleet: DemoFleet, name: str, ledger: Ledger, rng: Random
+    ) -> None:
+        deployment = fleet.deployment
+        self._fleet = fleet
+        self._name = name
+        self._ledger = ledger
+        self._rng = rng
+        self._data_centre = rng.choice(deployment.data_centres)
+        self._http = HttpClient(
+            fleet.places.build_delay(CLIENT),
+            {"authorization": f"Bearer {deployment.token}"},
+        )
+        self._entries: list[Address] = []
+        self._valid_until_s = 0.0
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        await self._http.close()
+
+    async def call(
+        self,
+        path: str,
+        body: object,
+        kind: type[Any],
+        key: str = "",
+        patience_s: float = REQUEST_TIMEOUT_S,
+    ) -> Any:
+        """Returns the decoded answer; raises CallFailed or CallerGaveUp.
+
+        A request whose connection was lost is sent again with the same key. A
+        refusal that was not run goes to the next entry.
+        """
+        loop = asyncio.get_running_loop()
+        deadline_s = loop.time() + patience_s
+        data = msgspec.json.encode(body)
+        last: ErrorBody | None = None
+        turn = 0
+        while loop.time() < deadline_s:
+            address = await self._next_entry(turn)
+            turn += 1
+            remaining_s = max(0.1, deadline_s - loop.time())
+            headers = {"x-deadline-ms": f"{remaining_s * 1000:.0f}"}
+            if key:
+                headers["idempotency-key"] = key
+            try:
+                answer = await self._http.request(
+                    address,
+                    "POST",
+                    path,
+                    headers=headers,
+                    body=data,
+                    timeout_s=remaining_s,
+                )
+            except ConnectFailed:
+                continue
+            except ConnectionLost:
+                self._ledger.cut += 1
+                continue
+            if answer.status == 200:
+                return msgspec.json.decode(answer.body, type=kind)
+            last = decode_error(answer.body)
+            if last is None or not (last.not_run and last.retry_after_s is not None):
+                break
+            await asyncio.sleep(TRY_GAP_S)
+        if last is None:
+            raise CallerGaveUp(path)
+        raise CallFailed(last)
+
+    async def _next_entry(self, turn: int) -> Address:
+        loop = asyncio.get_running_loop()
+        if loop.time() >= self._valid_until_s or turn >= len(self._entries) > 0:
+            await self._ask_entries()
+        if not self._entries:
+            await asyncio.sleep(TRY_GAP_S)
+            return self._rng.choice(self._fleet.live_vms()).gateway.address
+        return self._entries[turn % len(self._entries)]
+
+    async def _ask_entries(self) -> None:
+        """Asks any known entry; a caller's first address is in its settings."""
+        known = [vm.gateway.address for vm in self._fleet.live_vms()]
+        query = f"caller={self._name}&data_centre={self._data_centre}"
+        for address in [*self._entries, *self._rng.sample(known, min(3, len(known)))]:
+            try:
+                answer = await self._http.request(
+                    address, "GET", f"/v1/entries?{query}", timeout_s=2.0
+                )
+            except (ConnectFailed, ConnectionLost):
+                continue
+            if answer.status != 200:
+                continue
+            entries = msgspec.json.decode(answer.body, type=EntryAnswer)
+            self._entries = [parse_address(text) for text in entries.entries]
+            now_s = asyncio.get_running_loop().time()
+            self._valid_until_s = now_s + entries.valid_for_s
+            return
+
+
+__all__ = ["CallFailed", "CallerGaveUp", "DemoClient"]
--- /dev/null
+++ b/src/tamarackshelf/demo/customers.py
@@ -0,0 +1,119 @@
+"""Customers of the demo: completions and keyed calls."""
+
+from __future__ import annotations
+
+import asyncio
+import uuid
+from random import Random
+
+import msgspec
+
+from tamarackshelf.demo.client import CallerGaveUp, CallFailed, DemoClient
+from tamarackshelf.demo.fleet import DemoFleet
+from tamarackshelf.demo.ledger import Ledger, SeenCall, SeenCompletion
+from tamarackshelf.gateway.completions import CompletionReply
+
+MAX_TOKENS = 256
+CALL_SHARE = 0.4
+PROMPTS = 24
+
+
+class Customer:
+    """Sends requests one after the other until it is stopped."""
+
+    def __init__(
+        self, fleet: DemoFleet, ledger: Ledger, rng: Random, think_s: float
+    ) -> None:
+        self._deployment = fleet.deployment
+        self._ledger = ledger
+        self._rng = rng
+        self._think_s = think_s
+        self._client = DemoClient(fleet, f"customer-{rng.random()}", ledger, rng)
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Sends requests until `stop`, finishing the last one."""
+        while not stop.is_set():
+            if self._rng.random() < CALL_SHARE:
+                await self._call()
+            else:
+                await self._complete()
+            await asyncio.sleep(self._rng.expovariate(1 / self._think_s))
+        await self._client.close()
+
+    async def complete(self, prompt: str, patience_s: float) -> str:
+        """Sends one completion; returns the error's kind or an empty text."""
+        deployment = self._deployment
+        model = self._rng.choice(deployment.models)
+        seed = self._rng.randrange(2**31)
+        body = {
+            "model": model,
+            "prompt": prompt,
+            "seed": seed,
+            "max_tokens": MAX_TOKENS,
+        }
+        started_s = asyncio.get_running_loop().time()
+        try:
+            reply: CompletionReply = await self._client.call(
+                f"/v1/services/{deployment.engine_service}/completions",
+                body,
+                CompletionReply,
+                uuid.UUID(int=self._rng.getrandbits(128)).hex,
+                patience_s,
+            )
+        except CallFailed as failure:
+            self._ledger.note_error(failure.error.kind)
+            return failure.error.kind
+        except CallerGaveUp:
+            self._ledger.note_error("gave_up")
+            return "gave_up"
+        self._ledger.latencies_s.append(asyncio.get_running_loop().time() - started_s)
+        versions = tuple(
+            s.version for s in reply.segments for _ in range(s.start, s.end)
+        )
+        self._ledger.completions.append(
+            SeenCompletion(model, prompt, seed, MAX_TOKENS, reply.tokens, versions)
+        )
+        return ""
+
+    async def send_raw(self, body: object, patience_s: float) -> str:
+        """Sends a completion with the given body; returns the error's kind."""
+        service = self._deployment.engine_service
+        path = f"/v1/services/{service}/completions"
+        try:
+            await self._client.call(path, body, CompletionReply, "", patience_s)
+        except CallFailed as failure:
+            return failure.error.kind
+        except CallerGaveUp:
+            return "gave_up"
+        return ""
+
+    async def _complete(self) -> None:
+        number = self._rng.randrange(PROMPTS)
+        await self.complete(f"letter {number} of {self._deployment.name}", 20.0)
+
+    async def _call(self) -> None:
+        deployment = self._deployment
+        key = uuid.UUID(int=self._rng.getrandbits(128)).hex
+        body = {"booking": key}
+        text = msgspec.json.encode(body).decode()
+        path = deployment.call_path
+        outcome, not_run, answer = "", False, ""
+        try:
+            reply: dict[str, str] = await self._client.call(
+                f"/v1/services/{deployment.plain_service}/call/{path}",
+                body,
+                dict[str, str],
+                key,
+                5.0,
+            )
+            answer = reply["answer"]
+        except CallFailed as failure:
+            outcome, not_run = failure.error.kind, failure.error.not_run
+            self._ledger.note_error(outcome)
+        except CallerGaveUp:
+            outcome = "gave_up"
+            self._ledger.note_error(outcome)
+        self._ledger.calls.append(SeenCall(path, text, outcome, not_run, answer))
+
+
+__all__ = ["MAX_TOKENS", "Customer"]
--- /dev/null
+++ b/src/tamarackshelf/demo/deployments.py
@@ -0,0 +1,161 @@
+"""The two deployments of the demo at the sizes of today."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from tamarackshelf.world import (
+    Address,
+    Campaign,
+    Link,
+    Parameters,
+    Target,
+    TargetKind,
+    digest_token,
+)
+
+ANY_PORT = Address("127.0.0.1", 0)
+ENGINE_CONCURRENCY = 8
+SERVICE_CONCURRENCY = 16
+
+
+@dataclass(frozen=True, slots=True)
+class Trainee:
+    """A model that one trainer tunes through one campaign."""
+
+    campaign: str
+    model: str
+
+
+@dataclass(frozen=True, slots=True)
+class Deployment:
+    """One fleet with its targets and its organisation."""
+
+    name: str
+    data_centres: tuple[str, ...]
+    link: Link
+    engine_service: str
+    engines: int
+    plain_service: str
+    plain_targets: int
+    call_path: str
+    staleness_weight: float
+    idle_weight: float
+    trainees: tuple[Trainee, ...]
+    entry_vms: int = 12
+    staleness_bound_versions: int = 2
+
+    @property
+    def token(self) -> str:
+        """Returns the organisation's token."""
+        return f"token-of-{self.name}"
+
+    @property
+    def models(self) -> tuple[str, ...]:
+        """Returns the models of all trainers."""
+        return tuple(trainee.model for trainee in self.trainees)
+
+
+TANNFE = Deployment(
+    name="tannfe",
+    data_centres=("vestland-a", "vestland-b", "vestland-c", "vestland-d"),
+    link=Link(between_s=0.0015, client_s=0.003),
+    engine_service="fevenn-models",
+    engines=4,
+    plain_service="brevskrin",
+    plain_targets=4,
+    call_path="letters/dispatch",
+    staleness_weight=0.7,
+    idle_weight=0.3,
+    trainees=(Trainee("bokmaal", "fevenn-nb"), Trainee("nynorsk", "fevenn-nn")),
+)
+
+KALESA = Deployment(
+    name="kalesa-ilog",
+    data_centres=("pasig-a", "marikina-b", "laguna-c"),
+    link=Link(between_s=0.0005, client_s=0.001),
+    engine_service="horse-llm",
+    engines=5,
+    plain_service="stable-desk",
+    plain_targets=3,
+    call_path="ledger/check",
+    staleness_weight=0.3,
+    idle_weight=0.7,
+    trainees=(Trainee("gait", "gait-advice"),),
+)
+
+DEPLOYMENTS = (TANNFE, KALESA)
+
+
+def build_targets(deployment: Deployment) -> tuple[Target, ...]:
+    """Returns the targets, spread over the data centres.
+
+    Every other engine ignores fencing numbers.
+    """
+    groups = (
+        (deployment.engine_service, TargetKind.ENGINE, deployment.engines),
+        (deployment.plain_service, TargetKind.PLAIN, deployment.plain_targets),
+        (f"{deployment.name}-scorer", TargetKind.SCORER, 2),
+    )
+    targets = []
+    for service, kind, count in groups:
+        is_engine = kind is TargetKind.ENGINE
+        concurrency = ENGINE_CONCURRENCY if is_engine else SERVICE_CONCURRENCY
+        for i in range(count):
+            place = deployment.data_centres[i % len(deployment.data_centres)]
+            name = f"{service}-{i}"
+            targets.append(
+                Target(
+                    name=name,
+                    service=service,
+                    kind=kind,
+                    data_centre=place,
+                    address=ANY_PORT,
+                    incarnation=1,
+                    concurrency=concurrency,
+                    checks_fencing=i % 2 == 0,
+                )
+            )
+    return tuple(targets)
+
+
+def build_parameters(deployment: Deployment) -> Parameters:
+    """Returns the parameters that the operator accepts."""
+    return Parameters(
+        organisation=deployment.name,
+        services=(deployment.engine_service, deployment.plain_service),
+        models=deployment.models,
+        trainers=tuple(trainee.campaign for trainee in deployment.trainees),
+        token_digests=(digest_token(deployment.token),),
+        staleness_bound_versions=deployment.staleness_bound_versions,
+        staleness_weight=deployment.staleness_weight,
+        idle_weight=deployment.idle_weight,
+        non_idempotent_routes=(f"{deployment.plain_service}/{deployment.call_path}",),
+    )
+
+
+def build_campaigns(deployment: Deployment) -> tuple[Campaign, ...]:
+    """Returns one campaign for each trainer."""
+    return tuple(
+        Campaign(
+            name=trainee.campaign,
+            organisation=deployment.name,
+            service=deployment.engine_service,
+            model=trainee.model,
+            scorer=f"{deployment.name}-scorer",
+        )
+        for trainee in deployment.trainees
+    )
+
+
+__all__ = [
+    "ANY_PORT",
+    "DEPLOYMENTS",
+    "KALESA",
+    "TANNFE",
+    "Deployment",
+    "Trainee",
+    "build_campaigns",
+    "build_parameters",
+    "build_targets",
+]
--- /dev/null
+++ b/src/tamarackshelf/demo/fleet.py
@@ -0,0 +1,295 @@
+"""One deployment in this process: stand-ins and entry VMs over loopback."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from tamarackshelf.controller import Controller, ControllerSettings
+from tamarackshelf.demo.deployments import (
+    ANY_PORT,
+    Deployment,
+    build_campaigns,
+    build_parameters,
+    build_targets,
+)
+from tamarackshelf.gateway import Gateway, GatewaySettings
+from tamarackshelf.net import ConnectFailed, HttpClient
+from tamarackshelf.observe import Timeline
+from tamarackshelf.policy.lease import LeaseTimes
+from tamarackshelf.policy.routing import Router, route
+from tamarackshelf.runner import Runner, RunnerSettings
+from tamarackshelf.standin.scene import Scene, SceneSettings
+from tamarackshelf.world import (
+    Address,
+    EntryVm,
+    VmState,
+    build_link_delay,
+    digest_token,
+)
+
+OPERATOR_TOKEN = "operator-of-the-demo"
+SECRET = "secret-of-the-demo-fleet"
+VALID_FOR_S = 0.5
+LIST_LAG_S = 1.0
+READY_TIMEOUT_S = 30.0
+CHUNK_S = 0.05
+SWAP_S = 0.15
+LEASE = LeaseTimes(lease_s=3.0, renew_every_s=1.0, margin_s=0.5, order_flight_s=1.0)
+CLIENT = "client"
+PLATFORM = "platform"
+
+
+@dataclass(slots=True)
+class DemoVm:
+    """The programs of one entry VM."""
+
+    name: str
+    data_centre: str
+    http: HttpClient
+    controller: Controller
+    gateway: Gateway
+    runner: Runner
+    is_up: bool = True
+
+    @property
+    def entry(self) -> EntryVm:
+        """Returns the VM as the platform lists it."""
+        return EntryVm(
+            name=self.name,
+            data_centre=self.data_centre,
+            gateway=self.gateway.address,
+            gateway_peer=self.gateway.peer_address,
+            runner_peer=self.runner.peer_address,
+            controller=self.controller.address,
+            gossip=self.controller.gossip_address,
+            runner=self.runner.address,
+        )
+
+
+class Places:
+    """Knows where each address is and which links are cut."""
+
+    def __init__(self, deployment: Deployment) -> None:
+        self._delay_s = build_link_delay(deployment.link)
+        self._places: dict[Address, str] = {}
+        self._cut: set[tuple[str, str]] = set()
+
+    def put(self, address: Address, place: str) -> None:
+        """Remembers where an address is."""
+        self._places[address] = place
+
+    def cut(self, origin: str, destination: str) -> None:
+        """Refuses new connections over a link, as a partition would."""
+        self._cut.add((origin, destination))
+
+    def mend(self) -> None:
+        """Mends all links."""
+        self._cut.clear()
+
+    def build_delay(self, origin: str) -> Callable[[Address], float]:
+        """Returns the delay from one place to any address."""
+
+        def delay_s(address: Address) -> float:
+            destination = self._places.get(address, PLATFORM)
+            if (origin, destination) in self._cut:
+                raise ConnectFailed(f"the link from {origin} to {destination} is cut")
+            return self._delay_s(origin, destination)
+
+        return delay_s
+
+
+class DemoFleet:
+    """Starts, harms and stops one deployment."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        seed: int,
+        router: Router = route,
+        straggler_share: float = 0.02,
+    ) -> None:
+        self.deployment = deployment
+        self.places = Places(deployment)
+        self.vms: dict[str, DemoVm] = {}
+        self.timelines: list[Timeline] = []
+        self._seed = seed
+        self._router = router
+        self.scene = Scene(
+            SceneSettings(
+                table=ANY_PORT,
+                platform=ANY_PORT,
+                targets=build_targets(deployment),
+                models=deployment.models,
+                list_lag_s=LIST_LAG_S,
+                chunk_s=CHUNK_S,
+                swap_s=SWAP_S,
+                straggler_share=straggler_share,
+            )
+        )
+
+    async def start(self) -> None:
+        """Starts everything, accepts the configuration and waits for it."""
+        await self.scene.start()
+        for standin in self.scene.targets.values():
+            self.places.put(standin.target.address, standin.target.data_centre)
+        centres = self.deployment.data_centres
+        for i in range(self.deployment.entry_vms):
+            await self.start_vm(
+                f"{self.deployment.name}-vm{i}", centres[i % len(centres)]
+            )
+        self.scene.platform.set_history_now()
+        await self._accept_configuration()
+        await asyncio.gather(*(self._wait_ready(vm) for vm in self.vms.values()))
+
+    async def close(self) -> None:
+        """Stops everything gracefully."""
+        await asyncio.gather(*(self._close_vm(vm) for vm in self.vms.values()))
+        await self.scene.close()
+
+    async def start_vm(self, name: str, data_centre: str) -> DemoVm:
+        """Starts an entry VM and lists it."""
+        delay_s = self.places.build_delay(data_centre)
+        http = HttpClient(delay_s)
+        controller = Controller(
+            self._controller_settings(name, data_centre),
+            http,
+            self._timeline("controller", name),
+        )
+        await controller.start()
+        gateway = Gateway(
+            GatewaySettings(
+                vm=name,
+                data_centre=data_centre,
+                listen=ANY_PORT,
+                peer_listen=ANY_PORT,
+                controller=controller.address,
+                table=self.scene.table_address,
+                secret=SECRET,
+                operator_digest=digest_token(OPERATOR_TOKEN),
+                valid_for_s=VALID_FOR_S,
+                seed=self._seed,
+            ),
+            http,
+            self._timeline("gateway", name),
+            self._router,
+        )
+        runner = Runner(
+            RunnerSettings(
+                vm=name,
+                data_centre=data_centre,
+                listen=ANY_PORT,
+                peer_listen=ANY_PORT,
+                controller=controller.address,
+                table=self.scene.table_address,
+                secret=SECRET,
+                seed=self._seed,
+            ),
+            http,
+            self._timeline("runner", name),
+            self._router,
+        )
+        await gateway.start()
+        await runner.start()
+        vm = DemoVm(name, data_centre, http, controller, gateway, runner)
+        self.vms[name] = vm
+        for address in (gateway.address, controller.address, runner.address):
+            self.places.put(address, data_centre)
+        self.scene.list_entry(vm.entry)
+        return vm
+
+    async def crash_vm(self, name: str) -> None:
+        """Kills all programs of a VM at once."""
+        vm = self.vms[name]
+        vm.is_up = False
+        await asyncio.gather(
+            vm.gateway.abort(), vm.runner.abort(), vm.controller.abort()
+        )
+
+    async def crash_runner(self, name: str) -> None:
+        """Kills only the runner of a VM."""
+        await self.vms[name].runner.abort()
+
+    async def stop_vm(self, name: str) -> None:
+        """Stops a VM as planned."""
+        vm = self.vms[name]
+        self.scene.list_entry(vm.entry, VmState.LEAVING)
+        await asyncio.gather(vm.gateway.drain(), vm.runner.drain())
+        await self._close_vm(vm)
+        self.scene.platform.remove_vm(name)
+
+    async def replace_vm(self, name: str) -> None:
+        """Starts a new VM in the place of one that was stopped or died."""
+        old = self.vms.pop(name)
+        self.scene.platform.remove_vm(name)
+        await self.start_vm(f"{name}+", old.data_centre)
+
+    def live_vms(self) -> list[DemoVm]:
+        """Returns the VMs that run."""
+        return [vm for vm in self.vms.values() if vm.is_up]
+
+    async def _close_vm(self, vm: DemoVm) -> None:
+        if not vm.is_up:
+            return
+        vm.is_up = False
+        await asyncio.gather(vm.gateway.close(), vm.runner.close())
+        await vm.controller.close()
+        await vm.http.close()
+
+    async def _accept_configuration(self) -> None:
+        edits: list[tuple[str, dict[str, object]]] = [
+            ("templates", {"parameters": build_parameters(self.deployment)})
+        ]
+        edits += [
+            ("campaigns", {"campaign": campaign})
+            for campaign in build_campaigns(self.deployment)
+        ]
+        gateway = next(iter(self.vms.values())).gateway.address
+        http = HttpClient(headers={"authorization": f"Bearer {OPERATOR_TOKEN}"})
+        for revision, (path, edit) in enumerate(edits):
+            body = msgspec.json.encode({"based_on": revision, "author": "demo", **edit})
+            answer = await http.request(
+                gateway, "POST", f"/v1/operator/{path}", body=body
+            )
+            if answer.status != 200:
+                raise RuntimeError(f"the demo's configuration: {answer.body!r}")
+        await http.close()
+
+    async def _wait_ready(self, vm: DemoVm) -> None:
+        deadline_s = time.monotonic() + READY_TIMEOUT_S
+        wanted = 1 + len(self.deployment.trainees)
+        entries = self.deployment.entry_vms
+        while time.monotonic() < deadline_s:
+            for watch in (vm.gateway.watch, vm.runner.watch):
+                offers = [v for v in watch.view.entries if len(v.roles) == 2]
+                if watch.view.configuration.revision < wanted or len(offers) < entries:
+                    break
+            else:
+                return
+            await asyncio.sleep(0.1)
+        raise RuntimeError(f"{vm.name} was not ready within {READY_TIMEOUT_S} s")
+
+    def _controller_settings(self, name: str, data_centre: str) -> ControllerSettings:
+        return ControllerSettings(
+            vm=name,
+            data_centre=data_centre,
+            listen=ANY_PORT,
+            gossip=ANY_PORT,
+            table=self.scene.table_address,
+            vm_list=self.scene.platform_address,
+            secret=SECRET,
+            seed=self._seed,
+            lease=LEASE,
+        )
+
+    def _timeline(self, program: str, vm: str) -> Timeline:
+        timeline = Timeline(f"{program}@{vm}", lambda: time.time_ns() // 1_000_000)
+        self.timelines.append(timeline)
+        return timeline
+
+
+__all__ = ["CLIENT", "OPERATOR_TOKEN", "DemoFleet", "DemoVm"]
--- /dev/null
+++ b/src/tamarackshelf/demo/ledger.py
@@ -0,0 +1,71 @@
+"""What callers and trainers of the demo themselves saw."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from tamarackshelf.world import Sample
+
+
+@dataclass(frozen=True, slots=True)
+class SeenCompletion:
+    """A completion as its caller saw it."""
+
+    model: str
+    prompt: str
+    seed: int
+    max_tokens: int
+    tokens: tuple[str, ...]
+    versions: tuple[int, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SeenCall:
+    """A keyed call as its caller saw it; `outcome` is an error kind or empty."""
+
+    path: str
+    body: str
+    outcome: str
+    not_run: bool
+    answer: str
+
+
+@dataclass(frozen=True, slots=True)
+class SeenSample:
+    """A sample as its trainer took it and the newest version at that time."""
+
+    sample: Sample
+    model: str
+    max_tokens: int
+    newest_version: int
+
+
+@dataclass(frozen=True, slots=True)
+class SeenStep:
+    """A step that its trainer has received whole, or not."""
+
+    name: str
+    slot_count: int
+    is_whole: bool
+
+
+@dataclass(slots=True)
+class Ledger:
+    """Everything seen from outside the system in one deployment."""
+
+    completions: list[SeenCompletion] = field(default_factory=list)
+    calls: list[SeenCall] = field(default_factory=list)
+    samples: list[SeenSample] = field(default_factory=list)
+    steps: list[SeenStep] = field(default_factory=list)
+    errors: dict[str, int] = field(default_factory=dict)
+    cut: int = 0
+    latencies_s: list[float] = field(default_factory=list)
+    waiting_s: float = 0.0
+    working_s: float = 0.0
+
+    def note_error(self, kind: str) -> None:
+        """Counts an error by its kind."""
+        self.errors[kind] = self.errors.get(kind, 0) + 1
+
+
+__all__ = ["Ledger", "SeenCall", "SeenCompletion", "SeenSample", "SeenStep"]
--- /dev/null
+++ b/src/tamarackshelf/demo/run.py
@@ -0,0 +1,132 @@
+"""Runs one deployment of the demo under a scenario and counts what was seen."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from random import Random
+
+from tamarackshelf.demo.checkers import Counts, count_all
+from tamarackshelf.demo.customers import Customer
+from tamarackshelf.demo.deployments import Deployment
+from tamarackshelf.demo.fleet import DemoFleet
+from tamarackshelf.demo.ledger import Ledger
+from tamarackshelf.demo.trainer import Trainer
+from tamarackshelf.observe import Event, merge_pages
+from tamarackshelf.policy.routing import Router, route
+from tamarackshelf.standin import ServiceStandin
+from tamarackshelf.world import TargetKind
+
+CUSTOMERS = 6
+THINK_S = 0.15
+STRAGGLER_SHARE = 0.02
+LONGEST_FINISH_S = 60.0
+
+
+@dataclass(slots=True)
+class Stage:
+    """What a scenario may act on."""
+
+    fleet: DemoFleet
+    ledger: Ledger
+    rng: Random
+    duration_s: float
+    say: Callable[[str], None]
+
+
+Scenario = Callable[[Stage], Awaitable[None]]
+
+
+@dataclass(frozen=True, slots=True)
+class RunSettings:
+    """How long and with which load a deployment runs."""
+
+    seed: int
+    duration_s: float
+    customers: int = CUSTOMERS
+    straggler_share: float = STRAGGLER_SHARE
+    router: Router = route
+
+
+@dataclass(frozen=True, slots=True)
+class RunResult:
+    """What the outside saw and what the processes recorded."""
+
+    counts: Counts
+    ledger: Ledger
+    events: tuple[Event, ...]
+    is_finished: bool
+
+
+async def run_deployment(
+    deployment: Deployment,
+    scenario: Scenario,
+    settings: RunSettings,
+    say: Callable[[str], None],
+) -> RunResult:
+    """Runs customers and trainers while the scenario acts."""
+    fleet = DemoFleet(
+        deployment, settings.seed, settings.router, settings.straggler_share
+    )
+    say(f"{deployment.name}: starting {deployment.entry_vms} entry VMs")
+    await fleet.start()
+    ledger = Ledger()
+    rng = Random(f"{settings.seed}/{deployment.name}")
+    stage = Stage(fleet, ledger, rng, settings.duration_s, say)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    customers = [
+        Customer(fleet, ledger, Random(rng.random()), THINK_S)
+        for _ in range(settings.customers)
+    ]
+    trainers = [
+        Trainer(fleet, trainee, ledger, Random(rng.random()))
+        for trainee in deployment.trainees
+    ]
+    tasks = [loop.create_task(customer.run(stop)) for customer in customers]
+    tasks += [loop.create_task(trainer.run(stop)) for trainer in trainers]
+    say(f"{deployment.name}: customers and trainers at work")
+    progress = loop.create_task(_tell_progress(stage))
+    await asyncio.gather(scenario(stage), asyncio.sleep(settings.duration_s))
+    stop.set()
+    _, pending = await asyncio.wait(tasks, timeout=LONGEST_FINISH_S)
+    progress.cancel()
+    for task in pending:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=not pending)
+    await fleet.close()
+    counts = count_all(
+        deployment.name,
+        ledger,
+        collect_runs(fleet),
+        deployment.staleness_bound_versions,
+        settings.straggler_share,
+    )
+    pages = [timeline.page() for timeline in fleet.timelines]
+    return RunResult(counts, ledger, tuple(merge_pages(pages)), not pending)
+
+
+def collect_runs(fleet: DemoFleet) -> Counter[str]:
+    """Returns how often each call ran, as the plain services counted."""
+    runs: Counter[str] = Counter()
+    for standin in fleet.scene.targets.values():
+        is_plain = standin.target.kind is TargetKind.PLAIN
+        if isinstance(standin, ServiceStandin) and is_plain:
+            runs.update(standin.runs)
+    return runs
+
+
+async def _tell_progress(stage: Stage) -> None:
+    name = stage.fleet.deployment.name
+    while True:
+        await asyncio.sleep(5.0)
+        ledger = stage.ledger
+        stage.say(
+            f"{name}: {len(ledger.completions)} completions, {len(ledger.calls)} "
+            f"calls, {len(ledger.samples)} samples, {len(ledger.steps)} steps"
+        )
+
+
+__all__ = ["RunResult", "RunSettings", "Scenario", "Stage", "run_deployment"]
--- /dev/null
+++ b/src/tamarackshelf/demo/trainer.py
@@ -0,0 +1,131 @@
+"""Trainers of the demo: open steps, pull samples, publish weights."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from random import Random
+from typing import TypeVar
+
+from tamarackshelf.contracts import WeightEntry
+from tamarackshelf.contracts.platform import publish_weights
+from tamarackshelf.demo.client import CallerGaveUp, CallFailed, DemoClient
+from tamarackshelf.demo.deployments import Trainee
+from tamarackshelf.demo.fleet import DemoFleet
+from tamarackshelf.demo.ledger import Ledger, SeenSample, SeenStep
+from tamarackshelf.gateway.trainers import StepReply
+from tamarackshelf.net import HttpClient
+from tamarackshelf.peers.messages import PullAnswer
+
+PROMPTS_PER_STEP = 12
+GROUP_SIZE = 4
+MAX_TOKENS = 256
+TRAIN_S = 0.8
+PULL_WAIT_S = 2.0
+PATIENCE_S = 60.0
+RETRY_S = 0.2
+
+T = TypeVar("T")
+
+
+@dataclass(slots=True)
+class _OpenStep:
+    name: str
+    slot_count: int
+    cursor: str | None = None
+    received: int = 0
+
+
+class Trainer:
+    """Works on one step while the next one is being sampled."""
+
+    def __init__(
+        self, fleet: DemoFleet, trainee: Trainee, ledger: Ledger, rng: Random
+    ) -> None:
+        self.version = 0
+        self._trainee = trainee
+        self._ledger = ledger
+        self._rng = rng
+        self._client = DemoClient(fleet, f"trainer-{trainee.campaign}", ledger, rng)
+        self._weights = HttpClient()
+        self._weight_store = fleet.scene.platform_address
+        self._number = 0
+
+    async def run(self, stop: asyncio.Event) -> None:
+        """Runs steps until `stop`, receiving the last one whole."""
+        loop = asyncio.get_running_loop()
+        current = await self._open()
+        while True:
+            following = None if stop.is_set() else await self._open()
+            started_s = loop.time()
+            await self._receive(current)
+            self._ledger.waiting_s += loop.time() - started_s
+            await asyncio.sleep(TRAIN_S)
+            self._ledger.working_s += TRAIN_S
+            await self._publish()
+            if following is None:
+                break
+            current = following
+        await self._client.close()
+        await self._weights.close()
+
+    async def _open(self) -> _OpenStep:
+        self._number += 1
+        prompts = [
+            f"prompt {self._rng.randrange(1000)} of {self._trainee.campaign}"
+            for _ in range(PROMPTS_PER_STEP)
+        ]
+        body = {
+            "name": f"s{self._number}",
+            "prompts": prompts,
+            "group_size": GROUP_SIZE,
+            "weight_version": self.version,
+            "max_tokens": MAX_TOKENS,
+        }
+        path = f"/v1/campaigns/{self._trainee.campaign}/steps"
+        reply: StepReply = await self._insist(path, body, StepReply)
+        return _OpenStep(reply.step, reply.slot_count)
+
+    async def _receive(self, step: _OpenStep) -> None:
+        """Pulls until the step is whole, then shows the full cursor once."""
+        while True:
+            body = {
+                "cursor": step.cursor,
+                "newest_version": self.version,
+                "wait_s": PULL_WAIT_S,
+            }
+            path = f"/v1/steps/{step.name}/pull"
+            answer: PullAnswer = await self._insist(path, body, PullAnswer)
+            step.cursor = answer.cursor
+            step.received += len(answer.samples)
+            self._ledger.samples += [
+                SeenSample(sample, self._trainee.model, MAX_TOKENS, self.version)
+                for sample in answer.samples
+            ]
+            if answer.is_complete and not answer.samples:
+                break
+        is_whole = step.received == step.slot_count
+        self._ledger.steps.append(SeenStep(step.name, step.slot_count, is_whole))
+
+    async def _publish(self) -> None:
+        self.version += 1
+        model = self._trainee.model
+        entry = WeightEntry(model, self.version)
+        await publish_weights(self._weights, self._weight_store, entry)
+        path = f"/v1/models/{model}/published"
+        await self._insist(path, {"version": self.version}, dict[str, int])
+
+    async def _insist(self, path: str, body: object, kind: type[T]) -> T:
+        while True:
+            try:
+                answer: T = await self._client.call(path, body, kind, "", PATIENCE_S)
+            except CallFailed as failure:
+                self._ledger.note_error(f"trainer_{failure.error.kind}")
+            except CallerGaveUp:
+                self._ledger.note_error("trainer_gave_up")
+            else:
+                return answer
+            await asyncio.sleep(RETRY_S)
+
+
+__all__ = ["Trainer"]
--- a/src/tamarackshelf/gateway/program.py
+++ b/src/tamarackshelf/gateway/program.py
@@ -58,6 +58,7 @@
         self.timeline = timeline
         self.metrics = Metrics()
         self.address = settings.listen
+        self.peer_address = settings.peer_listen
         self._settings = settings
         self._internal = HttpClient(headers={"x-fleet-secret": settings.secret})
         self.watch = ViewWatch(self._internal, settings.controller, Role.GATEWAY)
@@ -99,7 +100,8 @@
         """Listens and follows the controller."""
         self.watch.on_change(self._take_view)
         await self._table.start()
-        await self._rpc_server.start(self._settings.peer_listen)
+        peer_listen = self._settings.peer_listen
+        self.peer_address = await self._rpc_server.start(peer_listen)
         self.address = await self._server.start(self._settings.listen)
         await self.watch.start()
 
--- a/src/tamarackshelf/runner/sampler.py
+++ b/src/tamarackshelf/runner/sampler.py
@@ -137,6 +137,7 @@
             slot=job.slot,
             generation=job.generation,
             prompt=job.prompt,
+            seed=job.seed,
             tokens=tuple(builder.tokens),
             segments=builder.segments,
             score=value,
--- a/src/tamarackshelf/world/sample.py
+++ b/src/tamarackshelf/world/sample.py
@@ -42,6 +42,7 @@
     slot: int
     generation: int
     prompt: str
+    seed: int
     tokens: tuple[str, ...]
     segments: tuple[Segment, ...]
     score: float
