Keep steps going through outages and spare innocent suspects

Cause: (1) runners learn of a step from the table only, so a store that fails right after the opening leaves all groups but the owner's unrun (12 of 24 samples after 50 s); (2) a pull waited up to 5 s for a silent table, beyond its own time; (3) the four slots of one prompt were four suspects, so one poison prompt could take eight targets; (4) two crashes counted against a request even when other suspects were on the same target. Now the opening carries the body, the owner offers it again while the table is silent, re-reads are bounded, a prompt is one suspect, and only a crash while alone on its target counts towards quarantine. Ruled out: the trainer's cursor, the settling of slots.

--- a/src/tamarackshelf/dispatch/dispatcher.py
+++ b/src/tamarackshelf/dispatch/dispatcher.py
@@ -101,7 +101,7 @@
         place: Place | None = None
         try:
             permit = await self.pool.acquire(ask)
-            place = Place(permit)
+            place = Place(permit, is_isolated=bool(isolated))
             self.timeline.record(
                 "request_dispatched",
                 work.request_id,
@@ -149,11 +149,14 @@
         else:
             self.pool.avoid(target, str(error), 0.1)
 
-    async def note_lost(self, work: Work, target: Target) -> bool:
+    async def note_lost(self, work: Work, place: Place) -> bool:
         """Finds out whether a lost answer was a crash; tells the peers if so."""
+        target = place.target
         if not await self._note_if_crashed(target):
             return False
-        crash = Crash(work.fingerprint, target.name, target.incarnation)
+        crash = Crash(
+            work.fingerprint, target.name, target.incarnation, place.is_isolated
+        )
         self.note_crash(crash, "it was in flight when the target crashed")
         # Peers hear of the suspect before its caller can send it again.
         await self._peers.announce(crash)
@@ -227,8 +230,9 @@
 class Place:
     """A held place; `load` is what the target reported at the end."""
 
-    def __init__(self, permit: Permit) -> None:
+    def __init__(self, permit: Permit, *, is_isolated: bool) -> None:
         self.permit = permit
+        self.is_isolated = is_isolated
         self.load: Load | None = None
 
     @property
--- a/src/tamarackshelf/gateway/calls.py
+++ b/src/tamarackshelf/gateway/calls.py
@@ -77,7 +77,7 @@
             try:
                 return await send_call(self._dispatcher, place, call)
             except (ConnectionLost, TargetFault) as error:
-                await self._dispatcher.note_lost(call.work, place.target)
+                await self._dispatcher.note_lost(call.work, place)
                 raise build_unknown(str(error)) from error
 
         return await retry_not_run(self._dispatcher, call.work, attempt)
--- a/src/tamarackshelf/gateway/trainers.py
+++ b/src/tamarackshelf/gateway/trainers.py
@@ -37,6 +37,7 @@
 MAX_SLOTS = 16_384
 MAX_PULL_SAMPLES = 1024
 LONGEST_PULL_WAIT_S = 20.0
+MAX_BROADCAST_BYTES = 4 * 1024 * 1024
 NOTIFY_TIMEOUT_S = 0.5
 PUBLISH_RETRY_S = 0.5
 PUBLISH_TRIES = 1200
@@ -107,8 +108,9 @@
         step = _build_step(campaign, body)
         await open_step(self._table, step, caller.deadline_s - _now_s())
         self._timeline.record("step_opened", step.name, slots=step.slot_count)
-        message = StepOpened(step.name)
         runners = view.find_entries(Role.RUNNER)
+        is_small = len(request.body) * len(runners) <= MAX_BROADCAST_BYTES
+        message = StepOpened(step.name, step if is_small else None)
         await asyncio.gather(*(self._tell(e.runner_peer, message) for e in runners))
         return to_json_response(StepReply(step.name, step.slot_count))
 
--- a/src/tamarackshelf/peers/messages.py
+++ b/src/tamarackshelf/peers/messages.py
@@ -6,7 +6,7 @@
 
 from tamarackshelf.net.rpc import Method
 from tamarackshelf.policy.quarantine import Crash
-from tamarackshelf.world import Sample
+from tamarackshelf.world import Sample, Step
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,9 +82,10 @@
 
 @dataclass(frozen=True, slots=True)
 class StepOpened:
-    """A step is in the table; runners start on it."""
+    """A step is in the table; with its body, runners need not read it there."""
 
     step: str
+    body: Step | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/tamarackshelf/policy/quarantine.py
+++ b/src/tamarackshelf/policy/quarantine.py
@@ -23,11 +23,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Crash:
-    """One crash of a target that a request was in flight on."""
+    """One crash of a target that a request was in flight on.
+
+    `isolated` tells that no other suspect was on the target.
+    """
 
     fingerprint: str
     target: str
     incarnation: int
+    isolated: bool = False
 
 
 def fingerprint_request(organisation: str, service: str, body: bytes) -> str:
@@ -36,11 +40,17 @@
     return f"{organisation}/{service}/{digest}"
 
 
+@dataclass(frozen=True, slots=True)
+class _Seen:
+    at_s: float
+    isolated: bool
+
+
 class SuspectBook:
     """Remembers which requests were in flight at which crashes."""
 
     def __init__(self) -> None:
-        self._crashes: OrderedDict[str, dict[tuple[str, int], float]] = OrderedDict()
+        self._crashes: OrderedDict[str, dict[tuple[str, int], _Seen]] = OrderedDict()
 
     def note(self, crash: Crash, now_s: float) -> bool:
         """Adds a crash; returns False when it was known."""
@@ -49,17 +59,23 @@
         while len(self._crashes) > MAX_FINGERPRINTS:
             self._crashes.popitem(last=False)
         where = (crash.target, crash.incarnation)
-        is_new = where not in seen
-        seen[where] = now_s
-        return is_new
+        known = seen.get(where)
+        isolated = crash.isolated or (known is not None and known.isolated)
+        seen[where] = _Seen(now_s, isolated)
+        return known is None
 
     def judge(self, fingerprint: str, now_s: float) -> Verdict:
-        """Returns how the request may be run."""
-        seen = self._crashes.get(fingerprint, {})
-        count = sum(now_s - at_s < MEMORY_S for at_s in seen.values())
-        if count >= CRASHES_TO_QUARANTINE:
+        """Returns how the request may be run.
+
+        Only a crash at which it was the one suspect counts against it; others
+        may have been a neighbour's doing.
+        """
+        seen = self._crashes.get(fingerprint, {}).values()
+        recent = [crash for crash in seen if now_s - crash.at_s < MEMORY_S]
+        was_alone = any(crash.isolated for crash in recent)
+        if was_alone and len(recent) >= CRASHES_TO_QUARANTINE:
             return Verdict.QUARANTINED
-        return Verdict.SUSPECT if count else Verdict.CLEAR
+        return Verdict.SUSPECT if recent else Verdict.CLEAR
 
     def clear(self, fingerprint: str) -> None:
         """Forgets a request that was answered whole."""
--- a/src/tamarackshelf/runner/board.py
+++ b/src/tamarackshelf/runner/board.py
@@ -18,6 +18,7 @@
     last_cursor: str = ""
     pull_number: int = 0
     is_loaded: bool = False
+    next_offer_s: float = 0.0
     _changed: asyncio.Event = field(default_factory=asyncio.Event)
 
     def put(self, sample: Sample) -> bool:
--- a/src/tamarackshelf/runner/crew.py
+++ b/src/tamarackshelf/runner/crew.py
@@ -10,7 +10,12 @@
 from tamarackshelf.net.rpc import PeerRefused, PeerUnreachable, RpcClient
 from tamarackshelf.observe import Timeline
 from tamarackshelf.peers import Role, ViewWatch
-from tamarackshelf.peers.messages import SETTLED, SettledRequest
+from tamarackshelf.peers.messages import (
+    SETTLED,
+    STEP_OPENED,
+    SettledRequest,
+    StepOpened,
+)
 from tamarackshelf.policy.ownership import find_owner, rank_owners
 from tamarackshelf.runner.board import ActiveStep
 from tamarackshelf.runner.sampler import Sampler, SlotJob
@@ -29,6 +34,8 @@
 SETTLE_TIMEOUT_S = 2.0
 SETTLE_GAP_S = 0.5
 PUSH_TIMEOUT_S = 2.0
+LOAD_TIMEOUT_S = 1.0
+OFFER_EVERY_S = 5.0
 FAILED_SLOT_PAUSE_S = 0.5
 
 Accept = Callable[[Sample], Awaitable[None]]
@@ -96,9 +103,35 @@
         self._wake.set()
         return active
 
-    async def load_slots(self, active: ActiveStep) -> None:
+    async def take_opened(self, message: StepOpened) -> None:
+        """Starts on a step, from the message's body if the table is silent."""
+        if message.body is not None:
+            self.steps.setdefault(message.step, ActiveStep(message.body))
+        await self.find_step(message.step)
+
+    async def offer_step(self, active: ActiveStep) -> None:
+        """Gives the step to runners that could not read it from the table."""
+        now_s = asyncio.get_running_loop().time()
+        if self._table.is_up or now_s < active.next_offer_s:
+            return
+        active.next_offer_s = now_s + OFFER_EVERY_S
+        message = StepOpened(active.step.name, active.step)
+        others = self._watch.view.find_entries(Role.RUNNER)
+        await asyncio.gather(*(self._offer(e, message) for e in others))
+
+    async def _offer(self, entry: EntryVm, message: StepOpened) -> None:
+        if entry.name == self._vm:
+            return
+        with contextlib.suppress(PeerUnreachable, PeerRefused):
+            await self._rpc.call(
+                entry.runner_peer, STEP_OPENED, message, PUSH_TIMEOUT_S
+            )
+
+    async def load_slots(
+        self, active: ActiveStep, timeout_s: float = LOAD_TIMEOUT_S
+    ) -> None:
         """Takes what other runners have settled."""
-        for sample in await read_slots(self._table, active.step.name):
+        for sample in await read_slots(self._table, active.step.name, timeout_s):
             active.put(sample)
         active.is_loaded = True
 
--- a/src/tamarackshelf/runner/delivery.py
+++ b/src/tamarackshelf/runner/delivery.py
@@ -30,7 +30,9 @@
 from tamarackshelf.state.steps import StepState, read_step, update_step
 from tamarackshelf.world import Sample
 
+SHORTEST_WAIT_S = 0.001
 RESCAN_EVERY_S = 2.0
+RESCAN_TIMEOUT_S = 0.5
 WRITE_TIMEOUT_S = 2.0
 WRITE_GAP_S = 0.5
 CLOSE_TIMEOUT_S = 10.0
@@ -78,9 +80,10 @@
         while True:
             samples = self._collect(active, cursor, request)
             is_done = cursor.count == active.step.slot_count
-            if samples or is_done or loop.time() >= deadline_s:
+            remaining_s = deadline_s - loop.time()
+            if samples or is_done or remaining_s < SHORTEST_WAIT_S:
                 return self._answer(active, cursor, request, samples)
-            await self._wait(active, deadline_s - loop.time())
+            await self._wait(active, remaining_s)
             if active.pull_number != number:
                 raise PullSuperseded(
                     "a later pull of this step replaced this one; use its answer"
@@ -155,11 +158,14 @@
 
     async def _wait(self, active: ActiveStep, remaining_s: float) -> None:
         before = len(active.samples)
-        timeout_s = min(RESCAN_EVERY_S, max(0.0, remaining_s))
+        timeout_s = min(RESCAN_EVERY_S, remaining_s)
         await active.wait_change(timeout_s)
-        if len(active.samples) == before:
-            with contextlib.suppress(StoreUnavailable):
-                await self._crew.load_slots(active)
+        if len(active.samples) != before:
+            return
+        # A silent table must not hold up the pull beyond its own time.
+        with contextlib.suppress(StoreUnavailable):
+            await self._crew.load_slots(active, RESCAN_TIMEOUT_S)
+        await self._crew.offer_step(active)
 
     def _answer(
         self,
--- a/src/tamarackshelf/runner/program.py
+++ b/src/tamarackshelf/runner/program.py
@@ -140,7 +140,7 @@
         self.pool.update(view.targets, max(1, gateways + runners))
 
     async def _take_opened(self, message: StepOpened) -> Acknowledged:
-        await self.crew.find_step(message.step)
+        await self.crew.take_opened(message)
         return Acknowledged()
 
     async def _note_crash(self, crash: Crash) -> Acknowledged:
--- a/src/tamarackshelf/runner/sampler.py
+++ b/src/tamarackshelf/runner/sampler.py
@@ -154,9 +154,8 @@
         )
         deadline_s = asyncio.get_running_loop().time() + SAMPLE_DEADLINE_S
         ask = Ask(need, organisation, WorkClass.TRAINER, deadline_s)
-        fingerprint = fingerprint_request(
-            organisation, service, f"{job.seed}\0{body}".encode()
-        )
+        # All slots of a prompt are one suspect: the prompt is what they share.
+        fingerprint = fingerprint_request(organisation, service, body.encode())
         return Work(name, fingerprint, ask)
 
 
--- a/src/tamarackshelf/state/steps.py
+++ b/src/tamarackshelf/state/steps.py
@@ -118,9 +118,12 @@
         revision = row.revision
 
 
-async def read_slots(table: TableClient, step: str) -> list[Sample]:
+async def read_slots(
+    table: TableClient, step: str, timeout_s: float = 5.0
+) -> list[Sample]:
     """Returns the settled samples of a step."""
-    return [decode_slot(row) for row in await table.scan(f"{SLOT_PREFIX}{step}/")]
+    rows = await table.scan(f"{SLOT_PREFIX}{step}/", timeout_s)
+    return [decode_slot(row) for row in rows]
 
 
 def to_slot_key(step: str, slot: int) -> str:
--- /dev/null
+++ b/tests/runner/test_steps.py
@@ -0,0 +1,344 @@
+"""Steps over several runners: take-over, outages, staleness, crossed scores."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tamarackshelf.demo.checkers import count_duplicated, count_misattributed
+from tamarackshelf.demo.ledger import SeenSample
+from tamarackshelf.errors import CursorRequired, PullSuperseded, ShelfError
+from tamarackshelf.observe import Timeline
+from tamarackshelf.peers.messages import PULL, SETTLED, STEP_OPENED, PullRequest
+from tamarackshelf.policy.cursor import Cursor, encode_cursor
+from tamarackshelf.policy.ownership import rank_owners
+from tamarackshelf.runner.crew import Crew
+from tamarackshelf.runner.delivery import Delivery
+from tamarackshelf.runner.sampler import Sampler
+from tamarackshelf.state.steps import open_step, read_step
+from tamarackshelf.world import Step, TargetKind
+from tests.support.fleet import MODEL, FakeWatch, MemoryFleet
+from tests.support.memory import MemoryRpc
+
+STEP = Step("c.s1", "c", tuple(f"prompt {i}" for i in range(6)), 4, 0, 320)
+BOUND = 2
+
+
+class RunnerUnderTest:
+    """One runner's crew and delivery."""
+
+    def __init__(self, fleet, entry, rpc_handlers):
+        self.entry = entry
+        self.watch = FakeWatch(fleet.build_view())
+        self.timeline = Timeline(entry.name, lambda: 0)
+        self.table = fleet.build_table(entry.name)
+        rpc = MemoryRpc(rpc_handlers)
+        loop = asyncio.get_running_loop()
+        sampler = Sampler(
+            fleet.build_dispatcher(entry.name), self.watch, "a", loop.time
+        )
+        self.crew = Crew(
+            entry.name, sampler, self.watch, self.table, rpc, self.timeline
+        )
+        self.delivery = Delivery(
+            self.crew, self.watch, self.table, self.timeline, loop.time
+        )
+        self.handlers = rpc_handlers
+        rpc_handlers[entry.runner_peer] = {
+            PULL: self.delivery.pull,
+            SETTLED: self.delivery.take_settled,
+            STEP_OPENED: self.crew.take_opened,
+        }
+
+    async def start(self):
+        await self.table.start()
+        await self.crew.start()
+
+    async def die(self):
+        self.handlers.pop(self.entry.runner_peer, None)
+        await self.crew.close()
+        await self.table.close()
+
+    def kinds(self):
+        return [event.kind for event in self.timeline.page().events]
+
+
+class TrainerUnderTest:
+    """Keeps its cursor; takes one answer of each pull."""
+
+    def __init__(self, fleet, handlers):
+        self.fleet = fleet
+        self.rpc = MemoryRpc(handlers)
+        self.cursor = encode_cursor(Cursor(STEP.name))
+        self.seen = []
+        self.version = 0
+        self.lose_answers = 0
+
+    async def pull(self, runners, **options):
+        request = PullRequest(
+            STEP.name, "p", self.cursor, self.version, 256, 1.0, **options
+        )
+        ranked = rank_owners([r.entry.name for r in runners], STEP.name)
+        by_name = {r.entry.name: r for r in runners}
+        owner = by_name[ranked[0]]
+        answer = await self.rpc.call(owner.entry.runner_peer, PULL, request, 5.0)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            return None
+        self.cursor = answer.cursor
+        self.seen += [
+            SeenSample(sample, MODEL, STEP.max_tokens, self.version)
+            for sample in answer.samples
+        ]
+        return answer
+
+    async def pull_whole(self, runners, limit_s=60.0):
+        async with asyncio.timeout(limit_s):
+            while len(self.seen) < STEP.slot_count:
+                await self.pull(runners)
+
+    def check(self):
+        assert sorted(s.sample.slot for s in self.seen) == list(range(STEP.slot_count))
+        assert count_duplicated(self.seen) == 0
+        assert count_misattributed(self.seen, 0.0) == 0
+        for entry in self.seen:
+            assert entry.newest_version - entry.sample.oldest_version <= BOUND
+
+
+async def start_all(count=3, engines=3):
+    fleet = MemoryFleet()
+    for i in range(engines):
+        fleet.add_engine(f"e{i}")
+    fleet.add_service("s1", "scorer", TargetKind.SCORER)
+    entries = [fleet.add_entry(f"r{i}") for i in range(count)]
+    handlers = {}
+    runners = [RunnerUnderTest(fleet, entry, handlers) for entry in entries]
+    for runner in runners:
+        await runner.start()
+    await open_step(runners[0].table, STEP, 5.0)
+    return fleet, runners, TrainerUnderTest(fleet, handlers)
+
+
+def set_members(fleet, runners):
+    """Tells the living runners who lives."""
+    fleet.entries = {r.entry.name: r.entry for r in runners}
+    for runner in runners:
+        runner.watch.view = fleet.build_view()
+
+
+def set_published(fleet, runners, version):
+    fleet.published[MODEL] = version
+    for runner in runners:
+        runner.watch.view = fleet.build_view()
+
+
+def test_a_step_is_whole_and_runs_each_slot_once(run):
+    async def play():
+        fleet, runners, trainer = await start_all()
+        await trainer.pull_whole(runners)
+        trainer.check()
+        seen = sum(
+            engine.requests_seen
+            for engine in fleet.standins.values()
+            if hasattr(engine, "requests_seen")
+        )
+        assert seen == STEP.slot_count
+
+    run(play())
+
+
+@pytest.mark.parametrize("after_s", [0.05, 0.3, 0.6, 2.3])
+@pytest.mark.parametrize("who", ["owner", "other"])
+def test_a_runner_dies_and_its_groups_are_taken_over(run, after_s, who):
+    async def play():
+        fleet, runners, trainer = await start_all()
+        for engine in fleet.standins.values():
+            engine.faults.delay_s = 0.05
+        ranked = rank_owners([r.entry.name for r in runners], STEP.name)
+        name = ranked[0] if who == "owner" else ranked[1]
+        pulling = asyncio.ensure_future(trainer.pull(runners))
+        await asyncio.sleep(after_s)
+        victim = next(r for r in runners if r.entry.name == name)
+        await victim.die()
+        await asyncio.wait([pulling])
+        assert pulling.done()
+        pulling.exception()
+        left = [r for r in runners if r is not victim]
+        set_members(fleet, left)
+        await trainer.pull_whole(left)
+        trainer.check()
+
+    run(play())
+
+
+def test_two_runners_both_believe_that_they_own_the_step(run):
+    async def play():
+        fleet, runners, trainer = await start_all()
+        # Each knows only itself: all run all groups and answer pulls.
+        for runner in runners:
+            fleet.entries = {runner.entry.name: runner.entry}
+            runner.watch.view = fleet.build_view()
+        turn = 0
+        async with asyncio.timeout(60):
+            while len(trainer.seen) < STEP.slot_count:
+                await trainer.pull([runners[turn % 3]])
+                turn += 1
+        trainer.check()
+
+    run(play())
+
+
+def test_a_store_outage_of_ten_minutes_does_not_stop_the_hand_over(run):
+    async def play():
+        fleet, runners, trainer = await start_all()
+        await asyncio.sleep(0.05)
+        await trainer.pull(runners)
+        fleet.table.faults.down = True
+        started_s = asyncio.get_running_loop().time()
+        await trainer.pull_whole(runners)
+        assert asyncio.get_running_loop().time() - started_s < 60
+        trainer.check()
+        await asyncio.sleep(600)
+        fleet.table.faults.down = False
+        await asyncio.sleep(10)
+        slots = [k for k in fleet.table.rows if k.startswith("slots/")]
+        assert len(slots) == STEP.slot_count
+
+    run(play())
+
+
+def test_the_owner_dies_in_an_outage_with_slots_handed_over_but_unwritten(run):
+    async def play():
+        fleet, runners, trainer = await start_all()
+        await asyncio.sleep(0.05)
+        await trainer.pull(runners)
+        fleet.table.faults.down = True
+        ranked = rank_owners([r.entry.name for r in runners], STEP.name)
+        owner = next(r for r in runners if r.entry.name == ranked[0])
+        for _ in range(3):
+            await trainer.pull(runners)
+        await owner.die()
+        left = [r for r in runners if r is not owner]
+        set_members(fleet, left)
+        await asyncio.sleep(30)
+        fleet.table.faults.down = False
+        await trainer.pull_whole(left)
+        trainer.check()
+
+    run(play())
+
+
+@pytest.mark.parametrize("lost", [1, 3])
+def test_a_lost_pull_answer_is_given_again(run, lost):
+    async def play():
+        _, runners, trainer = await start_all()
+        trainer.lose_answers = lost
+        await trainer.pull_whole(runners)
+        trainer.check()
+
+    run(play())
+
+
+def test_samples_that_became_too_old_are_run_again(run):
+    async def play():
+        fleet, runners, trainer = await start_all()
+        await asyncio.sleep(3.0)
+        for engine in fleet.standins.values():
+            if hasattr(engine, "requests_seen"):
+                engine.state.versions[MODEL] = BOUND + 1
+        trainer.version = BOUND + 1
+        set_published(fleet, runners, trainer.version)
+        await trainer.pull_whole(runners)
+        trainer.check()
+        kinds = [kind for runner in runners for kind in runner.kinds()]
+        assert "sample_too_old" in kinds
+
+    run(play())
+
+
+def test_weights_swap_in_the_middle_of_samples(run):
+    async def play():
+        fleet, runners, trainer = await start_all()
+        engines = [e for e in fleet.standins.values() if hasattr(e, "requests_seen")]
+        for engine in engines:
+            engine.faults.delay_s = 0.05
+        for version in range(1, 8):
+            pulling = asyncio.ensure_future(trainer.pull(runners))
+            await asyncio.sleep(0.1)
+            for engine in engines:
+                engine.state.versions[MODEL] = version
+            await pulling
+            trainer.version = version
+            set_published(fleet, runners, version)
+        await trainer.pull_whole(runners)
+        trainer.check()
+
+    run(play())
+
+
+def test_scores_that_cross_never_reach_another_sample(run):
+    async def play():
+        fleet, runners, trainer = await start_all()
+        fleet.standins["s1"].faults.cross_answers = 5
+        await trainer.pull_whole(runners)
+        trainer.check()
+
+    run(play())
+
+
+def test_a_replaced_trainer_must_say_whether_it_wants_all_again(run):
+    async def play():
+        _, runners, trainer = await start_all()
+        await trainer.pull_whole(runners)
+        await trainer.pull(runners)
+        known = trainer.cursor
+        await asyncio.sleep(3.0)
+        row = await read_step(runners[0].table, STEP.name)
+        assert row.row.cursor == known
+        ranked = rank_owners([r.entry.name for r in runners], STEP.name)
+        owner = next(r for r in runners if r.entry.name == ranked[0])
+        request = PullRequest(STEP.name, "p", None, 0, 256, 1.0)
+        with pytest.raises(CursorRequired) as refused:
+            await owner.delivery.pull(request)
+        assert known in refused.value.message
+        again = PullRequest(STEP.name, "p", None, 0, 256, 1.0, rewind=True)
+        answer = await owner.delivery.pull(again)
+        assert len(answer.samples) == STEP.slot_count
+
+    run(play())
+
+
+def test_a_later_pull_supersedes_one_that_waits(run):
+    async def play():
+        fleet, runners, trainer = await start_all()
+        for engine in fleet.standins.values():
+            engine.faults.delay_s = 2.0
+        owner = runners[0]
+        request = PullRequest(STEP.name, "p", trainer.cursor, 0, 256, 5.0)
+        first = asyncio.ensure_future(owner.delivery.pull(request))
+        await asyncio.sleep(0.5)
+        second = asyncio.ensure_future(owner.delivery.pull(request))
+        with pytest.raises(PullSuperseded):
+            await first
+        second.cancel()
+
+    run(play())
+
+
+def test_a_slot_whose_request_is_quarantined_tells_why(run):
+    async def play():
+        fleet, runners, trainer = await start_all(engines=4)
+        for engine in fleet.standins.values():
+            engine.faults.poison = ("prompt 3",)
+        async with asyncio.timeout(120):
+            while len(trainer.seen) < STEP.slot_count:
+                try:
+                    await trainer.pull(runners)
+                except ShelfError:
+                    await asyncio.sleep(0.1)
+        failed = [s.sample for s in trainer.seen if s.sample.failure]
+        assert {sample.prompt for sample in failed} <= {"prompt 3"}
+        assert count_misattributed(trainer.seen, 0.0) == 0
+
+    run(play())
