Refuse unknown flags before anything starts

Cause: the command line library calls a returned function while flags are left over, so an unknown flag started the gateway. Commands now return a holder that it cannot call.

--- a/src/tamarackshelf/cli/controller.py
+++ b/src/tamarackshelf/cli/controller.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 from tamarackshelf.cli import settings as s
-from tamarackshelf.cli.program import parse_command, run_program, wall_ms
+from tamarackshelf.cli.program import Start, run_command, run_program, wall_ms
 from tamarackshelf.controller import Controller, ControllerSettings
 from tamarackshelf.controller.reconciler import RollSettings
 from tamarackshelf.net import HttpClient
@@ -37,7 +35,7 @@
     log_format: str | None = None,
     seed: int | None = None,
     check: bool = False,
-) -> Callable[[], None]:
+) -> Start:
     """Keeps membership, configuration, leases and weights on an entry VM.
 
     Each flag can be set by an environment variable, such as TAMARACKSHELF_VM.
@@ -79,12 +77,12 @@
             values["log_format"],
         )
 
-    return run
+    return Start(run)
 
 
 def main() -> None:
     """Runs the program."""
-    parse_command(controller, "tamarackshelf-controller")()
+    run_command(controller, "tamarackshelf-controller")
 
 
 if __name__ == "__main__":
--- a/src/tamarackshelf/cli/ctl.py
+++ b/src/tamarackshelf/cli/ctl.py
@@ -5,7 +5,6 @@
 import asyncio
 import os
 import sys
-from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
@@ -13,7 +12,7 @@
 
 from tamarackshelf.cli.explain import explain_subject
 from tamarackshelf.cli.fetch import FetchFailed, fetch_json, fetch_pages
-from tamarackshelf.cli.program import parse_command
+from tamarackshelf.cli.program import Start, run_command
 from tamarackshelf.controller.configuration_watch import Heads
 from tamarackshelf.gateway.operators import (
     AcceptReply,
@@ -35,8 +34,6 @@
 EXIT_USAGE = 2
 EXIT_NOT_IN_FORCE = 5
 
-Command = Callable[[], None]
-
 
 class Ctl:
     """Edits and shows a fleet through one of its gateways.
@@ -57,19 +54,19 @@
         self._author = author
         self._output = output
 
-    def digest(self, token: str) -> Command:
+    def digest(self, token: str) -> Start:
         """Prints the digest of a token for templates and settings."""
-        return lambda: print(digest_token(str(token)))
+        return Start(lambda: print(digest_token(str(token))))
 
-    def status(self) -> Command:
+    def status(self) -> Start:
         """Shows the entries, targets and published weights."""
-        return lambda: self._print_status(self._get("status", View))
+        return Start(lambda: self._print_status(self._get("status", View)))
 
-    def configuration(self) -> Command:
+    def configuration(self) -> Start:
         """Shows the configuration in force at the gateway as JSON."""
-        return lambda: _print_json(self._get("configuration", Configuration))
+        return Start(lambda: _print_json(self._get("configuration", Configuration)))
 
-    def accept_template(self, path: str, dry_run: bool = False) -> Command:
+    def accept_template(self, path: str, dry_run: bool = False) -> Start:
         """Accepts the parameters of an organisation from a JSON file."""
         parameters = _read_file(path, Parameters)
 
@@ -81,9 +78,9 @@
                 edit = TemplateEdit(current.revision, self._author, parameters)
                 self._accept("templates", edit)
 
-        return run
+        return Start(run)
 
-    def accept_campaign(self, path: str, dry_run: bool = False) -> Command:
+    def accept_campaign(self, path: str, dry_run: bool = False) -> Start:
         """Accepts a campaign from a JSON file."""
         campaign = _read_file(path, Campaign)
 
@@ -94,9 +91,9 @@
                 edit = CampaignEdit(current.revision, self._author, campaign)
                 self._accept("campaigns", edit)
 
-        return run
+        return Start(run)
 
-    def drain(self, vm: str, back: bool = False, yes: bool = False) -> Command:
+    def drain(self, vm: str, back: bool = False, yes: bool = False) -> Start:
         """Takes an entry VM out of the entry answers, or takes it back."""
 
         def run() -> None:
@@ -106,9 +103,9 @@
             edit = DrainEdit(current.revision, self._author, vm, not back)
             self._accept("drains", edit)
 
-        return run
+        return Start(run)
 
-    def in_force(self) -> Command:
+    def in_force(self) -> Start:
         """Shows on how many controllers the newest revision is in force."""
 
         def run() -> None:
@@ -123,9 +120,9 @@
             if count < len(heads):
                 sys.exit(EXIT_NOT_IN_FORCE)
 
-        return run
+        return Start(run)
 
-    def explain(self, kind: str, name: str) -> Command:
+    def explain(self, kind: str, name: str) -> Start:
         """Tells what happened to a request, sample, target, vm or campaign."""
 
         def run() -> None:
@@ -134,7 +131,7 @@
             for line in explain_subject(kind, str(name), pages, silent):
                 print(line)
 
-        return run
+        return Start(run)
 
     def _get(self, path: str, kind: type[Any]) -> Any:
         return self._call("GET", f"/v1/operator/{path}", kind)
@@ -223,8 +220,7 @@
 
 def main() -> None:
     """Runs the program."""
-    command: Any = parse_command(Ctl, "tamarackshelf-ctl")
-    command()
+    run_command(Ctl, "tamarackshelf-ctl")
 
 
 if __name__ == "__main__":
--- a/src/tamarackshelf/cli/demo.py
+++ b/src/tamarackshelf/cli/demo.py
@@ -5,10 +5,9 @@
 import asyncio
 import sys
 import time
-from collections.abc import Callable
 from pathlib import Path
 
-from tamarackshelf.cli.program import parse_command
+from tamarackshelf.cli.program import Start, run_command
 from tamarackshelf.demo.deployments import DEPLOYMENTS, Deployment
 from tamarackshelf.demo.report import render_report
 from tamarackshelf.demo.run import RunResult, RunSettings, run_deployment
@@ -27,7 +26,7 @@
     deployment: str = "all",
     report_path: str = "",
     timeline_path: str = "",
-) -> Callable[[], None]:
+) -> Start:
     """Runs both deployments in one process over loopback with stand-ins.
 
     Args:
@@ -56,7 +55,7 @@
         _write_pages(results, report_path, timeline_path)
         _close(results)
 
-    return run
+    return Start(run)
 
 
 async def _run_all(
@@ -92,7 +91,7 @@
 
 def main() -> None:
     """Runs the program."""
-    parse_command(demo, "tamarackshelf-demo")()
+    run_command(demo, "tamarackshelf-demo")
 
 
 if __name__ == "__main__":
--- a/src/tamarackshelf/cli/gateway.py
+++ b/src/tamarackshelf/cli/gateway.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 from tamarackshelf.cli import settings as s
-from tamarackshelf.cli.program import parse_command, run_program, wall_ms
+from tamarackshelf.cli.program import Start, run_command, run_program, wall_ms
 from tamarackshelf.gateway import Gateway, GatewaySettings
 from tamarackshelf.net import HttpClient
 from tamarackshelf.observe import Timeline
@@ -39,7 +37,7 @@
     log_format: str | None = None,
     seed: int | None = None,
     check: bool = False,
-) -> Callable[[], None]:
+) -> Start:
     """Serves callers, trainers and operators on an entry VM.
 
     Each flag can be set by an environment variable, such as TAMARACKSHELF_VM.
@@ -83,12 +81,12 @@
             values["log_format"],
         )
 
-    return run
+    return Start(run)
 
 
 def main() -> None:
     """Runs the program."""
-    parse_command(gateway, "tamarackshelf-gateway")()
+    run_command(gateway, "tamarackshelf-gateway")
 
 
 if __name__ == "__main__":
--- a/src/tamarackshelf/cli/program.py
+++ b/src/tamarackshelf/cli/program.py
@@ -8,7 +8,7 @@
 import sys
 import time
 from collections.abc import Callable
-from typing import Any, Protocol, TypeVar
+from typing import Any, Protocol
 
 import fire
 
@@ -17,8 +17,6 @@
 EXIT_STOPPED_AT_ONCE = 3
 EXIT_CANNOT_START = 4
 
-T = TypeVar("T")
-
 
 class Program(Protocol):
     """What every program of an entry VM can do."""
@@ -33,17 +31,29 @@
         """Finishes what is in flight and closes."""
 
 
-def parse_command(command: Callable[..., T], name: str) -> T:
-    """Reads the command line; exits before anything starts when it is faulty.
+class Start:
+    """Holds what a command does until its whole command line is read.
+
+    Fire calls whatever can be called while flags are left over, so an action may
+    not be returned bare.
+    """
+
+    def __init__(self, action: Callable[[], None]) -> None:
+        self._action = action
+
+    def go(self) -> None:
+        """Does it."""
+        self._action()
+
+
+def run_command(command: Any, name: str) -> None:
+    """Reads the command line and runs the `Start` that the command returns.
 
-    `command` returns what is to be started. Fire calls it before it looks at
-    left-over flags, so it must not start anything itself.
+    Exits with status 2 before anything starts when a flag is unknown.
     """
-    result: Any = fire.Fire(command, name=name, serialize=lambda _: None)
-    if result is None:
-        sys.exit(0)
-    parsed: T = result
-    return parsed
+    start = fire.Fire(command, name=name, serialize=lambda _: None)
+    if isinstance(start, Start):
+        start.go()
 
 
 def run_program(build: Callable[[], Program], timeline: Timeline, fmt: str) -> None:
@@ -81,4 +91,4 @@
     stop.set()
 
 
-__all__ = ["Program", "parse_command", "run_program", "wall_ms"]
+__all__ = ["Program", "Start", "run_command", "run_program", "wall_ms"]
--- a/src/tamarackshelf/cli/runner.py
+++ b/src/tamarackshelf/cli/runner.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 from tamarackshelf.cli import settings as s
-from tamarackshelf.cli.program import parse_command, run_program, wall_ms
+from tamarackshelf.cli.program import Start, run_command, run_program, wall_ms
 from tamarackshelf.net import HttpClient
 from tamarackshelf.observe import Timeline
 from tamarackshelf.runner import Runner, RunnerSettings
@@ -33,7 +31,7 @@
     log_format: str | None = None,
     seed: int | None = None,
     check: bool = False,
-) -> Callable[[], None]:
+) -> Start:
     """Produces the samples of campaigns on an entry VM.
 
     Each flag can be set by an environment variable, such as TAMARACKSHELF_VM.
@@ -73,12 +71,12 @@
             values["log_format"],
         )
 
-    return run
+    return Start(run)
 
 
 def main() -> None:
     """Runs the program."""
-    parse_command(runner, "tamarackshelf-runner")()
+    run_command(runner, "tamarackshelf-runner")
 
 
 if __name__ == "__main__":
--- a/src/tamarackshelf/cli/standin.py
+++ b/src/tamarackshelf/cli/standin.py
@@ -2,13 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from pathlib import Path
 
 import msgspec
 
 from tamarackshelf.cli import settings as s
-from tamarackshelf.cli.program import parse_command, run_program, wall_ms
+from tamarackshelf.cli.program import Start, run_command, run_program, wall_ms
 from tamarackshelf.observe import Timeline
 from tamarackshelf.standin.scene import Scene, SceneSettings
 
@@ -44,7 +43,7 @@
 
 def standin(
     scene: str | None = None, log_format: str | None = None, check: bool = False
-) -> Callable[[], None]:
+) -> Start:
     """Runs stand-ins for the platform and for targets, for trials only.
 
     Args:
@@ -63,12 +62,12 @@
             lambda: StandinProgram(values["scene"]), timeline, values["log_format"]
         )
 
-    return run
+    return Start(run)
 
 
 def main() -> None:
     """Runs the program."""
-    parse_command(standin, "tamarackshelf-standin")()
+    run_command(standin, "tamarackshelf-standin")
 
 
 if __name__ == "__main__":
--- a/src/tamarackshelf/cli/timeline.py
+++ b/src/tamarackshelf/cli/timeline.py
@@ -5,12 +5,11 @@
 import asyncio
 import os
 import sys
-from collections.abc import Callable
 
 import msgspec
 
 from tamarackshelf.cli.fetch import FetchFailed, fetch_json, fetch_pages
-from tamarackshelf.cli.program import parse_command
+from tamarackshelf.cli.program import Start, run_command
 from tamarackshelf.observe import Event, EventPage, merge_pages
 from tamarackshelf.observe.page import render_page
 from tamarackshelf.peers import View
@@ -21,9 +20,7 @@
 FORMATS = ("text", "json", "html")
 
 
-def timeline(
-    gateway: str, output: str = "text", subject: str = ""
-) -> Callable[[], None]:
+def timeline(gateway: str, output: str = "text", subject: str = "") -> Start:
     """Merges the events of all processes into one time line on stdout.
 
     The operator's token is read from TAMARACKSHELF_TOKEN and the fleet's secret
@@ -47,7 +44,7 @@
         for name in silent:
             print(f"gap: {name} does not answer", file=sys.stderr)
 
-    return run
+    return Start(run)
 
 
 def format_events(events: list[Event], output: str) -> str:
@@ -80,7 +77,7 @@
 
 def main() -> None:
     """Runs the program."""
-    parse_command(timeline, "tamarackshelf-timeline")()
+    run_command(timeline, "tamarackshelf-timeline")
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/policy/test_decisions.py
@@ -0,0 +1,196 @@
+"""Tables of single decisions: routing, entries, quarantine, rolls, budgets."""
+
+from __future__ import annotations
+
+from random import Random
+
+import pytest
+
+from tamarackshelf.policy.admission import FairQueue, Waiter, WorkClass
+from tamarackshelf.policy.entries import MIN_ENTRIES, choose_entries
+from tamarackshelf.policy.lease import HeldLease, LeaseTimes, may_act
+from tamarackshelf.policy.quarantine import Crash, IsolationTable, SuspectBook, Verdict
+from tamarackshelf.policy.retry import RetryBudget
+from tamarackshelf.policy.routing import Candidate, Need, compute_share, route
+from tamarackshelf.policy.staleness import may_start
+from tamarackshelf.policy.weight_roll import (
+    EngineView,
+    RollMemory,
+    note_order,
+    plan_wave,
+)
+from tamarackshelf.world import Address, EntryVm, Parameters, Target, TargetKind
+
+ADDRESS = Address("127.0.0.1", 1)
+
+
+def build_candidate(name, own=0, others=0, share=1, ruled_out="", place="a"):
+    target = Target(name, "s", TargetKind.ENGINE, place, ADDRESS, 1, 8)
+    return Candidate(target, own, others, share, ruled_out)
+
+
+def choose(candidates, **need):
+    need.setdefault("data_centre", "a")
+    return route(candidates, Need("s", **need), Random(1))
+
+
+def test_ruled_out_targets_are_never_chosen():
+    candidates = [build_candidate("t1", ruled_out="leaving"), build_candidate("t2")]
+    assert choose(candidates).target.name == "t2"
+    choice = choose(candidates, excluded=frozenset({"t2"}))
+    assert choice.target is None
+    assert "t1: leaving" in choice.reason
+    assert "t2: tried before" in choice.reason
+
+
+def test_a_full_service_may_be_waited_for():
+    choice = choose([build_candidate("t1", own=2, others=6)])
+    assert choice.target is None
+    assert choice.is_full
+
+
+def test_a_nodes_share_is_its_own_whatever_the_others_do():
+    assert choose([build_candidate("t1", own=0, others=99)]).target is not None
+    assert choose([build_candidate("t1", own=1, others=99)]).is_full
+
+
+def test_free_places_beyond_the_share_are_borrowed():
+    assert choose([build_candidate("t1", own=3, others=2)]).target is not None
+
+
+def test_equal_prompts_go_to_the_same_target_until_it_is_loaded():
+    names = [f"t{i}" for i in range(6)]
+    idle = [build_candidate(name) for name in names]
+    chosen = {choose(idle, affinity="prompt").target.name for _ in range(9)}
+    assert len(chosen) == 1
+    name = chosen.pop()
+    loaded = [build_candidate(n, own=6 if n == name else 0) for n in names]
+    assert choose(loaded, affinity="prompt").target.name != name
+
+
+def test_the_own_data_centre_wins_at_equal_load():
+    candidates = [build_candidate("far", place="b"), build_candidate("near")]
+    assert choose(candidates).target.name == "near"
+
+
+@pytest.mark.parametrize(("sharers", "share"), [(1, 8), (3, 2), (24, 1)])
+def test_shares_add_up_to_no_more_than_the_target_unless_one_each(sharers, share):
+    assert compute_share(8, sharers) == share
+
+
+def build_entries(count):
+    return tuple(
+        EntryVm(
+            f"v{i}",
+            "abc"[i % 3],
+            *(Address("127.0.0.1", 100 * i + j) for j in range(5)),
+        )
+        for i in range(count)
+    )
+
+
+def test_entries_name_the_own_data_centre_first_and_another_last():
+    entries = build_entries(12)
+    answer = choose_entries(entries, "caller", "b", 5.0)
+    places = {str(entry.gateway): entry.data_centre for entry in entries}
+    chosen = [places[text] for text in answer.entries]
+    assert chosen[0] == "b"
+    assert chosen[-1] != "b"
+    assert len(answer.entries) >= MIN_ENTRIES
+
+
+def test_entries_spread_callers():
+    entries = build_entries(12)
+    first = [choose_entries(entries, f"c{i}", "", 5.0).entries[0] for i in range(600)]
+    counts = [first.count(str(entry.gateway)) for entry in entries]
+    assert min(counts) >= 600 / 12 / 2
+
+
+def test_only_a_crash_while_alone_leads_to_quarantine():
+    book = SuspectBook()
+    book.note(Crash("f", "t1", 1), 0.0)
+    assert book.judge("f", 1.0) is Verdict.SUSPECT
+    book.note(Crash("f", "t2", 1), 1.0)
+    assert book.judge("f", 2.0) is Verdict.SUSPECT
+    book.note(Crash("f", "t3", 1, isolated=True), 2.0)
+    assert book.judge("f", 3.0) is Verdict.QUARANTINED
+    assert book.judge("other", 3.0) is Verdict.CLEAR
+
+
+def test_no_two_suspects_share_a_target():
+    table = IsolationTable()
+    assert table.grant("f", ("t1", "t2"), 0.0) == "t1"
+    assert table.grant("g", ("t1", "t2"), 0.0) == "t2"
+    assert table.grant("h", ("t1", "t2"), 0.0) is None
+    table.release("g", "t1")
+    assert table.grant("h", ("t1", "t2"), 0.0) is None
+    table.release("f", "t1")
+    assert table.grant("h", ("t1", "t2"), 0.0) == "t1"
+
+
+def test_customers_go_before_trainers_then_the_organisation_with_least():
+    queue = FairQueue()
+    queue.note_start("busy")
+    queue.push(Waiter(1, "quiet", WorkClass.TRAINER, 9.0))
+    queue.push(Waiter(2, "busy", WorkClass.CUSTOMER, 9.0))
+    queue.push(Waiter(3, "quiet", WorkClass.CUSTOMER, 9.0))
+    assert [waiter.number for waiter in queue.order()] == [3, 2, 1]
+
+
+def test_a_wait_longer_than_the_deadline_is_refused_at_once():
+    queue = FairQueue()
+    for number in range(100):
+        queue.push(Waiter(number, "org", WorkClass.CUSTOMER, 99.0))
+    late = Waiter(100, "org", WorkClass.CUSTOMER, 0.5)
+    assert "longer than the deadline" in queue.may_wait(late, 0.0)
+    assert queue.may_wait(Waiter(101, "org", WorkClass.CUSTOMER, 99.0), 0.0) == ""
+
+
+def test_retries_stay_a_share_of_the_requests():
+    budget = RetryBudget()
+    retries = 0
+    for _ in range(1000):
+        budget.note_request()
+        retries += budget.take()
+    assert (1000 + retries) / 1000 < 1.2
+
+
+def test_a_holder_stops_before_its_lease_ends():
+    times = LeaseTimes(lease_s=6.0, margin_s=1.0)
+    lease = HeldLease("l", 1, 1, deadline_s=6.0, granted_at_s=0.0)
+    assert may_act(lease, 4.9, times)
+    assert not may_act(lease, 5.1, times)
+
+
+def test_waves_are_bounded_and_overtaken_versions_skipped():
+    engines = [EngineView(f"e{i}", 0, load=i) for i in range(8)]
+    memory = RollMemory()
+    assert plan_wave(engines, 5, 0.25, memory, 0.0) == ["e0", "e1"]
+    swapping = [EngineView("e0", 0, swapping=True), *engines[1:]]
+    assert plan_wave(swapping, 5, 0.25, memory, 0.0) == ["e1"]
+    assert plan_wave([EngineView("e0", 5)], 5, 1.0, memory, 0.0) == []
+
+
+def test_a_failed_engine_waits_and_others_go_on():
+    memory = RollMemory()
+    note_order(memory, "e0", succeeded=False, now_s=0.0)
+    engines = [EngineView("e0", 0), EngineView("e1", 0)]
+    assert plan_wave(engines, 1, 1.0, memory, 0.1) == ["e1"]
+    assert plan_wave(engines, 1, 1.0, memory, 1.0) == ["e0", "e1"]
+
+
+@pytest.mark.parametrize(
+    ("weights", "version", "starts"),
+    [((0.7, 0.3), 4, True), ((0.7, 0.3), 3, False), ((0.3, 0.7), 3, True)],
+)
+def test_organisations_that_weigh_staleness_start_on_fresher_weights(
+    weights, version, starts
+):
+    parameters = Parameters(
+        "org",
+        (),
+        staleness_bound_versions=2,
+        staleness_weight=weights[0],
+        idle_weight=weights[1],
+    )
+    assert may_start(version, parameters, newest_version=5) is starts
