Bound polls, subsets and ownership at the target size; measure slopes

Cause: at 380 nodes the polls of heads (2 s), published versions (2 s) and open steps (2 s) add up to 190 + 1,140 + 1,900 rows a second against a budget of 2,000; group ownership was hashed anew in each tick; a take-over during a store outage stopped the whole loop of its runner.

--- a/src/tamarackshelf/cli/demo.py
+++ b/src/tamarackshelf/cli/demo.py
@@ -14,6 +14,7 @@
 from tamarackshelf.demo.scenarios import SCENARIOS
 from tamarackshelf.observe import set_up_logs
 from tamarackshelf.observe.page import render_page
+from tamarackshelf.trials.slopes import measure_slopes
 
 EXIT_PROMISE_BROKEN = 1
 EXIT_USAGE = 2
@@ -26,6 +27,7 @@
     deployment: str = "all",
     report_path: str = "",
     timeline_path: str = "",
+    measure: str = "",
 ) -> Start:
     """Runs both deployments in one process over loopback with stand-ins.
 
@@ -36,9 +38,13 @@
         deployment: name of one deployment, or all.
         report_path: HTML file for the report.
         timeline_path: HTML file for the merged time line.
+        measure: `slopes` measures costs at several sizes instead.
     """
 
     def run() -> None:
+        if measure == "slopes":
+            measure_slopes(lambda figure: print(figure.format(), flush=True))
+            return
         if scenario == "list":
             for name, action in SCENARIOS.items():
                 print(f"{name:16} {action.__doc__}")
--- a/src/tamarackshelf/controller/configuration_watch.py
+++ b/src/tamarackshelf/controller/configuration_watch.py
@@ -15,6 +15,7 @@
 from tamarackshelf.net import HttpClient
 from tamarackshelf.observe import Timeline
 from tamarackshelf.peers.view_watch import CALL_ERRORS
+from tamarackshelf.policy.periods import scale_period_s
 from tamarackshelf.policy.rumours import Rumour
 from tamarackshelf.state.configuration import read_body, read_head
 from tamarackshelf.state.published import read_published
@@ -22,6 +23,8 @@
 from tamarackshelf.world import Configuration, EntryVm
 
 POLL_S = 2.0
+LONGEST_POLL_S = 5.0
+PUBLISHED_EVERY_POLLS = 5
 PEER_TIMEOUT_S = 1.0
 PEERS_PER_PUSH = 3
 
@@ -52,6 +55,7 @@
         self._peers = peers
         self._timeline = timeline
         self._rng = rng
+        self._polls = 0
         self._wake = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
@@ -112,7 +116,7 @@
         while True:
             await self._catch_up()
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(POLL_S):
+                async with asyncio.timeout(self._poll_s()):
                     await self._wake.wait()
             self._wake.clear()
 
@@ -129,7 +133,10 @@
             body = await read_body(self._table, head.revision)
             if body is not None:
                 self.apply(body, "read from the table")
-        self._fleet.published = await read_published(self._table)
+        # Gossip carries new versions; the table is read only to repair.
+        if self._polls % PUBLISHED_EVERY_POLLS == 0:
+            self._fleet.published = await read_published(self._table)
+        self._polls += 1
         self._set_ready(head is not None, "the table answered")
         self._fleet.refresh()
 
@@ -178,6 +185,9 @@
             if body.revision >= revision:
                 self.apply(body, f"read from {entry.name}")
 
+    def _poll_s(self) -> float:
+        return scale_period_s(POLL_S, len(self._fleet.entries), LONGEST_POLL_S)
+
     def _other_entries(self) -> list[EntryVm]:
         own = self._gossip.membership.name
         entries = self._fleet.entries
--- a/src/tamarackshelf/dispatch/pool.py
+++ b/src/tamarackshelf/dispatch/pool.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 from random import Random
 
@@ -20,6 +20,7 @@
     compute_share,
     route,
 )
+from tamarackshelf.policy.subset import choose_subset, count_sharers
 from tamarackshelf.world import Target
 
 AVOID_S = 1.0
@@ -67,13 +68,13 @@
 class TargetPool:
     """Grants places at targets; customers go before trainers."""
 
-    def __init__(self, data_centre: str, rng: Random, router: Router = route) -> None:
-        self._data_centre = data_centre
+    def __init__(self, name: str, rng: Random, router: Router = route) -> None:
+        self._name = name
         self._rng = rng
         self._router = router
         self._entries: dict[str, _Entry] = {}
         self._by_service: dict[str, list[_Entry]] = {}
-        self._sharers = 1
+        self._sharers: dict[str, int] = {}
         self._queue = FairQueue()
         self._waiting: dict[int, _Waiting] = {}
         self._numbers = itertools.count()
@@ -83,8 +84,8 @@
         """Returns how many requests wait for a place."""
         return len(self._waiting)
 
-    def update(self, views: Iterable[TargetView], sharers: int) -> None:
-        """Takes the targets of a new view and how many nodes share them."""
+    def update(self, views: Iterable[TargetView], sharers: Sequence[str]) -> None:
+        """Takes the targets of a new view and the processes that share them."""
         entries = {}
         for view in views:
             entry = self._entries.get(view.target.name) or _Entry(view)
@@ -94,12 +95,23 @@
             entry.view = view
             entries[view.target.name] = entry
         self._entries = entries
-        self._by_service = {}
+        by_service: dict[str, list[_Entry]] = {}
         for entry in entries.values():
-            self._by_service.setdefault(entry.view.target.service, []).append(entry)
-        self._sharers = sharers
+            by_service.setdefault(entry.view.target.service, []).append(entry)
+        self._by_service = {
+            service: self._choose_own(service, group, sharers)
+            for service, group in by_service.items()
+        }
         self._serve_waiting()
 
+    def _choose_own(
+        self, service: str, group: list[_Entry], sharers: Sequence[str]
+    ) -> list[_Entry]:
+        names = [entry.view.target.name for entry in group]
+        own = choose_subset(self._name, sharers, names)
+        self._sharers[service] = count_sharers(len(sharers), len(names))
+        return [entry for entry in group if entry.view.target.name in own]
+
     def names_of(self, service: str) -> tuple[str, ...]:
         """Returns the targets of a service that may get work now."""
         return tuple(
@@ -202,7 +214,7 @@
             target=target,
             own_in_flight=entry.own_in_flight,
             others_in_flight=round(entry.others * weight),
-            share=compute_share(target.concurrency, self._sharers),
+            share=compute_share(target.concurrency, self._sharers[target.service]),
             ruled_out=self._rule_out(entry),
         )
 
--- a/src/tamarackshelf/gateway/program.py
+++ b/src/tamarackshelf/gateway/program.py
@@ -19,7 +19,14 @@
 from tamarackshelf.net import HttpClient, HttpServer
 from tamarackshelf.net.rpc import RpcClient, RpcServer
 from tamarackshelf.observe import Metrics, Timeline
-from tamarackshelf.peers import Report, ReportKind, Role, View, ViewWatch
+from tamarackshelf.peers import (
+    Report,
+    ReportKind,
+    Role,
+    View,
+    ViewWatch,
+    name_sharer,
+)
 from tamarackshelf.peers.suspect_link import SuspectLink
 from tamarackshelf.policy.entries import VALID_FOR_S, VALID_MARGIN_S
 from tamarackshelf.policy.routing import Router, route
@@ -65,7 +72,7 @@
         self._rpc = RpcClient(settings.secret)
         self._table = TableClient(http, settings.table)
         rng = Random(f"{settings.seed}/{settings.vm}/gateway")
-        self.pool = TargetPool(settings.data_centre, rng, router)
+        self.pool = TargetPool(name_sharer(settings.vm, Role.GATEWAY), rng, router)
         link = SuspectLink(self._rpc, self.watch)
         actions = PeerActions(
             link.isolate, link.release, link.announce, self.watch.report
@@ -140,9 +147,7 @@
         await self._internal.close()
 
     def _take_view(self, view: View) -> None:
-        gateways = len(view.find_entries(Role.GATEWAY))
-        runners = len(view.find_entries(Role.RUNNER))
-        self.pool.update(view.targets, max(1, gateways + runners))
+        self.pool.update(view.targets, view.list_sharers())
 
 
 __all__ = ["Gateway", "GatewaySettings"]
--- a/src/tamarackshelf/peers/__init__.py
+++ b/src/tamarackshelf/peers/__init__.py
@@ -12,6 +12,7 @@
     TargetView,
     View,
     ViewAnswer,
+    name_sharer,
 )
 from tamarackshelf.peers.view_watch import ViewWatch
 
@@ -26,4 +27,5 @@
     "View",
     "ViewAnswer",
     "ViewWatch",
+    "name_sharer",
 ]
--- a/src/tamarackshelf/peers/view.py
+++ b/src/tamarackshelf/peers/view.py
@@ -33,6 +33,11 @@
     RUNNER = "runner"
 
 
+def name_sharer(vm: str, role: Role) -> str:
+    """Returns the name of a VM's program among those that share targets."""
+    return f"{role.value}@{vm}"
+
+
 @dataclass(frozen=True, slots=True)
 class TargetView:
     """A target and whether it may get new work."""
@@ -70,6 +75,15 @@
         """Returns the entry VMs whose program may be given work."""
         return tuple(view.entry for view in self.entries if view.offers(role))
 
+    def list_sharers(self) -> list[str]:
+        """Returns the names of all processes that send work to targets."""
+        return [
+            name_sharer(view.entry.name, role)
+            for view in self.entries
+            for role in Role
+            if view.offers(role)
+        ]
+
 
 @dataclass(frozen=True, slots=True)
 class ViewAnswer:
@@ -107,4 +121,5 @@
     "TargetView",
     "View",
     "ViewAnswer",
+    "name_sharer",
 ]
--- /dev/null
+++ b/src/tamarackshelf/policy/periods.py
@@ -0,0 +1,13 @@
+"""Polling periods that keep a growing fleet within the table's read budget."""
+
+from __future__ import annotations
+
+NODES_AT_BASE = 24
+
+
+def scale_period_s(base_s: float, nodes: int, longest_s: float) -> float:
+    """Returns the period of one node's polls when `nodes` of them poll."""
+    return min(longest_s, base_s * max(1.0, nodes / NODES_AT_BASE))
+
+
+__all__ = ["scale_period_s"]
--- a/src/tamarackshelf/runner/crew.py
+++ b/src/tamarackshelf/runner/crew.py
@@ -16,11 +16,14 @@
     SettledRequest,
     StepOpened,
 )
-from tamarackshelf.policy.ownership import find_owner, rank_owners
+from tamarackshelf.policy.ownership import rank_owners
+from tamarackshelf.policy.periods import scale_period_s
 from tamarackshelf.runner.board import ActiveStep
+from tamarackshelf.runner.groups import GroupOwnership
 from tamarackshelf.runner.sampler import Sampler, SlotJob
 from tamarackshelf.state import TableClient
 from tamarackshelf.state.steps import (
+    StepState,
     read_open_steps,
     read_slots,
     read_step,
@@ -29,6 +32,7 @@
 from tamarackshelf.world import Campaign, EntryVm, Sample
 
 SCAN_EVERY_S = 2.0
+LONGEST_SCAN_S = 30.0
 TICK_S = 0.25
 MAX_RUNNING = 64
 SETTLE_TIMEOUT_S = 2.0
@@ -63,7 +67,7 @@
         self._tasks: dict[tuple[str, int], asyncio.Task[None]] = {}
         self._writes: set[asyncio.Task[None]] = set()
         self._loops: list[asyncio.Task[None]] = []
-        self._owned: dict[str, frozenset[int]] = {}
+        self._groups = GroupOwnership(vm)
         self._wake = asyncio.Event()
         self._is_leaving = False
 
@@ -71,8 +75,8 @@
         """Starts to look for steps and to run slots."""
         loop = asyncio.get_running_loop()
         self._loops = [
-            loop.create_task(self._repeat(self._scan, SCAN_EVERY_S)),
-            loop.create_task(self._repeat(self._run_owned, TICK_S)),
+            loop.create_task(self._repeat(self._scan, self._scan_every_s)),
+            loop.create_task(self._run_slots()),
         ]
 
     async def leave(self) -> None:
@@ -100,7 +104,7 @@
         if not active.is_loaded:
             with contextlib.suppress(StoreUnavailable):
                 await self.load_slots(active)
-        self._wake.set()
+            self._wake.set()
         return active
 
     async def take_opened(self, message: StepOpened) -> None:
@@ -138,7 +142,7 @@
     def drop_step(self, name: str) -> None:
         """Ends the work on a step that its trainer has wholly received."""
         self.steps.pop(name, None)
-        self._owned.pop(name, None)
+        self._groups.drop(name)
         for (step, _), task in list(self._tasks.items()):
             if step == name:
                 task.cancel()
@@ -150,16 +154,26 @@
             self._start_slot(active, stale.slot, stale.generation + 1)
 
     async def _repeat(
-        self, action: Callable[[], Awaitable[None]], period_s: float
+        self, action: Callable[[], Awaitable[None]], period_s: Callable[[], float]
     ) -> None:
         while True:
             with contextlib.suppress(StoreUnavailable):
                 await action()
+            await asyncio.sleep(period_s())
+
+    async def _run_slots(self) -> None:
+        while True:
+            await self._run_owned()
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(period_s):
+                async with asyncio.timeout(TICK_S):
                     await self._wake.wait()
             self._wake.clear()
 
+    def _scan_every_s(self) -> float:
+        """Gateways tell of new steps; scans only find what was not told."""
+        nodes = len(self._watch.view.entries)
+        return scale_period_s(SCAN_EVERY_S, nodes, LONGEST_SCAN_S)
+
     async def _scan(self) -> None:
         names = set(await read_open_steps(self._table))
         for name in names - self.steps.keys():
@@ -167,34 +181,33 @@
         for name in self.steps.keys() - names:
             # A done step leaves the open list; its owner keeps it for late pulls.
             known = await read_step(self._table, name)
-            if known is not None and known.row.state.value == "done":
+            if known is not None and known.row.state is StepState.DONE:
                 self.drop_step(name)
 
     async def _run_owned(self) -> None:
         if not self._watch.view.ready or self._is_leaving:
             return
-        runners = [e.name for e in self._watch.view.find_entries(Role.RUNNER)]
+        runners = self._watch.view.find_entries(Role.RUNNER)
+        self._groups.set_runners(tuple(entry.name for entry in runners))
         for active in list(self.steps.values()):
-            name = active.step.name
-            groups = range(len(active.step.prompts))
-            owned = frozenset(
-                g for g in groups if find_owner(runners, f"{name}/{g}") == self._vm
-            )
-            before = self._owned.get(name)
-            if before is not None and owned - before:
-                # Groups of a lost runner: keep what it has settled.
-                reason = "their runner left or died"
-                self._timeline.record(
-                    "groups_taken", name, reason, groups=len(owned - before)
-                )
-                await self.load_slots(active)
-            self._owned[name] = owned
-            for group in sorted(owned):
+            groups = self._groups.find(active.step)
+            if groups.taken:
+                await self._take_over(active, len(groups.taken))
+            for group in groups.owned:
                 for slot in active.missing_slots(group):
                     if len(self._tasks) >= MAX_RUNNING:
                         return
                     self._start_slot(active, slot, 0)
 
+    async def _take_over(self, active: ActiveStep, groups: int) -> None:
+        """Learns what the lost runner has settled, unless the table is silent."""
+        name = active.step.name
+        reason = "their runner left or died"
+        self._timeline.record("groups_taken", name, reason, groups=groups)
+        with contextlib.suppress(StoreUnavailable):
+            await self.load_slots(active)
+        self._groups.note_taken(name)
+
     def _start_slot(self, active: ActiveStep, slot: int, generation: int) -> None:
         job = self._build_job(active, slot, generation)
         if job is None or self._is_leaving:
--- /dev/null
+++ b/src/tamarackshelf/runner/groups.py
@@ -0,0 +1,64 @@
+"""Which groups of the open steps this runner owns."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from tamarackshelf.policy.ownership import find_owner
+from tamarackshelf.world import Step
+
+
+@dataclass(frozen=True, slots=True)
+class OwnedGroups:
+    """The groups of a step; `taken` were another runner's before."""
+
+    owned: tuple[int, ...]
+    taken: frozenset[int]
+
+
+class GroupOwnership:
+    """Computes ownership once for each set of living runners."""
+
+    def __init__(self, vm: str) -> None:
+        self._vm = vm
+        self._runners: tuple[str, ...] = ()
+        self._owned: dict[str, OwnedGroups] = {}
+        self._before: dict[str, OwnedGroups] = {}
+
+    def set_runners(self, runners: tuple[str, ...]) -> None:
+        """Takes the living runners."""
+        if runners != self._runners:
+            self._runners = runners
+            self._before = {**self._before, **self._owned}
+            self._owned = {}
+
+    def find(self, step: Step) -> OwnedGroups:
+        """Returns the step's groups that this runner owns."""
+        known = self._owned.get(step.name)
+        if known is None:
+            known = self._compute(step)
+            self._owned[step.name] = known
+        return known
+
+    def note_taken(self, step: str) -> None:
+        """Marks that the taken groups' settled samples are known."""
+        known = self._owned[step]
+        self._owned[step] = OwnedGroups(known.owned, frozenset())
+
+    def drop(self, step: str) -> None:
+        """Forgets a step."""
+        self._owned.pop(step, None)
+        self._before.pop(step, None)
+
+    def _compute(self, step: Step) -> OwnedGroups:
+        owned = tuple(
+            group
+            for group in range(len(step.prompts))
+            if find_owner(self._runners, f"{step.name}/{group}") == self._vm
+        )
+        before = self._before.get(step.name)
+        taken = frozenset(owned) - frozenset(before.owned) if before else frozenset()
+        return OwnedGroups(owned, taken)
+
+
+__all__ = ["GroupOwnership", "OwnedGroups"]
--- a/src/tamarackshelf/runner/program.py
+++ b/src/tamarackshelf/runner/program.py
@@ -18,7 +18,14 @@
 )
 from tamarackshelf.net.rpc import RpcClient, RpcServer
 from tamarackshelf.observe import Metrics, Timeline
-from tamarackshelf.peers import Report, ReportKind, Role, View, ViewWatch
+from tamarackshelf.peers import (
+    Report,
+    ReportKind,
+    Role,
+    View,
+    ViewWatch,
+    name_sharer,
+)
 from tamarackshelf.peers.messages import (
     NOTE_CRASH,
     PULL,
@@ -71,7 +78,7 @@
         self._rpc = RpcClient(settings.secret)
         self._table = TableClient(http, settings.table)
         rng = Random(f"{settings.seed}/{settings.vm}/runner")
-        self.pool = TargetPool(settings.data_centre, rng, router)
+        self.pool = TargetPool(name_sharer(settings.vm, Role.RUNNER), rng, router)
         link = SuspectLink(self._rpc, self.watch)
         actions = PeerActions(
             link.isolate, link.release, link.announce, self.watch.report
@@ -135,9 +142,7 @@
         await self._internal.close()
 
     def _take_view(self, view: View) -> None:
-        gateways = len(view.find_entries(Role.GATEWAY))
-        runners = len(view.find_entries(Role.RUNNER))
-        self.pool.update(view.targets, max(1, gateways + runners))
+        self.pool.update(view.targets, view.list_sharers())
 
     async def _take_opened(self, message: StepOpened) -> Acknowledged:
         await self.crew.take_opened(message)
--- a/src/tamarackshelf/standin/engine.py
+++ b/src/tamarackshelf/standin/engine.py
@@ -118,6 +118,11 @@
         """Stops listening."""
         await self._server.close(0.1)
 
+    def set_speed(self, speed: EngineSpeed, concurrency: int) -> None:
+        """Changes how fast the engine works and how much at once."""
+        self._speed = speed
+        self._slots = asyncio.Semaphore(concurrency)
+
     async def crash(self) -> None:
         """Cuts all streams and refuses connections until a restart."""
         self.crashed.set()
--- /dev/null
+++ b/src/tamarackshelf/trials/slopes.py
@@ -0,0 +1,240 @@
+"""Costs at several sizes, from which docs/CAPACITY.md works out the target."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import resource
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from random import Random
+
+import msgspec
+
+from tamarackshelf.contracts import Row
+from tamarackshelf.controller.fleet_view import FleetFacts, build_view
+from tamarackshelf.peers import View
+from tamarackshelf.policy.cursor import Cursor, encode_cursor
+from tamarackshelf.policy.delivery import choose_hand_over
+from tamarackshelf.policy.membership import MemberStatus, MemberView
+from tamarackshelf.policy.ownership import find_owner
+from tamarackshelf.policy.routing import Candidate, Need, route
+from tamarackshelf.policy.rumours import RumourMap
+from tamarackshelf.policy.staleness import Freshness
+from tamarackshelf.trials.gateway_cost import measure_gateway
+from tamarackshelf.trials.gossip import measure_spread
+from tamarackshelf.world import (
+    Address,
+    Configuration,
+    EntryVm,
+    Parameters,
+    Sample,
+    Segment,
+    Target,
+    TargetKind,
+    VmRow,
+    VmState,
+)
+
+GOSSIP_SIZES = (12, 50, 100, 380)
+LOSSES = (0.0, 0.05, 0.2)
+FLEET_SIZES = ((12, 9), (100, 970), (380, 3700))
+STEP_SIZES = (512, 1024, 2048)
+CANDIDATE_SIZES = (4, 16, 64)
+TOKENS_PER_SAMPLE = 512
+REPEATS = 5
+
+
+@dataclass(frozen=True, slots=True)
+class Figure:
+    """One measured figure."""
+
+    name: str
+    size: str
+    value: float
+    unit: str
+
+    def format(self) -> str:
+        """Returns the figure as key=value pairs."""
+        return (
+            f"measure={self.name} size={self.size} value={self.value:.4g} "
+            f"unit={self.unit}"
+        )
+
+
+def measure_slopes(say: Callable[[Figure], None]) -> None:
+    """Measures all figures, one after the other."""
+    for figure in _measure_gossip():
+        say(figure)
+    for entries, targets in FLEET_SIZES:
+        for figure in _measure_view(entries, targets):
+            say(figure)
+    for slots in STEP_SIZES:
+        for figure in _measure_step(slots):
+            say(figure)
+    for count in CANDIDATE_SIZES:
+        say(_measure_route(count))
+    for name, size, value, unit in asyncio.run(measure_gateway()):
+        say(Figure(name, size, value, unit))
+
+
+def _measure_gossip() -> list[Figure]:
+    figures = []
+    for members in GOSSIP_SIZES:
+        for loss in LOSSES:
+            size = f"{members}@{loss}"
+            for name, result in measure_spread(members, loss, seed=1).items():
+                if name != "quiet":
+                    figures.append(
+                        Figure(f"all_know_{name}", size, result.all_know_s, "s")
+                    )
+                figures.append(
+                    Figure(f"gossip_{name}", size, result.bytes_per_s, "bytes_per_s")
+                )
+                figures.append(
+                    Figure(f"gossip_cpu_{name}", size, result.cpu_share, "cores")
+                )
+    return figures
+
+
+def _measure_view(entries: int, targets: int) -> list[Figure]:
+    facts = build_facts(entries, targets)
+    rumours = RumourMap()
+    size = f"{entries}x{targets}"
+    view = build_view(1, True, facts, rumours)
+    data = msgspec.json.encode(view)
+    names = [row.name for row in facts.rows]
+    return [
+        Figure(
+            "view_build", size, _time(lambda: build_view(1, True, facts, rumours)), "s"
+        ),
+        Figure("view_encode", size, _time(lambda: msgspec.json.encode(view)), "s"),
+        Figure(
+            "view_decode",
+            size,
+            _time(lambda: msgspec.json.decode(data, type=View)),
+            "s",
+        ),
+        Figure("view_size", size, len(data), "bytes"),
+        Figure("list_size", size, len(msgspec.json.encode(facts.rows)), "bytes"),
+        Figure(
+            "view_memory",
+            size,
+            _grow(lambda: [msgspec.json.decode(data, type=View) for _ in range(10)])
+            / 10,
+            "bytes",
+        ),
+        Figure("find_owner", size, _time(lambda: find_owner(names, "step/1")), "s"),
+    ]
+
+
+def _measure_step(slots: int) -> list[Figure]:
+    samples = {slot: _build_sample(slot) for slot in range(slots)}
+    parameters = Parameters("org", ("models",))
+    cursor = Cursor("c.s1").with_slots(range(0, slots, 2))
+    freshness = Freshness(1, 0.0)
+    size = str(slots)
+    encoded = msgspec.json.encode(samples[0])
+    row = Row("slots/c.s1/00000", encoded.decode(), 1)
+    return [
+        Figure(
+            "hand_over",
+            size,
+            _time(
+                lambda: choose_hand_over(samples, cursor, parameters, freshness, 256)
+            ),
+            "s",
+        ),
+        Figure("cursor_size", size, len(encode_cursor(cursor)), "bytes"),
+        Figure("slot_row_size", size, len(msgspec.json.encode(row)), "bytes"),
+        Figure(
+            "sample_encode", size, _time(lambda: msgspec.json.encode(samples[0])), "s"
+        ),
+        Figure(
+            "step_memory",
+            size,
+            _grow(lambda: {slot: _build_sample(slot) for slot in range(slots)}),
+            "bytes",
+        ),
+    ]
+
+
+def _measure_route(count: int) -> Figure:
+    targets = _build_targets(count)
+    candidates = [Candidate(target, 1, 2, 2) for target in targets]
+    need = Need("s0", affinity="prompt", data_centre="dc0")
+    rng = Random(1)
+    return Figure("route", str(count), _time(lambda: route(candidates, need, rng)), "s")
+
+
+def build_facts(entries: int, targets: int) -> FleetFacts:
+    """Returns the facts of a fleet of this size."""
+    address = Address("10.0.0.1", 7000)
+    rows = [
+        VmRow(
+            f"vm-{i:04d}",
+            VmState.LIVE,
+            entry=EntryVm(f"vm-{i:04d}", f"dc{i % 16}", *(address for _ in range(6))),
+        )
+        for i in range(entries)
+    ]
+    rows += [
+        VmRow(f"vm-{target.name}", VmState.LIVE, target=target)
+        for target in _build_targets(targets)
+    ]
+    flags = frozenset({"gateway", "runner"})
+    members = tuple(
+        MemberView(row.name, MemberStatus.ALIVE, flags)
+        for row in rows
+        if row.entry is not None
+    )
+    return FleetFacts(Configuration(revision=1), tuple(rows), members)
+
+
+def _build_targets(count: int) -> list[Target]:
+    base = Target("", "", TargetKind.ENGINE, "", Address("10.0.0.1", 8000), 1, 16)
+    return [
+        replace(
+            base, name=f"engine-{i:04d}", service=f"s{i % 5}", data_centre=f"dc{i % 16}"
+        )
+        for i in range(count)
+    ]
+
+
+def _build_sample(slot: int) -> Sample:
+    tokens = tuple(f"{slot:03x}{i:03x}" for i in range(TOKENS_PER_SAMPLE))
+    segments = (Segment(0, TOKENS_PER_SAMPLE, 1),)
+    return Sample("c.s1", slot, 0, "prompt", 1, tokens, segments, 0.5, 0.0)
+
+
+def _time(action: Callable[[], object]) -> float:
+    """Returns the median processor time of one call."""
+    times = []
+    for _ in range(REPEATS):
+        started_s = time.process_time()
+        count = 0
+        while time.process_time() - started_s < 0.02:
+            action()
+            count += 1
+        times.append((time.process_time() - started_s) / count)
+    return sorted(times)[REPEATS // 2]
+
+
+def _grow(action: Callable[[], object]) -> float:
+    """Returns how much the resident memory grows while the result is kept."""
+    gc.collect()
+    before = _resident_bytes()
+    kept = action()
+    grown = _resident_bytes() - before
+    del kept
+    return max(0.0, float(grown))
+
+
+def _resident_bytes() -> int:
+    with open("/proc/self/statm", encoding="ascii") as page:
+        pages = int(page.read().split()[1])
+    return pages * resource.getpagesize()
+
+
+__all__ = ["Figure", "build_facts", "measure_slopes"]
--- a/tests/policy/test_decisions.py
+++ b/tests/policy/test_decisions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from random import Random
 
 import pytest
@@ -13,6 +14,7 @@
 from tamarackshelf.policy.retry import RetryBudget
 from tamarackshelf.policy.routing import Candidate, Need, compute_share, route
 from tamarackshelf.policy.staleness import may_start
+from tamarackshelf.policy.subset import SUBSET_SIZE, choose_subset, count_sharers
 from tamarackshelf.policy.weight_roll import (
     EngineView,
     RollMemory,
@@ -194,3 +196,18 @@
         idle_weight=weights[1],
     )
     assert may_start(version, parameters, newest_version=5) is starts
+
+
+def test_subsets_are_even_and_stable_at_the_target_size():
+    nodes = [f"n{i}" for i in range(380)]
+    targets = [f"t{i}" for i in range(3700)]
+    subsets = {node: choose_subset(node, nodes, targets) for node in nodes}
+    users = Counter(target for subset in subsets.values() for target in subset)
+    mean = 380 * SUBSET_SIZE / 3700
+    assert set(users) == set(targets)
+    assert max(users.values()) <= 1.5 * mean
+    assert min(users.values()) >= mean / 1.5
+    assert count_sharers(380, 3700) == round(mean)
+    fewer = [target for target in targets if target != "t7"]
+    kept = [len(subsets[n] & choose_subset(n, nodes, fewer)) for n in nodes]
+    assert sum(kept) / len(kept) >= 0.9 * SUBSET_SIZE
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -121,8 +121,8 @@
 
     def build_dispatcher(self, origin="", peers=None, sharers=1):
         rng = Random(f"{self.seed}/{origin}")
-        pool = TargetPool("a", rng)
-        pool.update(self.build_view().targets, sharers)
+        pool = TargetPool(origin, rng)
+        pool.update(self.build_view().targets, ["n"] * sharers)
         return Dispatcher(
             pool,
             MemoryHttp(self.network, origin),
