Share the list of VMs through listeners and keep background tasks alive

Also: an unexpected fault ended a background task for good (a KeyError when a step was dropped during a take-over left a runner without a loop). Tasks are now run again after a fault and say so.

--- a/src/tamarackshelf/controller/configuration_watch.py
+++ b/src/tamarackshelf/controller/configuration_watch.py
@@ -20,6 +20,7 @@
 from tamarackshelf.state.configuration import read_body, read_head
 from tamarackshelf.state.published import read_published
 from tamarackshelf.state.table_client import TableClient
+from tamarackshelf.tasks import start_task, stop_tasks
 from tamarackshelf.world import Configuration, EntryVm
 
 POLL_S = 2.0
@@ -62,13 +63,11 @@
     async def start(self) -> None:
         """Starts to follow."""
         self._gossip.on_change(self._notice_rumour)
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._task = start_task("configuration_watch", self._run)
 
     async def close(self) -> None:
         """Stops to follow."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await stop_tasks(self._task)
 
     def apply(self, configuration: Configuration, source: str) -> bool:
         """Puts a revision in force unless a higher one is."""
--- a/src/tamarackshelf/controller/gossip_task.py
+++ b/src/tamarackshelf/controller/gossip_task.py
@@ -13,8 +13,15 @@
 from tamarackshelf.net import HttpClient
 from tamarackshelf.observe import Timeline
 from tamarackshelf.peers.view_watch import CALL_ERRORS
-from tamarackshelf.policy.membership import Datagram, Membership, MemberStatus, Outgoing
+from tamarackshelf.policy.membership import (
+    MEMBER_PREFIX,
+    Datagram,
+    Membership,
+    MemberStatus,
+    Outgoing,
+)
 from tamarackshelf.policy.rumours import Rumour
+from tamarackshelf.tasks import start_task, stop_tasks
 from tamarackshelf.world import Address, EntryVm
 
 TICK_S = 0.2
@@ -65,28 +72,37 @@
         self._timeline = timeline
         self._entries: dict[str, EntryVm] = {}
         self._listeners: list[Callable[[], None]] = []
+        self._rumour_listeners: list[tuple[str, Callable[[Rumour], None]]] = []
         self._task: asyncio.Task[None] | None = None
         self._sync: asyncio.Task[None] | None = None
         self._known: dict[str, MemberStatus] = {}
-        self._digest = 0
         self.has_joined = False
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Calls the listener when a member or a rumour changed."""
         self._listeners.append(listener)
 
+    def on_rumour(self, prefix: str, listener: Callable[[Rumour], None]) -> None:
+        """Calls the listener with each new rumour whose subject has the prefix."""
+        self._rumour_listeners.append((prefix, listener))
+
+    def living(self) -> list[str]:
+        """Returns the members that are not held for dead, this one included."""
+        return [
+            view.name
+            for view in self.membership.views()
+            if view.status is not MemberStatus.DEAD
+        ]
+
     async def start(self) -> Address:
         """Binds the socket and starts to probe."""
         bound = await self.link.start(self._settings.address)
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._task = start_task("gossip", self._run)
         return bound
 
     async def close(self) -> None:
         """Stops probing and closes the socket."""
-        tasks = [t for t in (self._task, self._sync) if t is not None]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await stop_tasks(self._task, self._sync)
         await self.link.close()
 
     def set_entries(self, entries: dict[str, EntryVm]) -> None:
@@ -129,24 +145,29 @@
                 self.link.send(entry.gossip, out.datagram)
 
     def _notify(self) -> None:
-        if self.membership.rumours.digest == self._digest:
+        news = self.membership.rumours.drain_news()
+        if not news:
             return
-        self._digest = self.membership.rumours.digest
-        self._record_changes()
+        self._record_changes(news)
+        for rumour in news:
+            for prefix, take in self._rumour_listeners:
+                if rumour.subject.startswith(prefix):
+                    take(rumour)
         for listener in self._listeners:
             listener()
 
-    def _record_changes(self) -> None:
-        for view in self.membership.views():
-            before = self._known.get(view.name, MemberStatus.ALIVE)
-            if view.status is not before:
-                self._timeline.record(
-                    f"member_{view.status.name.lower()}",
-                    view.name,
-                    "gossip says so",
-                    before=before.name.lower(),
-                )
-            self._known[view.name] = view.status
+    def _record_changes(self, news: list[Rumour]) -> None:
+        for rumour in news:
+            if not rumour.subject.startswith(MEMBER_PREFIX):
+                continue
+            name = rumour.subject.removeprefix(MEMBER_PREFIX)
+            status = self.membership.status(name)
+            before = self._known.get(name, MemberStatus.ALIVE)
+            if status is not before:
+                kind = f"member_{status.name.lower()}"
+                was = before.name.lower()
+                self._timeline.record(kind, name, "gossip says so", before=was)
+            self._known[name] = status
 
     def _start_sync(self) -> None:
         peer = self.membership.wants_sync_with
--- /dev/null
+++ b/src/tamarackshelf/controller/list_watch.py
@@ -0,0 +1,129 @@
+"""Follows the platform's list of VMs, directly or through listeners."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from tamarackshelf.contracts.platform import list_vms
+from tamarackshelf.controller.fleet import Fleet
+from tamarackshelf.controller.gossip_task import GossipTask
+from tamarackshelf.net import HttpClient
+from tamarackshelf.peers.view_watch import CALL_ERRORS
+from tamarackshelf.policy.listing import (
+    REPAIR_EVERY_S,
+    RowChange,
+    apply_changes,
+    compute_period_s,
+    find_changes,
+    is_listener,
+)
+from tamarackshelf.policy.rumours import Rumour
+from tamarackshelf.tasks import start_task, stop_tasks
+from tamarackshelf.world import Address, VmRow
+
+ROW_PREFIX = "row:"
+RETRY_S = 1.0
+LIST_LAG_ALLOWANCE_MS = 30_000
+
+
+class ListWatch:
+    """Keeps the fleet's rows; a few listeners read the list for all nodes."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        gossip: GossipTask,
+        http: HttpClient,
+        address: Address,
+        wall_ms: Callable[[], int],
+    ) -> None:
+        self._fleet = fleet
+        self._gossip = gossip
+        self._http = http
+        self._address = address
+        self._wall_ms = wall_ms
+        self._rows: dict[str, VmRow] = {}
+        self._versions: dict[str, int] = {}
+        self._base_ms = 0
+        self._list_bytes = 0
+        self._next_read_s = 0.0
+        self._task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Starts to follow."""
+        self._gossip.on_rumour(ROW_PREFIX, self._take_rumour)
+        self._task = start_task("list_watch", self._run)
+
+    async def close(self) -> None:
+        """Stops to follow."""
+        await stop_tasks(self._task)
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            if loop.time() >= self._next_read_s:
+                await self._read()
+            await asyncio.sleep(RETRY_S)
+
+    async def _read(self) -> None:
+        read_ms = self._wall_ms()
+        try:
+            rows = await list_vms(self._http, self._address)
+        except CALL_ERRORS:
+            # The last known list stays in use while the platform is silent.
+            return
+        self._list_bytes = len(msgspec.json.encode(rows))
+        changes = find_changes(self._rows, rows)
+        is_first = self._base_ms == 0
+        self._base_ms = read_ms - LIST_LAG_ALLOWANCE_MS
+        self._apply(changes)
+        if is_first:
+            await self._gossip.join()
+            self._fleet.refresh()
+        elif self._is_listener():
+            self._publish(changes, read_ms)
+        self._plan_next_read()
+
+    def _plan_next_read(self) -> None:
+        period_s = REPAIR_EVERY_S
+        if self._is_listener():
+            period_s = compute_period_s(self._list_bytes)
+        self._next_read_s = asyncio.get_running_loop().time() + period_s
+
+    def _is_listener(self) -> bool:
+        return is_listener(self._gossip.membership.name, self._gossip.living())
+
+    def _publish(self, changes: list[RowChange], read_ms: int) -> None:
+        for change in changes:
+            value = ""
+            if change.row is not None:
+                value = msgspec.json.encode(change.row).decode()
+            self._versions[change.name] = read_ms
+            self._gossip.publish(Rumour(ROW_PREFIX + change.name, read_ms, value))
+
+    def _take_rumour(self, rumour: Rumour) -> None:
+        name = rumour.subject.removeprefix(ROW_PREFIX)
+        if rumour.version <= max(self._base_ms, self._versions.get(name, 0)):
+            return
+        self._versions[name] = rumour.version
+        row = msgspec.json.decode(rumour.value, type=VmRow) if rumour.value else None
+        self._apply([RowChange(name, row)])
+
+    def _apply(self, changes: list[RowChange]) -> None:
+        if not changes:
+            return
+        self._rows = apply_changes(self._rows, changes)
+        self._fleet.rows = tuple(self._rows[name] for name in sorted(self._rows))
+        self._gossip.set_entries(self._fleet.entries)
+        # A listener that left may have made this node one.
+        if self._is_listener():
+            period_s = compute_period_s(self._list_bytes)
+            now_s = asyncio.get_running_loop().time()
+            self._next_read_s = min(self._next_read_s, now_s + period_s)
+        self._fleet.refresh()
+
+
+__all__ = ["ListWatch"]
--- a/src/tamarackshelf/controller/program.py
+++ b/src/tamarackshelf/controller/program.py
@@ -7,22 +7,22 @@
 from dataclasses import dataclass
 from random import Random
 
-from tamarackshelf.contracts.platform import list_vms
 from tamarackshelf.controller.api import ControllerApi
 from tamarackshelf.controller.configuration_watch import ConfigurationWatch
 from tamarackshelf.controller.fleet import Fleet
 from tamarackshelf.controller.gossip_link import GossipLink
 from tamarackshelf.controller.gossip_task import GossipSettings, GossipTask
+from tamarackshelf.controller.list_watch import ListWatch
 from tamarackshelf.controller.reconciler import Reconciler, RollSettings
 from tamarackshelf.net import HttpClient, HttpServer
 from tamarackshelf.observe import Metrics, Timeline
-from tamarackshelf.peers.view_watch import CALL_ERRORS
 from tamarackshelf.policy.lease import LeaseTimes
 from tamarackshelf.state import TableClient
 from tamarackshelf.state.leases import LeaseKeeper, LeaseSettings
+from tamarackshelf.tasks import start_task, stop_tasks
 from tamarackshelf.world import Address
 
-LIST_POLL_S = 1.0
+ROLE_CHECK_S = 1.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -51,7 +51,6 @@
         self.timeline = timeline
         self.metrics = Metrics()
         self._settings = settings
-        self._http = http
         self._peers = HttpClient(headers={"x-fleet-secret": settings.secret})
         incarnation = time.time_ns() // 1_000_000
         gossip = GossipSettings(settings.vm, incarnation, settings.gossip)
@@ -65,6 +64,9 @@
         )
         self.fleet = Fleet(self.gossip.membership)
         self._table = TableClient(http, settings.table)
+        self._list_watch = ListWatch(
+            self.fleet, self.gossip, http, settings.vm_list, _wall_ms
+        )
         self._watch = ConfigurationWatch(
             self.fleet, self.gossip, self._table, self._peers, timeline, rng
         )
@@ -97,9 +99,10 @@
         self.address = await self._server.start(self._settings.listen)
         await self._table.start()
         self.gossip_address = await self.gossip.start()
+        await self._list_watch.start()
         await self._watch.start()
         await self._reconciler.start()
-        self._task = asyncio.get_running_loop().create_task(self._follow_list())
+        self._task = start_task("roles", self._follow_roles)
 
     async def drain(self) -> None:
         """Has nothing to prepare; leases are released at the close."""
@@ -119,29 +122,16 @@
         await self._peers.close()
 
     async def _stop_tasks(self) -> None:
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await stop_tasks(self._task)
         await self._watch.close()
+        await self._list_watch.close()
         await self.gossip.close()
         await self._table.close()
 
-    async def _follow_list(self) -> None:
+    async def _follow_roles(self) -> None:
         while True:
-            try:
-                rows = await list_vms(self._http, self._settings.vm_list)
-            except CALL_ERRORS:
-                # The last known list stays in use while the platform is silent.
-                pass
-            else:
-                if rows != self.fleet.rows:
-                    self.fleet.rows = rows
-                    self.gossip.set_entries(self.fleet.entries)
-                    if not self.gossip.has_joined:
-                        await self.gossip.join()
-                    self.fleet.refresh()
             self._api.update_flags()
-            await asyncio.sleep(LIST_POLL_S)
+            await asyncio.sleep(ROLE_CHECK_S)
 
 
 def _wall_ms() -> int:
--- a/src/tamarackshelf/controller/reconciler.py
+++ b/src/tamarackshelf/controller/reconciler.py
@@ -32,6 +32,7 @@
     plan_wave,
 )
 from tamarackshelf.state.leases import LeaseKeeper
+from tamarackshelf.tasks import start_task, stop_tasks
 from tamarackshelf.world import Target, TargetKind
 
 TICK_S = 0.5
@@ -102,13 +103,11 @@
 
     async def start(self) -> None:
         """Starts to reconcile."""
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._task = start_task("reconciler", self._run)
 
     async def close(self) -> None:
         """Waits for orders in flight and releases the leases."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await stop_tasks(self._task)
         await asyncio.gather(*self._ordering.values(), return_exceptions=True)
         for name in list(self._leases.held):
             try:
--- a/src/tamarackshelf/demo/run.py
+++ b/src/tamarackshelf/demo/run.py
@@ -101,7 +101,7 @@
     progress.cancel()
     for task in pending:
         task.cancel()
-    await asyncio.gather(*tasks, return_exceptions=not pending)
+    await asyncio.gather(*tasks, return_exceptions=bool(pending))
     await fleet.close()
     counts = count_all(
         deployment.name,
--- a/src/tamarackshelf/peers/view_watch.py
+++ b/src/tamarackshelf/peers/view_watch.py
@@ -9,6 +9,7 @@
 from tamarackshelf.errors import NotReady
 from tamarackshelf.net import ConnectFailed, ConnectionLost, HttpClient
 from tamarackshelf.peers.view import Report, Role, View, ViewAnswer
+from tamarackshelf.tasks import start_task, stop_tasks
 from tamarackshelf.world import Address
 
 LONG_POLL_S = 1.0
@@ -37,13 +38,11 @@
 
     async def start(self) -> None:
         """Starts to follow the controller."""
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._task = start_task("view_watch", self._run)
 
     async def close(self) -> None:
         """Stops to follow."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await stop_tasks(self._task)
 
     def stop_announcing(self) -> None:
         """Keeps following without counting as a running program."""
--- a/src/tamarackshelf/policy/rumours.py
+++ b/src/tamarackshelf/policy/rumours.py
@@ -28,6 +28,7 @@
         self._rumours: dict[str, Rumour] = {}
         self._sends_left: dict[str, int] = {}
         self._digest = 0
+        self._news: list[Rumour] = []
 
     @property
     def digest(self) -> int:
@@ -56,12 +57,18 @@
             self._digest ^= _hash(known)
         self._digest ^= _hash(rumour)
         self._rumours[rumour.subject] = rumour
+        self._news.append(rumour)
         if spread:
             self._sends_left[rumour.subject] = count_sends(nodes)
         else:
             self._sends_left.pop(rumour.subject, None)
         return True
 
+    def drain_news(self) -> list[Rumour]:
+        """Returns the rumours taken since the last call."""
+        news, self._news = self._news, []
+        return news
+
     def pick(self, max_bytes: int) -> tuple[Rumour, ...]:
         """Returns the least spread rumours that fit and counts the send."""
         picked = []
--- a/src/tamarackshelf/runner/crew.py
+++ b/src/tamarackshelf/runner/crew.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import contextlib
-from collections.abc import Awaitable, Callable
 
 from tamarackshelf.errors import ShelfError, StoreUnavailable
 from tamarackshelf.net.rpc import PeerRefused, PeerUnreachable, RpcClient
@@ -29,6 +28,7 @@
     read_step,
     settle_slot,
 )
+from tamarackshelf.tasks import start_task, stop_tasks
 from tamarackshelf.world import Campaign, EntryVm, Sample
 
 SCAN_EVERY_S = 2.0
@@ -42,8 +42,6 @@
 OFFER_EVERY_S = 5.0
 FAILED_SLOT_PAUSE_S = 0.5
 
-Accept = Callable[[Sample], Awaitable[None]]
-
 
 class Crew:
     """Owns the board of steps and the tasks that run slots."""
@@ -73,10 +71,9 @@
 
     async def start(self) -> None:
         """Starts to look for steps and to run slots."""
-        loop = asyncio.get_running_loop()
         self._loops = [
-            loop.create_task(self._repeat(self._scan, self._scan_every_s)),
-            loop.create_task(self._run_slots()),
+            start_task("scan_steps", self._scan_steps),
+            start_task("run_slots", self._run_slots),
         ]
 
     async def leave(self) -> None:
@@ -87,10 +84,7 @@
 
     async def close(self) -> None:
         """Stops all tasks."""
-        tasks = [*self._loops, *self._tasks.values(), *self._writes]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await stop_tasks(*self._loops, *self._tasks.values(), *self._writes)
 
     async def find_step(self, name: str) -> ActiveStep | None:
         """Returns a step with its settled samples, from the table if need be."""
@@ -153,13 +147,11 @@
         if stale.slot not in active.running:
             self._start_slot(active, stale.slot, stale.generation + 1)
 
-    async def _repeat(
-        self, action: Callable[[], Awaitable[None]], period_s: Callable[[], float]
-    ) -> None:
+    async def _scan_steps(self) -> None:
         while True:
             with contextlib.suppress(StoreUnavailable):
-                await action()
-            await asyncio.sleep(period_s())
+                await self._scan()
+            await asyncio.sleep(self._scan_every_s())
 
     async def _run_slots(self) -> None:
         while True:
--- a/src/tamarackshelf/runner/groups.py
+++ b/src/tamarackshelf/runner/groups.py
@@ -42,8 +42,9 @@
 
     def note_taken(self, step: str) -> None:
         """Marks that the taken groups' settled samples are known."""
-        known = self._owned[step]
-        self._owned[step] = OwnedGroups(known.owned, frozenset())
+        known = self._owned.get(step)
+        if known is not None:
+            self._owned[step] = OwnedGroups(known.owned, frozenset())
 
     def drop(self, step: str) -> None:
         """Forgets a step."""
--- a/src/tamarackshelf/state/table_client.py
+++ b/src/tamarackshelf/state/table_client.py
@@ -26,6 +26,7 @@
 from tamarackshelf.net import ConnectFailed, ConnectionLost, HttpClient
 from tamarackshelf.policy.breaker import Breaker
 from tamarackshelf.policy.budget import TokenBucket
+from tamarackshelf.tasks import start_task, stop_tasks
 from tamarackshelf.world import Address
 
 CALL_TIMEOUT_S = 1.0
@@ -102,13 +103,11 @@
 
     async def start(self) -> None:
         """Starts the committing task."""
-        self._task = asyncio.get_running_loop().create_task(self._run())
+        self._task = start_task("table_client", self._run)
 
     async def close(self) -> None:
         """Stops the committing task; queued transactions fail as not sent."""
-        if self._task is not None:
-            self._task.cancel()
-            await asyncio.gather(self._task, return_exceptions=True)
+        await stop_tasks(self._task)
         for _, _, pending in self._queue:
             if not pending.answer.done():
                 pending.answer.set_exception(_unavailable("this process stops"))
--- a/tests/runner/test_steps.py
+++ b/tests/runner/test_steps.py
@@ -17,6 +17,7 @@
 from tamarackshelf.runner.delivery import Delivery
 from tamarackshelf.runner.sampler import Sampler
 from tamarackshelf.state.steps import open_step, read_step
+from tamarackshelf.tasks import start_task, stop_tasks
 from tamarackshelf.world import Step, TargetKind
 from tests.support.fleet import MODEL, FakeWatch, MemoryFleet
 from tests.support.memory import MemoryRpc
@@ -342,3 +343,39 @@
         assert count_misattributed(trainer.seen, 0.0) == 0
 
     run(play())
+
+
+def test_a_step_dropped_during_a_take_over_does_not_stop_the_runner(run):
+    async def play():
+        fleet, runners, trainer = await start_all()
+        await asyncio.sleep(0.05)
+        left = runners[:2]
+        await runners[2].die()
+        fleet.table.faults.delay_s = 0.4
+        set_members(fleet, left)
+        await asyncio.sleep(0.35)
+        for runner in left:
+            runner.crew.drop_step(STEP.name)
+        fleet.table.faults.delay_s = 0.0
+        await trainer.pull_whole(left)
+        trainer.check()
+
+    run(play())
+
+
+def test_a_task_that_fails_is_run_again(run):
+    async def play():
+        tries = []
+
+        async def work():
+            tries.append(1)
+            if len(tries) < 3:
+                raise KeyError("a fault of ours")
+            await asyncio.Event().wait()
+
+        task = start_task("work", work)
+        await asyncio.sleep(10.0)
+        await stop_tasks(task)
+        assert len(tries) == 3
+
+    run(play())
