--- a/src/tamarackshelf/cli/demo.py
+++ b/src/tamarackshelf/cli/demo.py
@@ -14,6 +14,7 @@
 from tamarackshelf.demo.scenarios import SCENARIOS
 from tamarackshelf.observe import set_up_logs
 from tamarackshelf.observe.page import render_page
+from tamarackshelf.trials.crowd import run_crowd
 from tamarackshelf.trials.slopes import measure_slopes
 
 EXIT_PROMISE_BROKEN = 1
@@ -28,6 +29,8 @@
     report_path: str = "",
     timeline_path: str = "",
     measure: str = "",
+    members: int = 380,
+    targets: int = 3700,
 ) -> Start:
     """Runs both deployments in one process over loopback with stand-ins.
 
@@ -38,13 +41,19 @@
         deployment: name of one deployment, or all.
         report_path: HTML file for the report.
         timeline_path: HTML file for the merged time line.
-        measure: `slopes` measures costs at several sizes instead.
+        measure: `slopes` measures costs at several sizes instead; `crowd` runs
+            the neighbours of one real controller process.
+        members: how many entry VMs the crowd stands for.
+        targets: how many targets the crowd's list names.
     """
 
     def run() -> None:
         if measure == "slopes":
             measure_slopes(lambda figure: print(figure.format(), flush=True))
             return
+        if measure == "crowd":
+            asyncio.run(run_crowd(members, targets, duration_s, print))
+            return
         if scenario == "list":
             for name, action in SCENARIOS.items():
                 print(f"{name:16} {action.__doc__}")
--- a/src/tamarackshelf/controller/api.py
+++ b/src/tamarackshelf/controller/api.py
@@ -105,8 +105,8 @@
     def update_flags(self) -> None:
         """Tells the others which programs run on this VM."""
         present = self.presence.present(_now_s())
-        self._gossip.membership.set_flags(role.value for role in present)
-        self._fleet.refresh()
+        if self._gossip.membership.set_flags(role.value for role in present):
+            self._fleet.refresh()
 
     async def _take_report(self, request: Request) -> Response:
         report = request.decode(Report)
--- a/src/tamarackshelf/controller/configuration_watch.py
+++ b/src/tamarackshelf/controller/configuration_watch.py
@@ -134,10 +134,15 @@
                 self.apply(body, "read from the table")
         # Gossip carries new versions; the table is read only to repair.
         if self._polls % PUBLISHED_EVERY_POLLS == 0:
-            self._fleet.published = await read_published(self._table)
+            await self._read_published()
         self._polls += 1
         self._set_ready(head is not None, "the table answered")
-        self._fleet.refresh()
+
+    async def _read_published(self) -> None:
+        published = await read_published(self._table)
+        if published != self._fleet.published:
+            self._fleet.published = published
+            self._fleet.refresh()
 
     async def _ask_peers(self) -> None:
         """Takes the highest revision of the peers.
@@ -156,7 +161,6 @@
         heard = len(known) + 1
         if 2 * heard > len(peers) + 1 and self._fleet.configuration.revision > 0:
             self._set_ready(True, f"{len(known)} of {len(peers)} peers answered")
-        self._fleet.refresh()
 
     async def _read_heads(self, entry: EntryVm) -> Heads | None:
         try:
@@ -195,6 +199,7 @@
     def _set_ready(self, ready: bool, reason: str) -> None:
         if ready and self._gossip.has_joined and not self._fleet.ready:
             self._fleet.ready = True
+            self._fleet.refresh()
             self._timeline.record("ready", self._gossip.membership.name, reason)
 
 
--- a/src/tamarackshelf/controller/fleet.py
+++ b/src/tamarackshelf/controller/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 from tamarackshelf.controller.fleet_view import FleetFacts, build_view
 from tamarackshelf.peers import View
@@ -49,7 +50,7 @@
         view = build_view(number, self.ready, facts, self._membership.rumours)
         if view == self.view:
             return
-        self.view = build_view(number + 1, self.ready, facts, self._membership.rumours)
+        self.view = replace(view, number=number + 1)
         self._changed.set()
         self._changed = asyncio.Event()
 
--- a/src/tamarackshelf/controller/gossip_task.py
+++ b/src/tamarackshelf/controller/gossip_task.py
@@ -96,10 +96,18 @@
 
     async def start(self) -> Address:
         """Binds the socket and starts to probe."""
-        bound = await self.link.start(self._settings.address)
-        self._task = start_task("gossip", self._run)
+        bound = await self.bind()
+        self.run()
         return bound
 
+    async def bind(self) -> Address:
+        """Binds the socket and answers, without probing yet."""
+        return await self.link.start(self._settings.address)
+
+    def run(self) -> None:
+        """Starts to probe."""
+        self._task = start_task("gossip", self._run)
+
     async def close(self) -> None:
         """Stops probing and closes the socket."""
         await stop_tasks(self._task, self._sync)
--- a/src/tamarackshelf/controller/reconciler.py
+++ b/src/tamarackshelf/controller/reconciler.py
@@ -14,7 +14,7 @@
 from tamarackshelf.errors import StoreUnavailable
 from tamarackshelf.net import HttpClient
 from tamarackshelf.observe import Timeline
-from tamarackshelf.peers import EntryStatus, TargetStatus
+from tamarackshelf.peers import EntryStatus, TargetStatus, View
 from tamarackshelf.peers.view_watch import CALL_ERRORS
 from tamarackshelf.policy.lease import (
     HeldLease,
@@ -39,6 +39,7 @@
 ENGINES_PER_SHARD = 64
 ORDER_TIMEOUT_S = 10.0
 GOOD_READS_TO_RETURN = 2
+SETTLED_READ_EVERY_S = 5.0
 FENCING_SHIFT = 20
 
 
@@ -96,6 +97,10 @@
         self._publish = publish
         self._settings = settings or RollSettings()
         self._memory = RollMemory()
+        self._own: dict[str, Shard] = {}
+        self._states: dict[str, EngineState] = {}
+        self._read_at_s: dict[str, float] = {}
+        self._seen_view: View | None = None
         self._good_reads: dict[str, int] = {}
         self._sequence = 0
         self._ordering: dict[str, asyncio.Task[None]] = {}
@@ -132,27 +137,33 @@
             await asyncio.sleep(self._settings.tick_s)
 
     async def _tick(self) -> None:
-        shards = build_shards(self._fleet.targets)
-        live = [
-            view.entry.name
-            for view in self._fleet.view.entries
-            if view.status is EntryStatus.LIVE
-        ]
-        for shard in shards:
-            is_mine = find_owner(live, shard.name) == self._vm
-            lease = await self._keep_lease(shard.name, is_mine)
+        self._find_own_shards()
+        for name in self._leases.held.keys() - self._own.keys():
+            await self._leases.release(name)
+            self._timeline.record("lease_released", name, "another node owns it now")
+        for shard in list(self._own.values()):
+            lease = await self._keep_lease(shard.name)
             if lease is not None:
                 await self._reconcile(shard, lease)
 
-    async def _keep_lease(self, name: str, is_mine: bool) -> HeldLease | None:
+    def _find_own_shards(self) -> None:
+        """Computes the shards of this node once for each view."""
+        view = self._fleet.view
+        if view is self._seen_view:
+            return
+        self._seen_view = view
+        live = [e.entry.name for e in view.entries if e.status is EntryStatus.LIVE]
+        self._own = {
+            shard.name: shard
+            for shard in build_shards(self._fleet.targets)
+            if find_owner(live, shard.name) == self._vm
+        }
+
+    async def _keep_lease(self, name: str) -> HeldLease | None:
         now_s = _now_s()
         held = self._leases.held.get(name)
         if held is None:
-            return await self._take_lease(name) if is_mine else None
-        if not is_mine:
-            await self._leases.release(name)
-            self._timeline.record("lease_released", name, "another node owns it now")
-            return None
+            return await self._take_lease(name)
         renew_at_s = held.deadline_s - self._times.lease_s + self._times.renew_every_s
         if now_s < renew_at_s:
             return held
@@ -176,14 +187,47 @@
             if view.status in (TargetStatus.LIVE, TargetStatus.OUT_OF_SERVICE)
         }
         engines = [engine for engine in shard.engines if engine.name in names]
-        states = await asyncio.gather(*(self._read(engine) for engine in engines))
-        known = [(e, s) for e, s in zip(engines, states, strict=True) if s is not None]
-        for engine, state in known:
-            self._judge(engine, state, lease)
+        await self._read_due(shard, engines, lease)
+        states = [(engine, self._states.get(engine.name)) for engine in engines]
+        known = [(engine, state) for engine, state in states if state is not None]
         for model in self._models_of(shard):
             newest = self._fleet.view.published.get(model, 0)
             self._roll(model, newest, known, lease)
 
+    async def _read_due(
+        self, shard: Shard, engines: list[Target], lease: HeldLease
+    ) -> None:
+        """Reads engines that are not as they should be, and the others seldom."""
+        now_s = _now_s()
+        due = [
+            engine
+            for engine in engines
+            if now_s >= self._read_at_s.get(engine.name, 0.0)
+            or not self._is_settled(shard, engine)
+        ]
+        states = await asyncio.gather(*(self._read(engine) for engine in due))
+        for engine, state in zip(due, states, strict=True):
+            self._read_at_s[engine.name] = now_s + SETTLED_READ_EVERY_S
+            if state is None:
+                self._states.pop(engine.name, None)
+            else:
+                self._states[engine.name] = state
+                self._judge(engine, state, lease)
+
+    def _is_settled(self, shard: Shard, engine: Target) -> bool:
+        state = self._states.get(engine.name)
+        if state is None:
+            # An engine that does not answer is asked again only when it is due.
+            return engine.name in self._read_at_s
+        rumour = self._fleet.find_rumour(SERVICE_PREFIX + engine.name)
+        is_out = rumour is not None and rumour.value == "out"
+        published = self._fleet.view.published
+        is_behind = any(
+            state.versions.get(model, -1) < published.get(model, 0)
+            for model in self._models_of(shard)
+        )
+        return not (state.failed_swap or state.swapping or is_out or is_behind)
+
     async def _read(self, engine: Target) -> EngineState | None:
         try:
             return await read_state(self._http, engine.address)
--- a/src/tamarackshelf/policy/membership.py
+++ b/src/tamarackshelf/policy/membership.py
@@ -124,13 +124,15 @@
         self._mismatches = 0
         self._publish_self()
 
-    def set_flags(self, flags: Iterable[str]) -> None:
-        """Tells the others what runs here and whether this VM is leaving."""
+    def set_flags(self, flags: Iterable[str]) -> bool:
+        """Tells the others what runs here; returns False when that is known."""
         flags = frozenset(flags)
-        if flags != self._flags:
-            self._flags = flags
-            self._incarnation += 1
-            self._publish_self()
+        if flags == self._flags:
+            return False
+        self._flags = flags
+        self._incarnation += 1
+        self._publish_self()
+        return True
 
     def set_listed(self, names: Iterable[str], now_s: float) -> None:
         """Takes the members that the platform lists."""
--- /dev/null
+++ b/src/tamarackshelf/trials/crowd.py
@@ -0,0 +1,99 @@
+"""A crowd of members for one real controller process to live among."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import replace
+from random import Random
+
+from tamarackshelf.controller.gossip_link import GossipLink
+from tamarackshelf.controller.gossip_task import GossipSettings, GossipTask
+from tamarackshelf.net import HttpClient
+from tamarackshelf.observe import Timeline
+from tamarackshelf.policy.rumours import Rumour
+from tamarackshelf.standin import PlatformStandin, TableStandin
+from tamarackshelf.trials.slopes import build_facts
+from tamarackshelf.world import Address, EntryVm, VmRow
+
+SECRET = "secret-of-the-crowd"
+OWN_NAME = "vm-0001"
+OWN_GOSSIP = Address("127.0.0.1", 29_998)
+OWN_LISTEN = Address("127.0.0.1", 29_999)
+ANY_PORT = Address("127.0.0.1", 0)
+NEWS_EVERY_S = 10.0
+
+
+async def run_crowd(
+    members: int, targets: int, duration_s: float, say: Callable[[str], None]
+) -> None:
+    """Runs all members but one, and says how to start that one."""
+    platform = PlatformStandin()
+    table = TableStandin()
+    platform_address = await platform.start(ANY_PORT)
+    table_address = await table.start(ANY_PORT)
+    rows = build_facts(members, targets).rows
+    entries = [row.entry for row in rows if row.entry is not None]
+    tasks = {e.name: _build_task(e) for e in entries if e.name != OWN_NAME}
+    bound = {name: await task.bind() for name, task in tasks.items()}
+    placed = {entry.name: _place(entry, bound) for entry in entries}
+    for row in rows:
+        platform.put_vm(_with_entry(row, placed))
+    platform.set_history_now()
+    known = [task.membership.rumours.all() for task in tasks.values()]
+    for task in tasks.values():
+        task.set_entries(placed)
+        # They have joined long ago; a cold start of all would be another trial.
+        for rumours in known:
+            task.take_all(rumours, spread=False)
+    say(
+        f"TAMARACKSHELF_SECRET={SECRET} tamarackshelf-controller --vm={OWN_NAME} "
+        f"--data-centre=dc1 --listen={OWN_LISTEN} --gossip={OWN_GOSSIP} "
+        f"--table={table_address} --vm-list={platform_address}"
+    )
+    for task in tasks.values():
+        task.run()
+    await _spread_news(list(tasks.values()), duration_s)
+    requests, read, written = table.requests, table.rows_read, table.rows_written
+    say(f"table requests={requests} rows_read={read} rows_written={written}")
+    for task in tasks.values():
+        await task.close()
+    await platform.close()
+    await table.close()
+
+
+async def _spread_news(tasks: list[GossipTask], duration_s: float) -> None:
+    """Publishes a rumour now and then, as an ordinary day does."""
+    for number in range(int(duration_s / NEWS_EVERY_S)):
+        await asyncio.sleep(NEWS_EVERY_S)
+        rumour = Rumour(f"target:engine-{number:04d}", 5)
+        tasks[number % len(tasks)].publish(rumour)
+
+
+def _build_task(entry: EntryVm) -> GossipTask:
+    settings = GossipSettings(entry.name, 1, ANY_PORT)
+    timeline = Timeline(entry.name, _wall_ms, size=16)
+    return GossipTask(
+        settings,
+        HttpClient(),
+        timeline,
+        Random(entry.name),
+        lambda receiver: GossipLink(SECRET.encode(), _wall_ms, receiver),
+    )
+
+
+def _place(entry: EntryVm, bound: dict[str, Address]) -> EntryVm:
+    gossip = bound.get(entry.name, OWN_GOSSIP)
+    return replace(entry, gossip=gossip, controller=OWN_LISTEN)
+
+
+def _with_entry(row: VmRow, placed: dict[str, EntryVm]) -> VmRow:
+    return row if row.entry is None else replace(row, entry=placed[row.name])
+
+
+def _wall_ms() -> int:
+    return time.time_ns() // 1_000_000
+
+
+__all__ = ["run_crowd"]
--- a/src/tamarackshelf/trials/slopes.py
+++ b/src/tamarackshelf/trials/slopes.py
@@ -170,7 +170,7 @@
 
 def build_facts(entries: int, targets: int) -> FleetFacts:
     """Returns the facts of a fleet of this size."""
-    address = Address("10.0.0.1", 7000)
+    address = Address("127.0.0.1", 7000)
     rows = [
         VmRow(
             f"vm-{i:04d}",
@@ -193,7 +193,7 @@
 
 
 def _build_targets(count: int) -> list[Target]:
-    base = Target("", "", TargetKind.ENGINE, "", Address("10.0.0.1", 8000), 1, 16)
+    base = Target("", "", TargetKind.ENGINE, "", Address("127.0.0.1", 1), 1, 16)
     return [
         replace(
             base, name=f"engine-{i:04d}", service=f"s{i % 5}", data_centre=f"dc{i % 16}"
