Share the table's budget and read only taken groups on a take-over

Rows are keyed by group now: 8 to 32 rows a take-over. Each process takes four times an even share of 2,000 reads and 400 writes a second, as few are busy at once.

--- a/src/tamarackshelf/gateway/program.py
+++ b/src/tamarackshelf/gateway/program.py
@@ -147,7 +147,9 @@
         await self._internal.close()
 
     def _take_view(self, view: View) -> None:
-        self.pool.update(view.targets, view.list_sharers())
+        sharers = view.list_sharers()
+        self.pool.update(view.targets, sharers)
+        self._table.set_sharers(len(sharers))
 
 
 __all__ = ["Gateway", "GatewaySettings"]
--- a/src/tamarackshelf/runner/crew.py
+++ b/src/tamarackshelf/runner/crew.py
@@ -184,20 +184,24 @@
         for active in list(self.steps.values()):
             groups = self._groups.find(active.step)
             if groups.taken:
-                await self._take_over(active, len(groups.taken))
+                await self._take_over(active, groups.taken)
             for group in groups.owned:
                 for slot in active.missing_slots(group):
                     if len(self._tasks) >= MAX_RUNNING:
                         return
                     self._start_slot(active, slot, 0)
 
-    async def _take_over(self, active: ActiveStep, groups: int) -> None:
+    async def _take_over(self, active: ActiveStep, groups: frozenset[int]) -> None:
         """Learns what the lost runner has settled, unless the table is silent."""
         name = active.step.name
         reason = "their runner left or died"
-        self._timeline.record("groups_taken", name, reason, groups=groups)
+        self._timeline.record("groups_taken", name, reason, groups=len(groups))
         with contextlib.suppress(StoreUnavailable):
-            await self.load_slots(active)
+            for group in sorted(groups):
+                for sample in await read_slots(
+                    self._table, name, LOAD_TIMEOUT_S, group
+                ):
+                    active.put(sample)
         self._groups.note_taken(name)
 
     def _start_slot(self, active: ActiveStep, slot: int, generation: int) -> None:
@@ -235,11 +239,11 @@
             await asyncio.sleep(FAILED_SLOT_PAUSE_S)
             return
         self._timeline.record("sample_produced", name, version=sample.oldest_version)
-        settled = await self._settle(sample)
+        settled = await self._settle(active, sample)
         active.put(settled)
         await self._push(settled)
 
-    async def _settle(self, sample: Sample) -> Sample:
+    async def _settle(self, active: ActiveStep, sample: Sample) -> Sample:
         """Writes the sample; while the table is down it goes on unwritten.
 
         The trainer's cursor alone makes delivery exactly once, so an unwritten
@@ -247,21 +251,24 @@
         """
         if self._table.is_up:
             with contextlib.suppress(StoreUnavailable):
-                return await settle_slot(self._table, sample, SETTLE_TIMEOUT_S)
+                group = sample.slot // active.step.group_size
+                return await settle_slot(self._table, sample, group, SETTLE_TIMEOUT_S)
         self._timeline.record(
             "sample_unwritten",
             f"{sample.step}.{sample.slot}",
             "the table service is unavailable",
         )
-        task = asyncio.get_running_loop().create_task(self._write_later(sample))
+        task = asyncio.get_running_loop().create_task(
+            self._write_later(sample, sample.slot // active.step.group_size)
+        )
         self._writes.add(task)
         task.add_done_callback(self._writes.discard)
         return sample
 
-    async def _write_later(self, sample: Sample) -> None:
+    async def _write_later(self, sample: Sample, group: int) -> None:
         while sample.step in self.steps:
             try:
-                await settle_slot(self._table, sample, SETTLE_TIMEOUT_S)
+                await settle_slot(self._table, sample, group, SETTLE_TIMEOUT_S)
             except StoreUnavailable:
                 await asyncio.sleep(SETTLE_GAP_S)
             else:
--- a/src/tamarackshelf/runner/program.py
+++ b/src/tamarackshelf/runner/program.py
@@ -142,7 +142,9 @@
         await self._internal.close()
 
     def _take_view(self, view: View) -> None:
-        self.pool.update(view.targets, view.list_sharers())
+        sharers = view.list_sharers()
+        self.pool.update(view.targets, sharers)
+        self._table.set_sharers(len(sharers))
 
     async def _take_opened(self, message: StepOpened) -> Acknowledged:
         await self.crew.take_opened(message)
--- a/src/tamarackshelf/state/steps.py
+++ b/src/tamarackshelf/state/steps.py
@@ -93,12 +93,14 @@
     return isinstance(result, Success)
 
 
-async def settle_slot(table: TableClient, sample: Sample, timeout_s: float) -> Sample:
+async def settle_slot(
+    table: TableClient, sample: Sample, group: int, timeout_s: float
+) -> Sample:
     """Inserts the slot's sample; returns the one that was first.
 
     A sample of a higher generation replaces one that became too old.
     """
-    key = to_slot_key(sample.step, sample.slot)
+    key = f"{_to_group_prefix(sample.step, group)}{sample.slot:05d}"
     value = msgspec.json.encode(sample).decode()
     revision = ABSENT
     while True:
@@ -119,16 +121,18 @@
 
 
 async def read_slots(
-    table: TableClient, step: str, timeout_s: float = 5.0
+    table: TableClient, step: str, timeout_s: float, group: int | None = None
 ) -> list[Sample]:
-    """Returns the settled samples of a step."""
-    rows = await table.scan(f"{SLOT_PREFIX}{step}/", timeout_s)
+    """Returns the settled samples of a step, or of one of its groups."""
+    prefix = f"{SLOT_PREFIX}{step}/"
+    if group is not None:
+        prefix = _to_group_prefix(step, group)
+    rows = await table.scan(prefix, timeout_s)
     return [decode_slot(row) for row in rows]
 
 
-def to_slot_key(step: str, slot: int) -> str:
-    """Returns the row key of a slot."""
-    return f"{SLOT_PREFIX}{step}/{slot:05d}"
+def _to_group_prefix(step: str, group: int) -> str:
+    return f"{SLOT_PREFIX}{step}/{group:05d}/"
 
 
 def decode_slot(row: Row) -> Sample:
@@ -150,6 +154,5 @@
     "read_slots",
     "read_step",
     "settle_slot",
-    "to_slot_key",
     "update_step",
 ]
--- a/src/tamarackshelf/state/table_client.py
+++ b/src/tamarackshelf/state/table_client.py
@@ -25,7 +25,12 @@
 from tamarackshelf.errors import StoreUnavailable
 from tamarackshelf.net import ConnectFailed, ConnectionLost, HttpClient
 from tamarackshelf.policy.breaker import Breaker
-from tamarackshelf.policy.budget import TokenBucket
+from tamarackshelf.policy.budget import (
+    FLEET_READS_PER_S,
+    FLEET_WRITES_PER_S,
+    TokenBucket,
+    share_budget,
+)
 from tamarackshelf.tasks import start_task, stop_tasks
 from tamarackshelf.world import Address
 
@@ -112,6 +117,11 @@
             if not pending.answer.done():
                 pending.answer.set_exception(_unavailable("this process stops"))
 
+    def set_sharers(self, processes: int) -> None:
+        """Takes how many processes share the table's budget."""
+        self._reads.set_rate(share_budget(FLEET_READS_PER_S, processes))
+        self._writes.set_rate(share_budget(FLEET_WRITES_PER_S, processes))
+
     @property
     def is_up(self) -> bool:
         """Tells whether the last calls were answered."""
--- a/tests/policy/test_decisions.py
+++ b/tests/policy/test_decisions.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tamarackshelf.policy.admission import FairQueue, Waiter, WorkClass
+from tamarackshelf.policy.budget import share_budget
 from tamarackshelf.policy.entries import MIN_ENTRIES, choose_entries
 from tamarackshelf.policy.lease import HeldLease, LeaseTimes, may_act
 from tamarackshelf.policy.quarantine import Crash, IsolationTable, SuspectBook, Verdict
@@ -211,3 +212,8 @@
     fewer = [target for target in targets if target != "t7"]
     kept = [len(subsets[n] & choose_subset(n, nodes, fewer)) for n in nodes]
     assert sum(kept) / len(kept) >= 0.9 * SUBSET_SIZE
+
+
+@pytest.mark.parametrize(("processes", "share"), [(1, 1600.0), (24, 66.7), (760, 2.1)])
+def test_processes_share_the_tables_budget(processes, share):
+    assert share_budget(400.0, processes) == pytest.approx(share, abs=0.1)
