--- a/src/tamarackshelf/controller/api.py
+++ b/src/tamarackshelf/controller/api.py
@@ -85,7 +85,7 @@
             )
         route = self._routes.get(request.path)
         if route is None:
-            raise NotFound("no such path; see docs/reference/controller.md")
+            raise NotFound("no such path; see docs/reference/processes.md")
         return await route(request)
 
     async def _get_view(self, request: Request) -> Response:
--- a/src/tamarackshelf/gateway/program.py
+++ b/src/tamarackshelf/gateway/program.py
@@ -34,6 +34,7 @@
 from tamarackshelf.world import Address
 
 LONGEST_DRAIN_S = 600.0
+LINGER_S = 2.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,7 +128,7 @@
     async def close(self) -> None:
         """Finishes what is in flight, then closes."""
         self._api.is_refusing = True
-        await self._server.close(LONGEST_DRAIN_S)
+        await self._server.close(LONGEST_DRAIN_S, LINGER_S)
         await self._completions.close()
         await self._once.close()
         await self.dispatcher.close()
--- a/src/tamarackshelf/net/http_server.py
+++ b/src/tamarackshelf/net/http_server.py
@@ -21,6 +21,7 @@
 Handler = Callable[[Request], Awaitable[Response]]
 
 READ_SIZE_BYTES = 64 * 1024
+QUIET_S = 0.2
 
 log = logging.getLogger("tamarackshelf")
 
@@ -45,6 +46,7 @@
         self._server: asyncio.Server | None = None
         self._connections: dict[asyncio.Task[None], _Connection] = {}
         self._closing = False
+        self._accepted_at_s = 0.0
 
     async def start(self, address: Address) -> Address:
         """Listens and returns the bound address."""
@@ -54,9 +56,14 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return Address(host, port)
 
-    async def close(self, grace_s: float = 30.0) -> None:
-        """Stops listening, lets requests in flight finish, then closes."""
+    async def close(self, grace_s: float = 30.0, linger_s: float = 0.0) -> None:
+        """Stops listening, lets requests in flight finish, then closes.
+
+        Closing a listening socket resets what its queue still holds, so `linger_s`
+        allows that long for a moment without new connections.
+        """
         self._closing = True
+        await self._wait_quiet(linger_s)
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections.values()):
@@ -66,6 +73,14 @@
             _, pending = await asyncio.wait(tasks, timeout=grace_s)
             await _cancel_all(pending)
 
+    async def _wait_quiet(self, linger_s: float) -> None:
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        while loop.time() - started_s < linger_s:
+            if loop.time() - max(started_s, self._accepted_at_s) >= QUIET_S:
+                return
+            await asyncio.sleep(QUIET_S / 4)
+
     async def abort(self) -> None:
         """Closes at once and cuts every connection, as a crash would."""
         self._closing = True
@@ -78,12 +93,15 @@
     async def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        if self._closing or len(self._connections) >= self._limits.connections:
+        self._accepted_at_s = asyncio.get_running_loop().time()
+        if len(self._connections) >= self._limits.connections:
             writer.close()
             return
         task = asyncio.current_task()
         assert task is not None
-        connection = _Connection(reader, writer, self._handler, self._limits)
+        connection = _Connection(
+            reader, writer, self._handler, self._limits, is_last=self._closing
+        )
         self._connections[task] = connection
         try:
             await connection.serve()
@@ -103,6 +121,8 @@
         writer: asyncio.StreamWriter,
         handler: Handler,
         limits: ServerLimits,
+        *,
+        is_last: bool,
     ) -> None:
         self._reader = reader
         self._writer = writer
@@ -112,7 +132,7 @@
             h11.SERVER, max_incomplete_event_size=limits.head_bytes
         )
         self._idle = True
-        self._last = False
+        self._last = is_last
 
     def close_when_idle(self) -> None:
         """Closes now when no request is in flight, else after it."""
--- a/src/tamarackshelf/runner/program.py
+++ b/src/tamarackshelf/runner/program.py
@@ -167,7 +167,7 @@
             return Response(200, self.metrics.render(), "text/plain; version=0.0.4")
         if request.path == "/v1/timeline":
             return to_json_response(self.timeline.page())
-        raise NotFound("no such path; see docs/reference/runner.md")
+        raise NotFound("no such path; see docs/reference/processes.md")
 
 
 __all__ = ["Runner", "RunnerSettings"]
--- /dev/null
+++ b/tests/cli/test_explain.py
@@ -0,0 +1,72 @@
+"""The merged time line and what explain tells of it."""
+
+from __future__ import annotations
+
+import json
+import logging
+
+import pytest
+
+from tamarackshelf.cli.explain import explain_subject
+from tamarackshelf.cli.timeline import format_events
+from tamarackshelf.observe import Timeline, merge_pages
+from tamarackshelf.observe.logs import set_up_logs
+
+
+def build_pages():
+    first, second = Timeline("gateway@a", lambda: 1000), Timeline("runner@b", lambda: 1)
+    first.record("request_dispatched", "r1", "lower load", target="e1")
+    second.observe(first.now_ms())
+    second.record("sample_produced", "c.s1.4.0", version=3)
+    first.record("order_sent", "e1", "m version 3 is the newest")
+    return [first.page(), second.page()]
+
+
+def test_a_process_with_a_slow_clock_is_ordered_after_what_it_heard():
+    kinds = [event.kind for event in merge_pages(build_pages())]
+    assert kinds.index("request_dispatched") < kinds.index("sample_produced")
+
+
+def test_explain_tells_one_subject_and_names_the_gaps():
+    lines = explain_subject("sample", "c.s1.4", build_pages(), ["runner@dead"])
+    text = "\n".join(lines)
+    assert "sample c.s1.4.0 was produced on version 3" in text
+    assert "gap: runner@dead does not answer" in text
+    assert "r1" not in text
+
+
+def test_explain_finds_a_subject_in_other_events_fields():
+    lines = explain_subject("target", "e1", build_pages(), [])
+    assert any("r1 was sent to e1, because of lower load" in line for line in lines)
+
+
+def test_overwritten_events_are_counted_as_a_gap():
+    timeline = Timeline("p", lambda: 1, size=2)
+    for i in range(5):
+        timeline.record("kind", f"s{i}")
+    lines = explain_subject("request", "s4", [timeline.page()], [])
+    assert "gap: p has overwritten 3 events" in lines
+
+
+def test_the_page_holds_its_events_even_with_markup_in_them():
+    timeline = Timeline("p", lambda: 1)
+    timeline.record("kind", "</script><b>")
+    page = format_events(list(timeline.page().events), "html")
+    start = page.index('type="application/json">') + len('type="application/json">')
+    data = page[start : page.index("</script>", start)]
+    assert json.loads(data)[0]["subject"] == "</script><b>"
+    assert "http" not in page.replace("http-equiv", "")
+
+
+@pytest.mark.parametrize("log_format", ["text", "json"])
+def test_each_event_is_one_log_line(capsys, log_format):
+    set_up_logs(log_format)
+    Timeline("p", lambda: 1).record("kind", "s 1", "be\ncause", target="e1")
+    logging.getLogger("tamarackshelf").handlers = []
+    lines = capsys.readouterr().err.splitlines()
+    assert len(lines) == 1
+    if log_format == "json":
+        assert json.loads(lines[0])["event"]["target"] == "e1"
+    else:
+        assert 'event=kind process=p subject="s 1"' in lines[0]
+        assert "target=e1" in lines[0]
