--- a/src/tamarackshelf/cli/demo.py
+++ b/src/tamarackshelf/cli/demo.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import sys
 import time
 from pathlib import Path
@@ -28,6 +29,7 @@
     deployment: str = "all",
     report_path: str = "",
     timeline_path: str = "",
+    record_path: str = "",
     measure: str = "",
     members: int = 380,
     targets: int = 3700,
@@ -41,6 +43,7 @@
         deployment: name of one deployment, or all.
         report_path: HTML file for the report.
         timeline_path: HTML file for the merged time line.
+        record_path: JSON lines file for the decisions, for tamarackshelf-replay.
         measure: `slopes` measures costs at several sizes instead; `crowd` runs
             the neighbours of one real controller process.
         members: how many entry VMs the crowd stands for.
@@ -65,8 +68,12 @@
             )
             sys.exit(EXIT_USAGE)
         set_up_logs("text", "WARNING")
-        settings = RunSettings(seed, duration_s)
-        results = asyncio.run(_run_all(chosen, scenario, settings))
+        with contextlib.ExitStack() as stack:
+            write = None
+            if record_path:
+                write = stack.enter_context(open(record_path, "wb")).write
+            settings = RunSettings(seed, duration_s, write_trace=write)
+            results = asyncio.run(_run_all(chosen, scenario, settings))
         _write_pages(results, report_path, timeline_path)
         _close(results)
 
--- a/src/tamarackshelf/controller/gossip_task.py
+++ b/src/tamarackshelf/controller/gossip_task.py
@@ -77,6 +77,7 @@
         self._sync: asyncio.Task[None] | None = None
         self._known: dict[str, MemberStatus] = {}
         self.has_joined = False
+        self._is_frozen = False
 
     def on_change(self, listener: Callable[[], None]) -> None:
         """Calls the listener when a member or a rumour changed."""
@@ -113,6 +114,14 @@
         await stop_tasks(self._task, self._sync)
         await self.link.close()
 
+    def freeze(self) -> None:
+        """Neither probes nor answers, as a paused process."""
+        self._is_frozen = True
+
+    def thaw(self) -> None:
+        """Goes on."""
+        self._is_frozen = False
+
     def set_entries(self, entries: dict[str, EntryVm]) -> None:
         """Takes the entry VMs that the platform lists."""
         self._entries = entries
@@ -137,12 +146,17 @@
 
     async def _run(self) -> None:
         while True:
+            if self._is_frozen:
+                await asyncio.sleep(TICK_S)
+                continue
             self._send(self.membership.tick(_now_s()))
             self._notify()
             self._start_sync()
             await asyncio.sleep(TICK_S)
 
     def _receive(self, datagram: Datagram) -> None:
+        if self._is_frozen:
+            return
         self._send(self.membership.receive(datagram, _now_s()))
         self._notify()
 
--- a/src/tamarackshelf/controller/program.py
+++ b/src/tamarackshelf/controller/program.py
@@ -16,6 +16,7 @@
 from tamarackshelf.controller.reconciler import Reconciler, RollSettings
 from tamarackshelf.net import HttpClient, HttpServer
 from tamarackshelf.observe import Metrics, Timeline
+from tamarackshelf.observe.record import Recorder, record_nothing
 from tamarackshelf.policy.lease import LeaseTimes
 from tamarackshelf.state import TableClient
 from tamarackshelf.state.leases import LeaseKeeper, LeaseSettings
@@ -45,7 +46,11 @@
     """One controller; `http` carries the calls to targets and the platform."""
 
     def __init__(
-        self, settings: ControllerSettings, http: HttpClient, timeline: Timeline
+        self,
+        settings: ControllerSettings,
+        http: HttpClient,
+        timeline: Timeline,
+        record: Recorder = record_nothing,
     ) -> None:
         rng = Random(f"{settings.seed}/{settings.vm}")
         self.timeline = timeline
@@ -80,6 +85,7 @@
             timeline,
             self.gossip.publish,
             settings.roll,
+            record,
         )
         self._api = ControllerApi(
             settings.secret,
@@ -121,6 +127,16 @@
         await self._server.abort()
         await self._peers.close()
 
+    async def freeze(self) -> None:
+        """Stands still as a paused process does, keeping what it believes."""
+        self._reconciler.abort()
+        self.gossip.freeze()
+
+    async def thaw(self) -> None:
+        """Goes on with what it believed when it was frozen."""
+        self.gossip.thaw()
+        await self._reconciler.start()
+
     async def _stop_tasks(self) -> None:
         await stop_tasks(self._task)
         await self._watch.close()
--- a/src/tamarackshelf/controller/reconciler.py
+++ b/src/tamarackshelf/controller/reconciler.py
@@ -14,6 +14,7 @@
 from tamarackshelf.errors import StoreUnavailable
 from tamarackshelf.net import HttpClient
 from tamarackshelf.observe import Timeline
+from tamarackshelf.observe.record import Recorder, record_nothing
 from tamarackshelf.peers import EntryStatus, TargetStatus, View
 from tamarackshelf.peers.view_watch import CALL_ERRORS
 from tamarackshelf.policy.lease import (
@@ -87,7 +88,9 @@
         timeline: Timeline,
         publish: Callable[[Rumour], None],
         settings: RollSettings | None = None,
+        record: Recorder = record_nothing,
     ) -> None:
+        self._record = record
         self._vm = vm
         self._fleet = fleet
         self._leases = leases
@@ -256,9 +259,7 @@
             )
             for engine, state in known
         ]
-        wave = plan_wave(
-            views, newest, self._settings.wave_share, self._memory, _now_s()
-        )
+        wave = self._plan_wave(views, newest)
         for engine, _ in known:
             if f"{engine.name}/{model}" in wave and engine.name not in self._ordering:
                 order = Order(
@@ -266,6 +267,19 @@
                 )
                 self._start_order(engine, order, lease)
 
+    def _plan_wave(self, views: list[EngineView], newest: int) -> list[str]:
+        share, now_s = self._settings.wave_share, _now_s()
+        wave = plan_wave(views, newest, share, self._memory, now_s)
+        if wave:
+            given = {
+                "engines": views,
+                "newest_version": newest,
+                "wave_share": share,
+                "memory": self._memory,
+            }
+            self._record("wave", now_s, given, wave)
+        return wave
+
     def _start_order(self, engine: Target, order: Order, lease: HeldLease) -> None:
         now_s = _now_s()
         current = self._leases.held.get(lease.name, lease)
--- a/src/tamarackshelf/demo/fleet.py
+++ b/src/tamarackshelf/demo/fleet.py
@@ -20,6 +20,7 @@
 from tamarackshelf.gateway import Gateway, GatewaySettings
 from tamarackshelf.net import ConnectFailed, HttpClient
 from tamarackshelf.observe import Timeline
+from tamarackshelf.observe.record import Recorder, build_recorder, record_nothing
 from tamarackshelf.policy.lease import LeaseTimes
 from tamarackshelf.policy.routing import Router, route
 from tamarackshelf.runner import Runner, RunnerSettings
@@ -112,7 +113,9 @@
         seed: int,
         router: Router = route,
         straggler_share: float = 0.02,
+        write_trace: Callable[[bytes], object] | None = None,
     ) -> None:
+        self._write_trace = write_trace
         self.deployment = deployment
         self.places = Places(deployment)
         self.vms: dict[str, DemoVm] = {}
@@ -159,6 +162,7 @@
             self._controller_settings(name, data_centre),
             http,
             self._timeline("controller", name),
+            self._recorder("controller", name),
         )
         await controller.start()
         gateway = Gateway(
@@ -177,6 +181,7 @@
             http,
             self._timeline("gateway", name),
             self._router,
+            self._recorder("gateway", name),
         )
         runner = Runner(
             RunnerSettings(
@@ -192,6 +197,7 @@
             http,
             self._timeline("runner", name),
             self._router,
+            self._recorder("runner", name),
         )
         await gateway.start()
         await runner.start()
@@ -286,6 +292,11 @@
             lease=LEASE,
         )
 
+    def _recorder(self, program: str, vm: str) -> Recorder:
+        if self._write_trace is None:
+            return record_nothing
+        return build_recorder(f"{program}@{vm}", self._write_trace)
+
     def _timeline(self, program: str, vm: str) -> Timeline:
         timeline = Timeline(f"{program}@{vm}", lambda: time.time_ns() // 1_000_000)
         self.timelines.append(timeline)
--- a/src/tamarackshelf/demo/run.py
+++ b/src/tamarackshelf/demo/run.py
@@ -54,6 +54,7 @@
     customers: int = CUSTOMERS
     straggler_share: float = STRAGGLER_SHARE
     router: Router = route
+    write_trace: Callable[[bytes], object] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,7 +75,11 @@
 ) -> RunResult:
     """Runs customers and trainers while the scenario acts."""
     fleet = DemoFleet(
-        deployment, settings.seed, settings.router, settings.straggler_share
+        deployment,
+        settings.seed,
+        settings.router,
+        settings.straggler_share,
+        settings.write_trace,
     )
     say(f"{deployment.name}: starting {deployment.entry_vms} entry VMs")
     await fleet.start()
--- a/src/tamarackshelf/demo/scenarios.py
+++ b/src/tamarackshelf/demo/scenarios.py
@@ -5,7 +5,9 @@
 import asyncio
 
 from tamarackshelf.demo.customers import Customer
+from tamarackshelf.demo.fleet import LEASE
 from tamarackshelf.demo.run import Scenario, Stage
+from tamarackshelf.policy.ownership import find_owner
 from tamarackshelf.standin import EngineStandin
 
 POISON = "poisonous letter"
@@ -107,6 +109,20 @@
     stage.require(late == 0, "a leaving target gets no work after 3 s")
 
 
+async def paused_holder(stage: Stage) -> None:
+    """The controller that orders the engines pauses past its lease and wakes."""
+    await asyncio.sleep(stage.duration_s * 0.2)
+    shard = f"{stage.fleet.deployment.engine_service}#0"
+    live = [vm.name for vm in stage.fleet.live_vms()]
+    holder = find_owner(live, shard)
+    assert holder is not None
+    stage.say(f"{holder} pauses while it holds the lease of {shard}")
+    await stage.fleet.vms[holder].controller.freeze()
+    await asyncio.sleep(max(2 * LEASE.lease_s, stage.duration_s * 0.3))
+    stage.say(f"{holder} wakes and still believes that it holds it")
+    await stage.fleet.vms[holder].controller.thaw()
+
+
 async def half_swap(stage: Stage) -> None:
     """Weight swaps fail half way on two engines, one engine ignores orders."""
     service = stage.fleet.deployment.engine_service
@@ -173,6 +189,7 @@
     "drill": drill,
     "half-swap": half_swap,
     "leaving": leaving,
+    "paused-holder": paused_holder,
     "poison": poison,
     "rolling-stop": rolling_stop,
     "runner-crash": runner_crash,
--- a/src/tamarackshelf/dispatch/dispatcher.py
+++ b/src/tamarackshelf/dispatch/dispatcher.py
@@ -22,6 +22,7 @@
 )
 from tamarackshelf.net import ConnectFailed, ConnectionLost, HttpClient
 from tamarackshelf.observe import Metrics, Timeline
+from tamarackshelf.observe.record import Recorder, record_nothing
 from tamarackshelf.peers import Report, ReportKind
 from tamarackshelf.policy.quarantine import Crash, SuspectBook, Verdict
 from tamarackshelf.policy.retry import RetryBudget, backoff_s
@@ -67,7 +68,9 @@
         timeline: Timeline,
         metrics: Metrics,
         rng: Random,
+        record: Recorder = record_nothing,
     ) -> None:
+        self._record = record
         self.pool = pool
         self.http = http
         self.timeline = timeline
@@ -88,7 +91,7 @@
     async def place(self, work: Work) -> AsyncIterator[Place]:
         """Holds a place at a target; a suspect is alone among suspects."""
         ask = work.ask
-        verdict = self.suspects.judge(work.fingerprint, _now_s())
+        verdict = self._judge(work.fingerprint)
         if verdict is Verdict.QUARANTINED:
             raise Quarantined(
                 "this request was in flight at two crashes of its targets and is "
@@ -164,7 +167,10 @@
 
     def note_crash(self, crash: Crash, reason: str) -> None:
         """Remembers a suspect that this or another process saw."""
-        if self.suspects.note(crash, _now_s()):
+        now_s = _now_s()
+        is_new = self.suspects.note(crash, now_s)
+        self._record("note_crash", now_s, crash, is_new)
+        if is_new:
             self.timeline.record(
                 "request_suspected", crash.fingerprint, reason, target=crash.target
             )
@@ -178,6 +184,13 @@
         """Waits for what is still to be told to peers."""
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def _judge(self, fingerprint: str) -> Verdict:
+        now_s = _now_s()
+        verdict = self.suspects.judge(fingerprint, now_s)
+        if verdict is not Verdict.CLEAR:
+            self._record("judge", now_s, fingerprint, verdict.value)
+        return verdict
+
     async def _isolate(self, work: Work) -> str:
         while True:
             names = self.pool.names_of(work.ask.need.service)
--- a/src/tamarackshelf/dispatch/pool.py
+++ b/src/tamarackshelf/dispatch/pool.py
@@ -10,6 +10,7 @@
 
 from tamarackshelf.contracts import Load
 from tamarackshelf.errors import NoTarget, Overloaded
+from tamarackshelf.observe.record import Recorder, record_nothing
 from tamarackshelf.peers import TargetStatus, TargetView
 from tamarackshelf.policy.admission import FairQueue, Waiter, WorkClass
 from tamarackshelf.policy.routing import (
@@ -26,6 +27,7 @@
 AVOID_S = 1.0
 REPORT_FADES_S = 5.0
 NO_TARGET_WAIT_S = 2.0
+SEED_BITS = 32
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,8 +70,15 @@
 class TargetPool:
     """Grants places at targets; customers go before trainers."""
 
-    def __init__(self, name: str, rng: Random, router: Router = route) -> None:
+    def __init__(
+        self,
+        name: str,
+        rng: Random,
+        router: Router = route,
+        record: Recorder = record_nothing,
+    ) -> None:
         self._name = name
+        self._record = record
         self._rng = rng
         self._router = router
         self._entries: dict[str, _Entry] = {}
@@ -204,7 +213,13 @@
     def _choose(self, ask: Ask) -> Choice:
         entries = self._by_service.get(ask.need.service, [])
         candidates = [self._to_candidate(entry) for entry in entries]
-        return self._router(candidates, ask.need, self._rng)
+        # A seed for each decision lets a trace make it again.
+        seed = self._rng.getrandbits(SEED_BITS)
+        choice = self._router(candidates, ask.need, Random(seed))
+        given = {"candidates": candidates, "need": ask.need, "seed": seed}
+        name = choice.target.name if choice.target else None
+        self._record("route", _now_s(), given, name)
+        return choice
 
     def _to_candidate(self, entry: _Entry) -> Candidate:
         target = entry.view.target
--- a/src/tamarackshelf/gateway/program.py
+++ b/src/tamarackshelf/gateway/program.py
@@ -19,6 +19,7 @@
 from tamarackshelf.net import HttpClient, HttpServer
 from tamarackshelf.net.rpc import RpcClient, RpcServer
 from tamarackshelf.observe import Metrics, Timeline
+from tamarackshelf.observe.record import Recorder, record_nothing
 from tamarackshelf.peers import (
     Report,
     ReportKind,
@@ -62,6 +63,7 @@
         http: HttpClient,
         timeline: Timeline,
         router: Router = route,
+        record: Recorder = record_nothing,
     ) -> None:
         self.timeline = timeline
         self.metrics = Metrics()
@@ -73,13 +75,15 @@
         self._rpc = RpcClient(settings.secret)
         self._table = TableClient(http, settings.table)
         rng = Random(f"{settings.seed}/{settings.vm}/gateway")
-        self.pool = TargetPool(name_sharer(settings.vm, Role.GATEWAY), rng, router)
+        self.pool = TargetPool(
+            name_sharer(settings.vm, Role.GATEWAY), rng, router, record
+        )
         link = SuspectLink(self._rpc, self.watch)
         actions = PeerActions(
             link.isolate, link.release, link.announce, self.watch.report
         )
         self.dispatcher = Dispatcher(
-            self.pool, http, actions, timeline, self.metrics, rng
+            self.pool, http, actions, timeline, self.metrics, rng, record
         )
         book = AnswerBook()
         home = KeyHome()
--- a/src/tamarackshelf/runner/delivery.py
+++ b/src/tamarackshelf/runner/delivery.py
@@ -14,6 +14,7 @@
     StoreUnavailable,
 )
 from tamarackshelf.observe import Timeline
+from tamarackshelf.observe.record import Recorder, record_nothing
 from tamarackshelf.peers import ViewWatch
 from tamarackshelf.peers.messages import (
     Acknowledged,
@@ -22,7 +23,7 @@
     SettledRequest,
 )
 from tamarackshelf.policy.cursor import Cursor, decode_cursor, encode_cursor
-from tamarackshelf.policy.delivery import choose_hand_over
+from tamarackshelf.policy.delivery import HandOver, choose_hand_over
 from tamarackshelf.policy.staleness import Freshness
 from tamarackshelf.runner.board import ActiveStep
 from tamarackshelf.runner.crew import Crew
@@ -48,7 +49,9 @@
         table: TableClient,
         timeline: Timeline,
         wall_s: Callable[[], float],
+        record: Recorder = record_nothing,
     ) -> None:
+        self._record = record
         self._crew = crew
         self._watch = watch
         self._table = table
@@ -149,6 +152,7 @@
         hand_over = choose_hand_over(
             active.samples, cursor, parameters, freshness, request.max_samples
         )
+        self._note_decision(active, cursor, freshness, request, hand_over)
         for sample in hand_over.stale:
             name = f"{sample.step}.{sample.slot}.{sample.generation}"
             reason = f"out of bound at hand-over, the newest version is {newest}"
@@ -156,6 +160,29 @@
             self._crew.run_again(active, sample)
         return hand_over.fresh
 
+    def _note_decision(
+        self,
+        active: ActiveStep,
+        cursor: Cursor,
+        freshness: Freshness,
+        request: PullRequest,
+        hand_over: HandOver,
+    ) -> None:
+        if self._record is record_nothing:
+            return
+        campaign = self._watch.view.configuration.campaigns[active.step.campaign]
+        organisations = self._watch.view.configuration.organisations
+        given = {
+            "samples": [replace(s, tokens=()) for s in active.samples.values()],
+            "received": f"{cursor.received:x}",
+            "parameters": organisations[campaign.organisation],
+            "freshness": freshness,
+            "max_samples": request.max_samples,
+        }
+        fresh = [sample.slot for sample in hand_over.fresh]
+        stale = [sample.slot for sample in hand_over.stale]
+        self._record("hand_over", freshness.now_s, given, [fresh, stale])
+
     async def _wait(self, active: ActiveStep, remaining_s: float) -> None:
         before = len(active.samples)
         timeout_s = min(RESCAN_EVERY_S, remaining_s)
--- a/src/tamarackshelf/runner/program.py
+++ b/src/tamarackshelf/runner/program.py
@@ -18,6 +18,7 @@
 )
 from tamarackshelf.net.rpc import RpcClient, RpcServer
 from tamarackshelf.observe import Metrics, Timeline
+from tamarackshelf.observe.record import Recorder, record_nothing
 from tamarackshelf.peers import (
     Report,
     ReportKind,
@@ -67,6 +68,7 @@
         http: HttpClient,
         timeline: Timeline,
         router: Router = route,
+        record: Recorder = record_nothing,
     ) -> None:
         self.timeline = timeline
         self.metrics = Metrics()
@@ -78,20 +80,22 @@
         self._rpc = RpcClient(settings.secret)
         self._table = TableClient(http, settings.table)
         rng = Random(f"{settings.seed}/{settings.vm}/runner")
-        self.pool = TargetPool(name_sharer(settings.vm, Role.RUNNER), rng, router)
+        self.pool = TargetPool(
+            name_sharer(settings.vm, Role.RUNNER), rng, router, record
+        )
         link = SuspectLink(self._rpc, self.watch)
         actions = PeerActions(
             link.isolate, link.release, link.announce, self.watch.report
         )
         self.dispatcher = Dispatcher(
-            self.pool, http, actions, timeline, self.metrics, rng
+            self.pool, http, actions, timeline, self.metrics, rng, record
         )
         sampler = Sampler(self.dispatcher, self.watch, settings.data_centre, time.time)
         self.crew = Crew(
             settings.vm, sampler, self.watch, self._table, self._rpc, timeline
         )
         self._delivery = Delivery(
-            self.crew, self.watch, self._table, timeline, time.time
+            self.crew, self.watch, self._table, timeline, time.time, record
         )
         self._server = HttpServer(self._handle)
         self._rpc_server = RpcServer(
--- /dev/null
+++ b/src/tamarackshelf/trials/replay.py
@@ -0,0 +1,134 @@
+"""Replays recorded decisions through the same policy code."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+import msgspec
+
+from tamarackshelf.observe.record import TraceLine
+from tamarackshelf.policy.cursor import Cursor
+from tamarackshelf.policy.delivery import choose_hand_over
+from tamarackshelf.policy.quarantine import Crash, SuspectBook
+from tamarackshelf.policy.routing import Candidate, Need, route
+from tamarackshelf.policy.staleness import Freshness
+from tamarackshelf.policy.weight_roll import EngineView, RollMemory, plan_wave
+from tamarackshelf.world import Parameters, Sample
+
+
+@dataclass(frozen=True, slots=True)
+class RouteGiven:
+    """What a target was chosen from."""
+
+    candidates: tuple[Candidate, ...]
+    need: Need
+    seed: int
+
+
+@dataclass(frozen=True, slots=True)
+class HandOverGiven:
+    """What a pull was answered from; tokens are left out."""
+
+    samples: tuple[Sample, ...]
+    received: str
+    parameters: Parameters
+    freshness: Freshness
+    max_samples: int
+
+
+@dataclass(frozen=True, slots=True)
+class WaveGiven:
+    """What a wave of a weight roll was planned from."""
+
+    engines: tuple[EngineView, ...]
+    newest_version: int
+    wave_share: float
+    memory: RollMemory
+
+
+@dataclass(frozen=True, slots=True)
+class Mismatch:
+    """A decision that came out differently."""
+
+    line: int
+    kind: str
+    expected: str
+    got: str
+
+
+class Replay:
+    """Holds the state that decisions of one process depend on."""
+
+    def __init__(self) -> None:
+        self._suspects = SuspectBook()
+        self._decisions: dict[str, Callable[[float, bytes], object]] = {
+            "route": self._route,
+            "hand_over": self._hand_over,
+            "wave": self._plan_wave,
+            "note_crash": self._note_crash,
+            "judge": self._judge,
+        }
+
+    def decide(self, line: TraceLine) -> Any:
+        """Makes the line's decision again and returns it as plain data."""
+        decision = self._decisions[line.kind](line.at_s, bytes(line.given))
+        return msgspec.to_builtins(decision)
+
+    def _route(self, at_s: float, data: bytes) -> object:
+        del at_s
+        given = msgspec.json.decode(data, type=RouteGiven)
+        choice = route(given.candidates, given.need, Random(given.seed))
+        return choice.target.name if choice.target else None
+
+    def _hand_over(self, at_s: float, data: bytes) -> object:
+        del at_s
+        given = msgspec.json.decode(data, type=HandOverGiven)
+        samples = {sample.slot: sample for sample in given.samples}
+        cursor = Cursor("", int(given.received, 16))
+        chosen = choose_hand_over(
+            samples, cursor, given.parameters, given.freshness, given.max_samples
+        )
+        return [[s.slot for s in chosen.fresh], [s.slot for s in chosen.stale]]
+
+    def _plan_wave(self, at_s: float, data: bytes) -> object:
+        given = msgspec.json.decode(data, type=WaveGiven)
+        return plan_wave(
+            list(given.engines),
+            given.newest_version,
+            given.wave_share,
+            given.memory,
+            at_s,
+        )
+
+    def _note_crash(self, at_s: float, data: bytes) -> object:
+        return self._suspects.note(msgspec.json.decode(data, type=Crash), at_s)
+
+    def _judge(self, at_s: float, data: bytes) -> object:
+        fingerprint = msgspec.json.decode(data, type=str)
+        return self._suspects.judge(fingerprint, at_s).value
+
+
+def replay_trace(lines: list[TraceLine]) -> list[Mismatch]:
+    """Returns the decisions that came out differently from the trace."""
+    replays: dict[str, Replay] = {}
+    mismatches = []
+    for number, line in enumerate(lines, start=1):
+        replay = replays.setdefault(line.process, Replay())
+        got = msgspec.json.encode(replay.decide(line))
+        if got != bytes(line.outcome):
+            expected = bytes(line.outcome).decode()
+            mismatches.append(Mismatch(number, line.kind, expected, got.decode()))
+    return mismatches
+
+
+__all__ = [
+    "HandOverGiven",
+    "Mismatch",
+    "Replay",
+    "RouteGiven",
+    "WaveGiven",
+    "replay_trace",
+]
