--- a/src/tamarackshelf/cli/ctl.py
+++ b/src/tamarackshelf/cli/ctl.py
@@ -18,6 +18,7 @@
     AcceptReply,
     CampaignEdit,
     DrainEdit,
+    HistoryEntry,
     TemplateEdit,
 )
 from tamarackshelf.peers import View
@@ -66,6 +67,20 @@
         """Shows the configuration in force at the gateway as JSON."""
         return Start(lambda: _print_json(self._get("configuration", Configuration)))
 
+    def history(self) -> Start:
+        """Shows who accepted the last revisions and what they changed."""
+
+        def run() -> None:
+            entries = self._get("history", tuple[HistoryEntry, ...])
+            if self._output == "json":
+                _print_json(entries)
+                return
+            for entry in entries:
+                changed = ", ".join(entry.changed) or "nothing"
+                print(f"{entry.revision:6} {entry.author:16} {changed}")
+
+        return Start(run)
+
     def accept_template(self, path: str, dry_run: bool = False) -> Start:
         """Accepts the parameters of an organisation from a JSON file."""
         parameters = _read_file(path, Parameters)
--- a/src/tamarackshelf/dispatch/pool.py
+++ b/src/tamarackshelf/dispatch/pool.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import itertools
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from random import Random
 
@@ -84,6 +84,7 @@
         self._entries: dict[str, _Entry] = {}
         self._by_service: dict[str, list[_Entry]] = {}
         self._sharers: dict[str, int] = {}
+        self._limits: dict[str, int] = {}
         self._queue = FairQueue()
         self._waiting: dict[int, _Waiting] = {}
         self._numbers = itertools.count()
@@ -93,8 +94,18 @@
         """Returns how many requests wait for a place."""
         return len(self._waiting)
 
-    def update(self, views: Iterable[TargetView], sharers: Sequence[str]) -> None:
-        """Takes the targets of a new view and the processes that share them."""
+    def update(
+        self,
+        views: Iterable[TargetView],
+        sharers: Sequence[str],
+        limits: Mapping[str, int] | None = None,
+    ) -> None:
+        """Takes the targets of a new view and the processes that share them.
+
+        `limits` holds how many requests each organisation may have in flight at
+        this process.
+        """
+        self._limits = dict(limits or {})
         entries = {}
         for view in views:
             entry = self._entries.get(view.target.name) or _Entry(view)
@@ -136,7 +147,7 @@
         none becomes free; in both cases nothing was sent.
         """
         choice = await self._choose_soon(ask)
-        if choice.target is not None:
+        if choice.target is not None and not self._is_at_limit(ask):
             return self._grant(ask, choice)
         waiter = Waiter(
             next(self._numbers), ask.organisation, ask.work_class, ask.deadline_s
@@ -210,6 +221,10 @@
                 self.release(answer.result())
         return permit
 
+    def _is_at_limit(self, ask: Ask) -> bool:
+        limit = self._limits.get(ask.organisation)
+        return limit is not None and self._queue.in_flight(ask.organisation) >= limit
+
     def _choose(self, ask: Ask) -> Choice:
         entries = self._by_service.get(ask.need.service, [])
         candidates = [self._to_candidate(entry) for entry in entries]
@@ -257,6 +272,8 @@
             service = waiting.ask.need.service
             if waiting.answer.done() or service in full:
                 continue
+            if self._is_at_limit(waiting.ask):
+                continue
             choice = self._choose(waiting.ask)
             if choice.target is not None:
                 waiting.answer.set_result(self._grant(waiting.ask, choice))
--- a/src/tamarackshelf/gateway/api.py
+++ b/src/tamarackshelf/gateway/api.py
@@ -95,6 +95,8 @@
                 return await operators.show_configuration()
             case "GET", ["v1", "operator", "status"]:
                 return await operators.show_status()
+            case "GET", ["v1", "operator", "history"]:
+                return await operators.show_history()
             case "POST", ["v1", "operator", "templates"]:
                 return await operators.edit_template(request)
             case "POST", ["v1", "operator", "campaigns"]:
--- a/src/tamarackshelf/gateway/operators.py
+++ b/src/tamarackshelf/gateway/operators.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hmac
+import itertools
 from dataclasses import dataclass, replace
 
 from returns.result import Success
@@ -13,7 +14,7 @@
 from tamarackshelf.observe import Timeline
 from tamarackshelf.peers import Report, ReportKind, View, ViewWatch
 from tamarackshelf.state import TableClient
-from tamarackshelf.state.configuration import Edit, accept
+from tamarackshelf.state.configuration import Edit, accept, read_history
 from tamarackshelf.world import (
     Campaign,
     Configuration,
@@ -23,6 +24,7 @@
 )
 
 ACCEPT_TIMEOUT_S = 5.0
+HISTORY_LENGTH = 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +62,15 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class HistoryEntry:
+    """One accepted revision."""
+
+    revision: int
+    author: str
+    changed: tuple[str, ...]
+
+
 class Operators:
     """Serves operators; `bootstrap_digest` is a token kept in the settings."""
 
@@ -128,6 +139,14 @@
         view = self._watch.view
         return to_json_response(replace(view, configuration=_hide_digests(view)))
 
+    async def show_history(self) -> Response:
+        """Returns who accepted the last revisions and what they changed."""
+        newest = self._watch.view.configuration.revision
+        bodies = await read_history(self._table, newest, HISTORY_LENGTH + 1)
+        pairs = itertools.zip_longest(bodies, bodies[1:], fillvalue=Configuration())
+        entries = [describe_change(before, after) for after, before in pairs]
+        return to_json_response(entries[:HISTORY_LENGTH])
+
     async def _accept(self, author: str, based_on: int, edit: Edit) -> Response:
         result = await accept(self._table, author, based_on, edit, ACCEPT_TIMEOUT_S)
         if not isinstance(result, Success):
@@ -140,6 +159,23 @@
         return to_json_response(AcceptReply(revision))
 
 
+def describe_change(before: Configuration, after: Configuration) -> HistoryEntry:
+    """Returns what a revision changed; token digests are not shown."""
+    changed = [
+        f"template {name}"
+        for name, parameters in after.organisations.items()
+        if before.organisations.get(name) != parameters
+    ]
+    changed += [
+        f"campaign {name}"
+        for name, campaign in after.campaigns.items()
+        if before.campaigns.get(name) != campaign
+    ]
+    if before.drained_vms != after.drained_vms:
+        changed.append(f"drained VMs {', '.join(after.drained_vms) or 'none'}")
+    return HistoryEntry(after.revision, after.author, tuple(changed))
+
+
 def _hide_digests(view: View) -> Configuration:
     configuration = view.configuration
     organisations = {
@@ -178,4 +214,12 @@
         raise BadRequest("the campaign's name is empty or has a dot; rename it")
 
 
-__all__ = ["AcceptReply", "CampaignEdit", "DrainEdit", "Operators", "TemplateEdit"]
+__all__ = [
+    "AcceptReply",
+    "CampaignEdit",
+    "DrainEdit",
+    "HistoryEntry",
+    "Operators",
+    "TemplateEdit",
+    "describe_change",
+]
--- a/src/tamarackshelf/gateway/program.py
+++ b/src/tamarackshelf/gateway/program.py
@@ -153,7 +153,7 @@
 
     def _take_view(self, view: View) -> None:
         sharers = view.list_sharers()
-        self.pool.update(view.targets, sharers)
+        self.pool.update(view.targets, sharers, view.compute_limits())
         self._table.set_sharers(len(sharers))
 
 
--- a/src/tamarackshelf/net/http_server.py
+++ b/src/tamarackshelf/net/http_server.py
@@ -46,6 +46,7 @@
         self._server: asyncio.Server | None = None
         self._connections: dict[asyncio.Task[None], _Connection] = {}
         self._closing = False
+        self._aborted = False
         self._accepted_at_s = 0.0
 
     async def start(self, address: Address) -> Address:
@@ -83,7 +84,7 @@
 
     async def abort(self) -> None:
         """Closes at once and cuts every connection, as a crash would."""
-        self._closing = True
+        self._closing = self._aborted = True
         if self._server is not None:
             self._server.close()
         for connection in list(self._connections.values()):
@@ -94,8 +95,8 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._accepted_at_s = asyncio.get_running_loop().time()
-        if len(self._connections) >= self._limits.connections:
-            writer.close()
+        if self._aborted or len(self._connections) >= self._limits.connections:
+            writer.transport.abort()
             return
         task = asyncio.current_task()
         assert task is not None
--- a/src/tamarackshelf/peers/view.py
+++ b/src/tamarackshelf/peers/view.py
@@ -5,6 +5,7 @@
 import enum
 from dataclasses import dataclass, field
 
+from tamarackshelf.policy.admission import compute_limit
 from tamarackshelf.world import Configuration, EntryVm, Target
 
 
@@ -75,6 +76,15 @@
         """Returns the entry VMs whose program may be given work."""
         return tuple(view.entry for view in self.entries if view.offers(role))
 
+    def compute_limits(self) -> dict[str, int]:
+        """Returns how many requests each organisation may have at one process."""
+        processes = len(self.list_sharers())
+        organisations = self.configuration.organisations
+        return {
+            name: compute_limit(parameters.max_concurrent, processes)
+            for name, parameters in organisations.items()
+        }
+
     def list_sharers(self) -> list[str]:
         """Returns the names of all processes that send work to targets."""
         return [
--- a/src/tamarackshelf/policy/admission.py
+++ b/src/tamarackshelf/policy/admission.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -9,6 +10,8 @@
 
 MAX_WAITING_PER_ORGANISATION = 256
 SMOOTHING = 0.1
+# Callers are spread unevenly, so one process may hold more than an even share.
+UNEVENNESS = 4.0
 FIRST_SERVICE_S = 0.01
 
 
@@ -29,6 +32,11 @@
     deadline_s: float
 
 
+def compute_limit(max_concurrent: int, processes: int) -> int:
+    """Returns how many requests an organisation may have at one process."""
+    return max(1, math.ceil(UNEVENNESS * max_concurrent / max(1, processes)))
+
+
 class FairQueue:
     """Customers before trainers, then the organisation that has the least."""
 
@@ -89,4 +97,4 @@
         return self._in_flight[organisation]
 
 
-__all__ = ["FairQueue", "Waiter", "WorkClass"]
+__all__ = ["FairQueue", "Waiter", "WorkClass", "compute_limit"]
--- a/src/tamarackshelf/runner/program.py
+++ b/src/tamarackshelf/runner/program.py
@@ -147,7 +147,7 @@
 
     def _take_view(self, view: View) -> None:
         sharers = view.list_sharers()
-        self.pool.update(view.targets, sharers)
+        self.pool.update(view.targets, sharers, view.compute_limits())
         self._table.set_sharers(len(sharers))
 
     async def _take_opened(self, message: StepOpened) -> Acknowledged:
--- a/src/tamarackshelf/state/configuration.py
+++ b/src/tamarackshelf/state/configuration.py
@@ -48,6 +48,17 @@
     return msgspec.json.decode(row.value, type=Configuration)
 
 
+async def read_history(
+    table: TableClient, newest: int, count: int, timeout_s: float = 5.0
+) -> list[Configuration]:
+    """Returns the last revisions, the newest first."""
+    revisions = range(newest, max(0, newest - count), -1)
+    keys = [f"{BODY_PREFIX}{revision:08d}" for revision in revisions]
+    rows = await table.read(*keys, timeout_s=timeout_s)
+    found = [rows[key] for key in keys if key in rows]
+    return [msgspec.json.decode(row.value, type=Configuration) for row in found]
+
+
 async def accept(
     table: TableClient, author: str, based_on: int, edit: Edit, timeout_s: float
 ) -> Result[Configuration, RevisionConflict]:
@@ -55,7 +66,8 @@
     current = await read_body(table, based_on, timeout_s)
     if current is None and based_on != 0:
         raise BadRequest(f"revision {based_on} does not exist; read the newest first")
-    changed = replace(edit(current or Configuration()), revision=based_on + 1)
+    edited = edit(current or Configuration())
+    changed = replace(edited, revision=based_on + 1, author=author)
     head = Head(based_on + 1, author, uuid.uuid4().hex)
     rows = await table.read(HEAD_KEY, timeout_s=timeout_s)
     head_row = rows.get(HEAD_KEY)
@@ -110,4 +122,4 @@
     return msgspec.json.decode(row.value, type=Head)
 
 
-__all__ = ["Head", "accept", "read_body", "read_head"]
+__all__ = ["Head", "accept", "read_body", "read_head", "read_history"]
--- a/src/tamarackshelf/world/organisation.py
+++ b/src/tamarackshelf/world/organisation.py
@@ -45,6 +45,7 @@
     campaigns: dict[str, Campaign] = field(default_factory=dict)
     operator_digests: tuple[str, ...] = ()
     drained_vms: tuple[str, ...] = ()
+    author: str = ""
 
 
 def digest_token(token: str) -> str:
--- a/tests/dispatch/test_completion.py
+++ b/tests/dispatch/test_completion.py
@@ -165,3 +165,26 @@
         assert leaving.requests_seen == before
 
     run(play())
+
+
+def test_an_organisation_over_its_limit_waits_and_others_do_not(run):
+    async def play():
+        fleet = MemoryFleet()
+        fleet.add_engine("e1", concurrency=8)
+        pool = fleet.build_dispatcher().pool
+        pool.update(fleet.build_view().targets, ["n"], {"busy": 2})
+        deadline_s = asyncio.get_running_loop().time() + 9
+
+        def ask(organisation):
+            need = Need("models")
+            return pool.acquire(Ask(need, organisation, WorkClass.CUSTOMER, deadline_s))
+
+        held = [await ask("busy") for _ in range(2)]
+        waiting = asyncio.ensure_future(ask("busy"))
+        assert await ask("quiet")
+        await asyncio.sleep(1.0)
+        assert not waiting.done()
+        pool.release(held[0])
+        assert await waiting
+
+    run(play())
--- a/tests/smoke/test_programs.py
+++ b/tests/smoke/test_programs.py
@@ -214,6 +214,8 @@
             **{"idempotency-key": "k1"},
         )
         assert status == 200, booked
+    status, history = await call(second, "GET", "/v1/operator/history", token=OPERATOR)
+    assert [entry["changed"] for entry in history] == [["campaign c"], ["template org"]]
     status, opened = await call(
         first,
         "POST",
