Split large modules and share the wiring of gateways and runners

Gateways and runners built the same links, table, pool and dispatcher twice; they share dispatch/core.py now.

--- a/src/tamarackshelf/cli/controller.py
+++ b/src/tamarackshelf/cli/controller.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from tamarackshelf.cli import settings as s
-from tamarackshelf.cli.program import Start, run_command, run_program, wall_ms
+from tamarackshelf.cli.program import Start, run_command, start_or_check, wall_ms
 from tamarackshelf.controller import Controller, ControllerSettings
 from tamarackshelf.controller.reconciler import RollSettings
 from tamarackshelf.net import HttpClient
@@ -67,17 +67,12 @@
         roll=RollSettings(wave_share=values["wave_share"]),
     )
 
-    def run() -> None:
-        if check:
-            print("settings are valid")
-            return
-        run_program(
-            lambda: Controller(controller_settings, HttpClient(), timeline),
-            timeline,
-            values["log_format"],
-        )
-
-    return Start(run)
+    return start_or_check(
+        lambda: Controller(controller_settings, HttpClient(), timeline),
+        timeline,
+        values["log_format"],
+        only_check=check,
+    )
 
 
 def main() -> None:
--- a/src/tamarackshelf/cli/gateway.py
+++ b/src/tamarackshelf/cli/gateway.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from tamarackshelf.cli import settings as s
-from tamarackshelf.cli.program import Start, run_command, run_program, wall_ms
+from tamarackshelf.cli.program import Start, run_command, start_or_check, wall_ms
 from tamarackshelf.gateway import Gateway, GatewaySettings
 from tamarackshelf.net import HttpClient
 from tamarackshelf.observe import Timeline
@@ -71,17 +71,12 @@
         seed=values["seed"],
     )
 
-    def run() -> None:
-        if check:
-            print("settings are valid")
-            return
-        run_program(
-            lambda: Gateway(gateway_settings, HttpClient(), timeline),
-            timeline,
-            values["log_format"],
-        )
-
-    return Start(run)
+    return start_or_check(
+        lambda: Gateway(gateway_settings, HttpClient(), timeline),
+        timeline,
+        values["log_format"],
+        only_check=check,
+    )
 
 
 def main() -> None:
--- a/src/tamarackshelf/cli/program.py
+++ b/src/tamarackshelf/cli/program.py
@@ -56,6 +56,15 @@
         start.go()
 
 
+def start_or_check(
+    build: Callable[[], Program], timeline: Timeline, fmt: str, *, only_check: bool
+) -> Start:
+    """Returns the start of a program, or only the word that its settings hold."""
+    if only_check:
+        return Start(lambda: print("settings are valid"))
+    return Start(lambda: run_program(build, timeline, fmt))
+
+
 def run_program(build: Callable[[], Program], timeline: Timeline, fmt: str) -> None:
     """Runs a program until SIGTERM or SIGINT."""
     set_up_logs(fmt)
@@ -91,4 +100,11 @@
     stop.set()
 
 
-__all__ = ["Program", "Start", "run_command", "run_program", "wall_ms"]
+__all__ = [
+    "Program",
+    "Start",
+    "run_command",
+    "run_program",
+    "start_or_check",
+    "wall_ms",
+]
--- a/src/tamarackshelf/cli/runner.py
+++ b/src/tamarackshelf/cli/runner.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from tamarackshelf.cli import settings as s
-from tamarackshelf.cli.program import Start, run_command, run_program, wall_ms
+from tamarackshelf.cli.program import Start, run_command, start_or_check, wall_ms
 from tamarackshelf.net import HttpClient
 from tamarackshelf.observe import Timeline
 from tamarackshelf.runner import Runner, RunnerSettings
@@ -61,17 +61,12 @@
         seed=values["seed"],
     )
 
-    def run() -> None:
-        if check:
-            print("settings are valid")
-            return
-        run_program(
-            lambda: Runner(runner_settings, HttpClient(), timeline),
-            timeline,
-            values["log_format"],
-        )
-
-    return Start(run)
+    return start_or_check(
+        lambda: Runner(runner_settings, HttpClient(), timeline),
+        timeline,
+        values["log_format"],
+        only_check=check,
+    )
 
 
 def main() -> None:
--- a/src/tamarackshelf/cli/standin.py
+++ b/src/tamarackshelf/cli/standin.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from tamarackshelf.cli import settings as s
-from tamarackshelf.cli.program import Start, run_command, run_program, wall_ms
+from tamarackshelf.cli.program import Start, run_command, start_or_check, wall_ms
 from tamarackshelf.observe import Timeline
 from tamarackshelf.standin.scene import Scene, SceneSettings
 
@@ -54,15 +54,12 @@
     values = s.require_settings(SETTINGS, locals())
     timeline = Timeline("standin", wall_ms)
 
-    def run() -> None:
-        if check:
-            print("settings are valid")
-            return
-        run_program(
-            lambda: StandinProgram(values["scene"]), timeline, values["log_format"]
-        )
-
-    return Start(run)
+    return start_or_check(
+        lambda: StandinProgram(values["scene"]),
+        timeline,
+        values["log_format"],
+        only_check=check,
+    )
 
 
 def main() -> None:
--- /dev/null
+++ b/src/tamarackshelf/controller/engine_watch.py
@@ -0,0 +1,129 @@
+"""Reads engines' states and takes engines out of service and back."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+
+from tamarackshelf.contracts import EngineState
+from tamarackshelf.contracts.engine import read_state
+from tamarackshelf.controller.fleet import Fleet
+from tamarackshelf.controller.fleet_view import SERVICE_PREFIX
+from tamarackshelf.controller.shards import Shard
+from tamarackshelf.net import HttpClient
+from tamarackshelf.observe import Timeline
+from tamarackshelf.peers.view_watch import CALL_ERRORS
+from tamarackshelf.policy.lease import HeldLease
+from tamarackshelf.policy.rumours import Rumour
+from tamarackshelf.policy.weight_roll import RollMemory
+from tamarackshelf.world import Target
+
+GOOD_READS_TO_RETURN = 2
+SETTLED_READ_EVERY_S = 5.0
+FENCING_SHIFT = 20
+
+
+class EngineWatch:
+    """Knows the engines of this node's shards."""
+
+    def __init__(
+        self,
+        fleet: Fleet,
+        http: HttpClient,
+        timeline: Timeline,
+        memory: RollMemory,
+        publish: Callable[[Rumour], None],
+    ) -> None:
+        self._fleet = fleet
+        self._http = http
+        self._timeline = timeline
+        self._memory = memory
+        self._publish = publish
+        self._states: dict[str, EngineState] = {}
+        self._read_at_s: dict[str, float] = {}
+        self._good_reads: dict[str, int] = {}
+        self._sequence = 0
+
+    async def read_due(
+        self, shard: Shard, engines: list[Target], lease: HeldLease
+    ) -> list[tuple[Target, EngineState]]:
+        """Returns the states of the engines that answer.
+
+        Engines that are not as they should be are read at once, others seldom.
+        """
+        now_s = asyncio.get_running_loop().time()
+        due = [
+            engine
+            for engine in engines
+            if now_s >= self._read_at_s.get(engine.name, 0.0)
+            or not self._is_settled(shard, engine)
+        ]
+        states = await asyncio.gather(*(self._read(engine) for engine in due))
+        for engine, state in zip(due, states, strict=True):
+            self._read_at_s[engine.name] = now_s + SETTLED_READ_EVERY_S
+            if state is None:
+                self._states.pop(engine.name, None)
+            else:
+                self._states[engine.name] = state
+                self._judge(engine, state, lease)
+        known = [(engine, self._states.get(engine.name)) for engine in engines]
+        return [(engine, state) for engine, state in known if state is not None]
+
+    def models_of(self, shard: Shard) -> list[str]:
+        """Returns the models that the shard's engines should hold."""
+        campaigns = self._fleet.configuration.campaigns.values()
+        return sorted({c.model for c in campaigns if c.service == shard.service})
+
+    def set_service(self, engine: str, value: str, fencing: int, reason: str) -> None:
+        """Takes an engine `out` of service or back `in`, on all nodes."""
+        self._sequence += 1
+        version = (fencing << FENCING_SHIFT) + self._sequence
+        self._timeline.record(f"target_service_{value}", engine, reason)
+        self._publish(Rumour(SERVICE_PREFIX + engine, version, value))
+
+    def _is_settled(self, shard: Shard, engine: Target) -> bool:
+        state = self._states.get(engine.name)
+        if state is None:
+            # An engine that does not answer is asked again only when it is due.
+            return engine.name in self._read_at_s
+        published = self._fleet.view.published
+        is_behind = any(
+            state.versions.get(model, -1) < published.get(model, 0)
+            for model in self.models_of(shard)
+        )
+        is_out = self._is_out(engine)
+        return not (state.failed_swap or state.swapping or is_out or is_behind)
+
+    async def _read(self, engine: Target) -> EngineState | None:
+        try:
+            return await read_state(self._http, engine.address)
+        except CALL_ERRORS:
+            return None
+
+    def _judge(self, engine: Target, state: EngineState, lease: HeldLease) -> None:
+        is_out = self._is_out(engine)
+        number = lease.fencing_number
+        if state.failed_swap:
+            self._good_reads[engine.name] = 0
+            if not is_out:
+                reason = "its swap failed and it may serve a mix of versions"
+                self.set_service(engine.name, "out", number, reason)
+            return
+        if not is_out:
+            return
+        reads = self._good_reads.get(engine.name, 0) + 1
+        self._good_reads[engine.name] = reads
+        if reads >= GOOD_READS_TO_RETURN and self._obeys(engine, state):
+            reason = f"its state read back whole {reads} times"
+            self.set_service(engine.name, "in", number, reason)
+
+    def _obeys(self, engine: Target, state: EngineState) -> bool:
+        failures = self._memory.failures
+        return not any(failures.get(f"{engine.name}/{m}", 0) for m in state.versions)
+
+    def _is_out(self, engine: Target) -> bool:
+        rumour = self._fleet.find_rumour(SERVICE_PREFIX + engine.name)
+        return rumour is not None and rumour.value == "out"
+
+
+__all__ = ["EngineWatch"]
--- a/src/tamarackshelf/controller/reconciler.py
+++ b/src/tamarackshelf/controller/reconciler.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import math
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from tamarackshelf.contracts import EngineState, Order, OrderFenced, OrderKind
-from tamarackshelf.contracts.engine import read_state, send_order
+from tamarackshelf.contracts.engine import send_order
+from tamarackshelf.controller.engine_watch import EngineWatch
 from tamarackshelf.controller.fleet import Fleet
-from tamarackshelf.controller.fleet_view import SERVICE_PREFIX
+from tamarackshelf.controller.shards import Shard, build_shards
 from tamarackshelf.errors import StoreUnavailable
 from tamarackshelf.net import HttpClient
 from tamarackshelf.observe import Timeline
@@ -34,14 +34,10 @@
 )
 from tamarackshelf.state.leases import LeaseKeeper
 from tamarackshelf.tasks import start_task, stop_tasks
-from tamarackshelf.world import Target, TargetKind
+from tamarackshelf.world import Target
 
 TICK_S = 0.5
-ENGINES_PER_SHARD = 64
 ORDER_TIMEOUT_S = 10.0
-GOOD_READS_TO_RETURN = 2
-SETTLED_READ_EVERY_S = 5.0
-FENCING_SHIFT = 20
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,29 +48,6 @@
     tick_s: float = TICK_S
 
 
-@dataclass(frozen=True, slots=True)
-class Shard:
-    """A group of engines that one controller orders."""
-
-    name: str
-    engines: tuple[Target, ...]
-
-
-def build_shards(targets: list[Target]) -> list[Shard]:
-    """Returns the shards of all engines, one or more for each service."""
-    by_service: dict[str, list[Target]] = {}
-    for target in sorted(targets, key=lambda t: t.name):
-        if target.kind is TargetKind.ENGINE:
-            by_service.setdefault(target.service, []).append(target)
-    shards = []
-    for service, engines in sorted(by_service.items()):
-        count = math.ceil(len(engines) / ENGINES_PER_SHARD)
-        shards += [
-            Shard(f"{service}#{i}", tuple(engines[i::count])) for i in range(count)
-        ]
-    return shards
-
-
 class Reconciler:
     """Holds the leases of this node's shards and repeats what is not so yet."""
 
@@ -97,15 +70,11 @@
         self._times = times
         self._http = http
         self._timeline = timeline
-        self._publish = publish
         self._settings = settings or RollSettings()
         self._memory = RollMemory()
+        self._engines = EngineWatch(fleet, http, timeline, self._memory, publish)
         self._own: dict[str, Shard] = {}
-        self._states: dict[str, EngineState] = {}
-        self._read_at_s: dict[str, float] = {}
         self._seen_view: View | None = None
-        self._good_reads: dict[str, int] = {}
-        self._sequence = 0
         self._ordering: dict[str, asyncio.Task[None]] = {}
         self._task: asyncio.Task[None] | None = None
 
@@ -190,58 +159,11 @@
             if view.status in (TargetStatus.LIVE, TargetStatus.OUT_OF_SERVICE)
         }
         engines = [engine for engine in shard.engines if engine.name in names]
-        await self._read_due(shard, engines, lease)
-        states = [(engine, self._states.get(engine.name)) for engine in engines]
-        known = [(engine, state) for engine, state in states if state is not None]
-        for model in self._models_of(shard):
+        known = await self._engines.read_due(shard, engines, lease)
+        for model in self._engines.models_of(shard):
             newest = self._fleet.view.published.get(model, 0)
             self._roll(model, newest, known, lease)
 
-    async def _read_due(
-        self, shard: Shard, engines: list[Target], lease: HeldLease
-    ) -> None:
-        """Reads engines that are not as they should be, and the others seldom."""
-        now_s = _now_s()
-        due = [
-            engine
-            for engine in engines
-            if now_s >= self._read_at_s.get(engine.name, 0.0)
-            or not self._is_settled(shard, engine)
-        ]
-        states = await asyncio.gather(*(self._read(engine) for engine in due))
-        for engine, state in zip(due, states, strict=True):
-            self._read_at_s[engine.name] = now_s + SETTLED_READ_EVERY_S
-            if state is None:
-                self._states.pop(engine.name, None)
-            else:
-                self._states[engine.name] = state
-                self._judge(engine, state, lease)
-
-    def _is_settled(self, shard: Shard, engine: Target) -> bool:
-        state = self._states.get(engine.name)
-        if state is None:
-            # An engine that does not answer is asked again only when it is due.
-            return engine.name in self._read_at_s
-        rumour = self._fleet.find_rumour(SERVICE_PREFIX + engine.name)
-        is_out = rumour is not None and rumour.value == "out"
-        published = self._fleet.view.published
-        is_behind = any(
-            state.versions.get(model, -1) < published.get(model, 0)
-            for model in self._models_of(shard)
-        )
-        return not (state.failed_swap or state.swapping or is_out or is_behind)
-
-    async def _read(self, engine: Target) -> EngineState | None:
-        try:
-            return await read_state(self._http, engine.address)
-        except CALL_ERRORS:
-            return None
-
-    def _models_of(self, shard: Shard) -> list[str]:
-        service = shard.name.rpartition("#")[0]
-        campaigns = self._fleet.configuration.campaigns.values()
-        return sorted({c.model for c in campaigns if c.service == service})
-
     def _roll(
         self,
         model: str,
@@ -323,38 +245,11 @@
             return
         self._timeline.record("order_failed", engine.name, reason, failures=failures)
         if failures == FAILURES_TO_REPORT:
-            self._set_service(engine.name, "out", order.fencing_number, reason)
-
-    def _judge(self, engine: Target, state: EngineState, lease: HeldLease) -> None:
-        rumour = self._fleet.find_rumour(SERVICE_PREFIX + engine.name)
-        is_out = rumour is not None and rumour.value == "out"
-        if state.failed_swap:
-            self._good_reads[engine.name] = 0
-            if not is_out:
-                reason = "its swap failed and it may serve a mix of versions"
-                self._set_service(engine.name, "out", lease.fencing_number, reason)
-            return
-        if not is_out:
-            return
-        reads = self._good_reads.get(engine.name, 0) + 1
-        self._good_reads[engine.name] = reads
-        if reads >= GOOD_READS_TO_RETURN and self._is_current(engine, state):
-            reason = f"its state read back whole {reads} times"
-            self._set_service(engine.name, "in", lease.fencing_number, reason)
-
-    def _is_current(self, engine: Target, state: EngineState) -> bool:
-        failures = self._memory.failures
-        return not any(failures.get(f"{engine.name}/{m}", 0) for m in state.versions)
-
-    def _set_service(self, engine: str, value: str, fencing: int, reason: str) -> None:
-        self._sequence += 1
-        version = (fencing << FENCING_SHIFT) + self._sequence
-        self._timeline.record(f"target_service_{value}", engine, reason)
-        self._publish(Rumour(SERVICE_PREFIX + engine, version, value))
+            self._engines.set_service(engine.name, "out", order.fencing_number, reason)
 
 
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
 
 
-__all__ = ["Reconciler", "RollSettings", "Shard", "build_shards"]
+__all__ = ["Reconciler", "RollSettings"]
--- a/src/tamarackshelf/gateway/program.py
+++ b/src/tamarackshelf/gateway/program.py
@@ -4,9 +4,8 @@
 
 import asyncio
 from dataclasses import dataclass
-from random import Random
 
-from tamarackshelf.dispatch import Dispatcher, PeerActions, TargetPool
+from tamarackshelf.dispatch.core import CoreSettings, DispatchCore
 from tamarackshelf.gateway.answers import AnswerBook, KeyHome
 from tamarackshelf.gateway.api import GatewayApi, Parts
 from tamarackshelf.gateway.at_most_once import AtMostOnce
@@ -17,21 +16,12 @@
 from tamarackshelf.gateway.peer_api import build_handlers
 from tamarackshelf.gateway.trainers import Trainers
 from tamarackshelf.net import HttpClient, HttpServer
-from tamarackshelf.net.rpc import RpcClient, RpcServer
-from tamarackshelf.observe import Metrics, Timeline
+from tamarackshelf.net.rpc import RpcServer
+from tamarackshelf.observe import Timeline
 from tamarackshelf.observe.record import Recorder, record_nothing
-from tamarackshelf.peers import (
-    Report,
-    ReportKind,
-    Role,
-    View,
-    ViewWatch,
-    name_sharer,
-)
-from tamarackshelf.peers.suspect_link import SuspectLink
+from tamarackshelf.peers import Role
 from tamarackshelf.policy.entries import VALID_FOR_S, VALID_MARGIN_S
 from tamarackshelf.policy.routing import Router, route
-from tamarackshelf.state import TableClient
 from tamarackshelf.world import Address
 
 LONGEST_DRAIN_S = 600.0
@@ -66,56 +56,50 @@
         record: Recorder = record_nothing,
     ) -> None:
         self.timeline = timeline
-        self.metrics = Metrics()
         self.address = settings.listen
         self.peer_address = settings.peer_listen
         self._settings = settings
-        self._internal = HttpClient(headers={"x-fleet-secret": settings.secret})
-        self.watch = ViewWatch(self._internal, settings.controller, Role.GATEWAY)
-        self._rpc = RpcClient(settings.secret)
-        self._table = TableClient(http, settings.table)
-        rng = Random(f"{settings.seed}/{settings.vm}/gateway")
-        self.pool = TargetPool(
-            name_sharer(settings.vm, Role.GATEWAY), rng, router, record
-        )
-        link = SuspectLink(self._rpc, self.watch)
-        actions = PeerActions(
-            link.isolate, link.release, link.announce, self.watch.report
-        )
-        self.dispatcher = Dispatcher(
-            self.pool, http, actions, timeline, self.metrics, rng, record
+        core = CoreSettings(
+            vm=settings.vm,
+            role=Role.GATEWAY,
+            controller=settings.controller,
+            table=settings.table,
+            secret=settings.secret,
+            seed=settings.seed,
         )
+        self._core = DispatchCore(core, http, timeline, router, record)
+        self.watch = self._core.watch
         book = AnswerBook()
         home = KeyHome()
-        homes = KeyHomes(settings.vm, home, self._rpc, self.watch)
+        homes = KeyHomes(settings.vm, home, self._core.rpc, self.watch)
         place = settings.data_centre
-        self._completions = Completions(self.dispatcher, book, homes, place)
-        self._once = AtMostOnce(settings.vm, self.dispatcher, self._table)
-        self._trainers = Trainers(self.watch, self._rpc, self._table, timeline)
+        self._completions = Completions(self._core.dispatcher, book, homes, place)
+        self._once = AtMostOnce(settings.vm, self._core.dispatcher, self._core.table)
+        self._trainers = Trainers(
+            self.watch, self._core.rpc, self._core.table, timeline
+        )
         operators = Operators(
-            self.watch, self._table, timeline, settings.operator_digest
+            self.watch, self._core.table, timeline, settings.operator_digest
         )
         parts = Parts(
             completions=self._completions,
-            calls=Calls(self.dispatcher, self._once, place),
+            calls=Calls(self._core.dispatcher, self._once, place),
             trainers=self._trainers,
             operators=operators,
             timeline=timeline,
-            metrics=self.metrics,
+            metrics=self._core.metrics,
         )
         self._api = GatewayApi(self.watch, parts, settings.valid_for_s)
         self._server = HttpServer(self._api.handle)
-        handlers = build_handlers(self.dispatcher, book, home)
+        handlers = build_handlers(self._core.dispatcher, book, home)
         self._rpc_server = RpcServer(handlers, settings.secret)
 
     async def start(self) -> None:
         """Listens and follows the controller."""
-        self.watch.on_change(self._take_view)
-        await self._table.start()
         peer_listen = self._settings.peer_listen
         self.peer_address = await self._rpc_server.start(peer_listen)
         self.address = await self._server.start(self._settings.listen)
-        await self.watch.start()
+        await self._core.start()
 
     async def drain(self) -> None:
         """Leaves the entry answers, serves until the old ones lapse, refuses.
@@ -123,9 +107,7 @@
         Every entry answer that names this gateway has lapsed before the first
         refusal, and a refusal names other entries.
         """
-        self.timeline.record("drain_started", self._settings.vm, "planned stop")
-        self.watch.stop_announcing()
-        await self.watch.report(Report(ReportKind.ROLE_LEAVING, Role.GATEWAY.value))
+        await self._core.announce_leaving()
         await asyncio.sleep(self._settings.valid_for_s + VALID_MARGIN_S)
         self._api.is_refusing = True
 
@@ -135,26 +117,16 @@
         await self._server.close(LONGEST_DRAIN_S, LINGER_S)
         await self._completions.close()
         await self._once.close()
-        await self.dispatcher.close()
+        await self._core.dispatcher.close()
         await self._trainers.close()
-        await self._close_links(1.0)
+        await self._rpc_server.close(1.0)
+        await self._core.close()
 
     async def abort(self) -> None:
         """Stops at once, as a crash would."""
         await self._server.abort()
-        await self._close_links(0.0)
-
-    async def _close_links(self, grace_s: float) -> None:
-        await self.watch.close()
-        await self._rpc_server.close(grace_s)
-        await self._rpc.close()
-        await self._table.close()
-        await self._internal.close()
-
-    def _take_view(self, view: View) -> None:
-        sharers = view.list_sharers()
-        self.pool.update(view.targets, sharers, view.compute_limits())
-        self._table.set_sharers(len(sharers))
+        await self._rpc_server.close(0.0)
+        await self._core.close()
 
 
 __all__ = ["Gateway", "GatewaySettings"]
--- a/src/tamarackshelf/runner/program.py
+++ b/src/tamarackshelf/runner/program.py
@@ -5,9 +5,8 @@
 import hmac
 import time
 from dataclasses import dataclass
-from random import Random
 
-from tamarackshelf.dispatch import Dispatcher, PeerActions, TargetPool
+from tamarackshelf.dispatch.core import CoreSettings, DispatchCore
 from tamarackshelf.errors import NotFound, Unauthorised
 from tamarackshelf.net import (
     HttpClient,
@@ -16,17 +15,10 @@
     Response,
     to_json_response,
 )
-from tamarackshelf.net.rpc import RpcClient, RpcServer
-from tamarackshelf.observe import Metrics, Timeline
+from tamarackshelf.net.rpc import RpcServer
+from tamarackshelf.observe import Timeline
 from tamarackshelf.observe.record import Recorder, record_nothing
-from tamarackshelf.peers import (
-    Report,
-    ReportKind,
-    Role,
-    View,
-    ViewWatch,
-    name_sharer,
-)
+from tamarackshelf.peers import Role
 from tamarackshelf.peers.messages import (
     NOTE_CRASH,
     PULL,
@@ -35,13 +27,11 @@
     Acknowledged,
     StepOpened,
 )
-from tamarackshelf.peers.suspect_link import SuspectLink
 from tamarackshelf.policy.quarantine import Crash
 from tamarackshelf.policy.routing import Router, route
 from tamarackshelf.runner.crew import Crew
 from tamarackshelf.runner.delivery import Delivery
 from tamarackshelf.runner.sampler import Sampler
-from tamarackshelf.state import TableClient
 from tamarackshelf.world import Address
 
 
@@ -71,31 +61,27 @@
         record: Recorder = record_nothing,
     ) -> None:
         self.timeline = timeline
-        self.metrics = Metrics()
         self.address = settings.listen
         self.peer_address = settings.peer_listen
         self._settings = settings
-        self._internal = HttpClient(headers={"x-fleet-secret": settings.secret})
-        self.watch = ViewWatch(self._internal, settings.controller, Role.RUNNER)
-        self._rpc = RpcClient(settings.secret)
-        self._table = TableClient(http, settings.table)
-        rng = Random(f"{settings.seed}/{settings.vm}/runner")
-        self.pool = TargetPool(
-            name_sharer(settings.vm, Role.RUNNER), rng, router, record
-        )
-        link = SuspectLink(self._rpc, self.watch)
-        actions = PeerActions(
-            link.isolate, link.release, link.announce, self.watch.report
+        core = CoreSettings(
+            vm=settings.vm,
+            role=Role.RUNNER,
+            controller=settings.controller,
+            table=settings.table,
+            secret=settings.secret,
+            seed=settings.seed,
         )
-        self.dispatcher = Dispatcher(
-            self.pool, http, actions, timeline, self.metrics, rng, record
+        self._core = DispatchCore(core, http, timeline, router, record)
+        self.watch = self._core.watch
+        sampler = Sampler(
+            self._core.dispatcher, self.watch, settings.data_centre, time.time
         )
-        sampler = Sampler(self.dispatcher, self.watch, settings.data_centre, time.time)
         self.crew = Crew(
-            settings.vm, sampler, self.watch, self._table, self._rpc, timeline
+            settings.vm, sampler, self.watch, self._core.table, self._core.rpc, timeline
         )
         self._delivery = Delivery(
-            self.crew, self.watch, self._table, timeline, time.time, record
+            self.crew, self.watch, self._core.table, timeline, time.time, record
         )
         self._server = HttpServer(self._handle)
         self._rpc_server = RpcServer(
@@ -110,26 +96,22 @@
 
     async def start(self) -> None:
         """Listens and follows the controller."""
-        self.watch.on_change(self._take_view)
-        await self._table.start()
         peer_listen = self._settings.peer_listen
         self.peer_address = await self._rpc_server.start(peer_listen)
         self.address = await self._server.start(self._settings.listen)
-        await self.watch.start()
+        await self._core.start()
         await self.crew.start()
 
     async def drain(self) -> None:
         """Hands its groups over and finishes the samples in flight."""
-        self.timeline.record("drain_started", self._settings.vm, "planned stop")
-        self.watch.stop_announcing()
-        await self.watch.report(Report(ReportKind.ROLE_LEAVING, Role.RUNNER.value))
+        await self._core.announce_leaving()
         await self.crew.leave()
 
     async def close(self) -> None:
         """Lets pulls in flight finish, then closes."""
         await self._rpc_server.close(10.0)
         await self._delivery.close()
-        await self.dispatcher.close()
+        await self._core.dispatcher.close()
         await self._close_links()
 
     async def abort(self) -> None:
@@ -139,23 +121,15 @@
 
     async def _close_links(self) -> None:
         await self.crew.close()
-        await self.watch.close()
         await self._server.close(0.0)
-        await self._rpc.close()
-        await self._table.close()
-        await self._internal.close()
-
-    def _take_view(self, view: View) -> None:
-        sharers = view.list_sharers()
-        self.pool.update(view.targets, sharers, view.compute_limits())
-        self._table.set_sharers(len(sharers))
+        await self._core.close()
 
     async def _take_opened(self, message: StepOpened) -> Acknowledged:
         await self.crew.take_opened(message)
         return Acknowledged()
 
     async def _note_crash(self, crash: Crash) -> Acknowledged:
-        self.dispatcher.note_crash(crash, "a peer saw it in flight at a crash")
+        self._core.dispatcher.note_crash(crash, "a peer saw it in flight at a crash")
         return Acknowledged()
 
     async def _handle(self, request: Request) -> Response:
@@ -168,7 +142,9 @@
         if not hmac.compare_digest(sent.encode(), self._settings.secret.encode()):
             raise Unauthorised("the fleet secret is wrong; set the same one everywhere")
         if request.path == "/metrics":
-            return Response(200, self.metrics.render(), "text/plain; version=0.0.4")
+            return Response(
+                200, self._core.metrics.render(), "text/plain; version=0.0.4"
+            )
         if request.path == "/v1/timeline":
             return to_json_response(self.timeline.page())
         raise NotFound("no such path; see docs/reference/processes.md")
