--- a/src/tamarackshelf/cli/demo.py
+++ b/src/tamarackshelf/cli/demo.py
@@ -16,6 +16,7 @@
 from tamarackshelf.observe import set_up_logs
 from tamarackshelf.observe.page import render_page
 from tamarackshelf.trials.crowd import run_crowd
+from tamarackshelf.trials.routing import measure_routing
 from tamarackshelf.trials.slopes import measure_slopes
 
 EXIT_PROMISE_BROKEN = 1
@@ -44,8 +45,9 @@
         report_path: HTML file for the report.
         timeline_path: HTML file for the merged time line.
         record_path: JSON lines file for the decisions, for tamarackshelf-replay.
-        measure: `slopes` measures costs at several sizes instead; `crowd` runs
-            the neighbours of one real controller process.
+        measure: `slopes` measures costs at several sizes instead; `routing` runs
+            each router under the same load; `crowd` runs the neighbours of one real
+            controller process.
         members: how many entry VMs the crowd stands for.
         targets: how many targets the crowd's list names.
     """
@@ -54,6 +56,9 @@
         if measure == "slopes":
             measure_slopes(lambda figure: print(figure.format(), flush=True))
             return
+        if measure == "routing":
+            asyncio.run(measure_routing(seed, print))
+            return
         if measure == "crowd":
             asyncio.run(run_crowd(members, targets, duration_s, print))
             return
--- a/src/tamarackshelf/standin/engine.py
+++ b/src/tamarackshelf/standin/engine.py
@@ -92,6 +92,7 @@
         self.faults = TargetFaults()
         self.state = EngineState(target.incarnation, versions=dict(versions))
         self.requests_seen = 0
+        self.prefix_hits = 0
         self.crashed = asyncio.Event()
         self._speed = speed or EngineSpeed()
         self._fetch = fetch
@@ -227,6 +228,7 @@
     async def _prefill(self, request: GenerateRequest) -> None:
         digest = xxhash.xxh64_hexdigest(request.prompt.encode())
         hit = any(e.prefix_digest == digest for e in self._cache)
+        self.prefix_hits += hit
         if not hit:
             await asyncio.sleep(self._speed.prefill_s)
             event = CacheEvent(next(self._sequence), digest, cached=True)
--- /dev/null
+++ b/src/tamarackshelf/trials/routing.py
@@ -0,0 +1,81 @@
+"""Routers against each other under the same load, one engine being slow."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from tamarackshelf.demo.deployments import KALESA
+from tamarackshelf.demo.run import RunResult, RunSettings, Stage, run_deployment
+from tamarackshelf.policy.routing import (
+    Router,
+    build_round_robin,
+    route,
+    route_least_outstanding,
+)
+
+DURATION_S = 15.0
+SLOW_CHUNK_S = 0.2
+CUSTOMERS = 16
+
+
+@dataclass(frozen=True, slots=True)
+class RoutingResult:
+    """What one router gave its callers and its engines."""
+
+    router: str
+    latency_p50_ms: float
+    latency_p99_ms: float
+    prefix_hit_share: float
+    idle_ratio: float
+    samples: int
+
+    def format(self) -> str:
+        """Returns the result as key=value pairs."""
+        return (
+            f"router={self.router} latency_p50_ms={self.latency_p50_ms:.0f} "
+            f"latency_p99_ms={self.latency_p99_ms:.0f} "
+            f"prefix_hit_share={self.prefix_hit_share:.2f} "
+            f"trainer_idle_ratio={self.idle_ratio:.2f} samples={self.samples}"
+        )
+
+
+async def measure_routing(seed: int, say: Callable[[str], None]) -> None:
+    """Runs the deployment once for each router, one after the other."""
+    routers: dict[str, Router] = {
+        "round_robin": build_round_robin(),
+        "least_outstanding": route_least_outstanding,
+        "layered": route,
+    }
+    for name, router in routers.items():
+        say((await _measure(name, router, seed)).format())
+
+
+async def _measure(name: str, router: Router, seed: int) -> RoutingResult:
+    shares: list[float] = []
+
+    async def slow_engine(stage: Stage) -> None:
+        engines = stage.fleet.scene.find_engines(KALESA.engine_service)
+        engines[0].faults.delay_s = SLOW_CHUNK_S
+        await asyncio.sleep(stage.duration_s)
+        hits = sum(engine.prefix_hits for engine in engines)
+        seen = sum(engine.requests_seen for engine in engines)
+        shares.append(hits / max(1, seen))
+
+    settings = RunSettings(seed, DURATION_S, customers=CUSTOMERS, router=router)
+    result: RunResult = await run_deployment(
+        KALESA, slow_engine, settings, lambda text: None
+    )
+    counts = result.counts
+    return RoutingResult(
+        router=name,
+        latency_p50_ms=counts.latency_p50_ms,
+        latency_p99_ms=counts.latency_p99_ms,
+        prefix_hit_share=shares[0],
+        idle_ratio=counts.trainer_idle_ratio,
+        samples=counts.samples_delivered,
+    )
+
+
+__all__ = ["RoutingResult", "measure_routing"]
