Let the router weigh how slow a target is

Cause: load counts requests, so a slow engine looked as good as the others and kept its prefixes. One change: expected time = (1 + load) x slowness, and no affinity to targets slower than 1.5 times the median. Ruled out: the load reports' lag (end markers come with each answer).

--- a/src/tamarackshelf/dispatch/pool.py
+++ b/src/tamarackshelf/dispatch/pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+import statistics
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import dataclass, field
 from random import Random
@@ -28,6 +29,8 @@
 REPORT_FADES_S = 5.0
 NO_TARGET_WAIT_S = 2.0
 SEED_BITS = 32
+DURATION_SMOOTHING = 0.2
+SLOWEST = 8.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -47,6 +50,7 @@
     target: Target
     organisation: str
     reason: str
+    granted_at_s: float
 
 
 @dataclass(slots=True)
@@ -58,6 +62,12 @@
     avoid_until_s: float = 0.0
     avoid_reason: str = ""
     gone_incarnation: int = -1
+    usual_s: float | None = None
+
+    def note_duration(self, duration_s: float) -> None:
+        """Smooths the time that a request takes here."""
+        before_s = duration_s if self.usual_s is None else self.usual_s
+        self.usual_s = before_s + DURATION_SMOOTHING * (duration_s - before_s)
 
 
 @dataclass(slots=True)
@@ -163,6 +173,7 @@
         entry = self._entries.get(permit.target.name)
         if entry is not None:
             entry.own_in_flight = max(0, entry.own_in_flight - 1)
+            entry.note_duration(_now_s() - permit.granted_at_s)
             if load is not None:
                 others = load.running + load.queued - 1 - entry.own_in_flight
                 entry.others = max(0, others)
@@ -227,7 +238,9 @@
 
     def _choose(self, ask: Ask) -> Choice:
         entries = self._by_service.get(ask.need.service, [])
-        candidates = [self._to_candidate(entry) for entry in entries]
+        usual_s = [e.usual_s for e in entries if e.usual_s is not None]
+        median_s = statistics.median(usual_s) if usual_s else 0.0
+        candidates = [self._to_candidate(entry, median_s) for entry in entries]
         # A seed for each decision lets a trace make it again.
         seed = self._rng.getrandbits(SEED_BITS)
         choice = self._router(candidates, ask.need, Random(seed))
@@ -236,7 +249,7 @@
         self._record("route", _now_s(), given, name)
         return choice
 
-    def _to_candidate(self, entry: _Entry) -> Candidate:
+    def _to_candidate(self, entry: _Entry, median_s: float) -> Candidate:
         target = entry.view.target
         age_s = _now_s() - entry.reported_at_s
         weight = max(0.0, 1.0 - age_s / REPORT_FADES_S)
@@ -246,6 +259,7 @@
             others_in_flight=round(entry.others * weight),
             share=compute_share(target.concurrency, self._sharers[target.service]),
             ruled_out=self._rule_out(entry),
+            slowness=_compare(entry.usual_s, median_s),
         )
 
     def _rule_out(self, entry: _Entry) -> str:
@@ -261,7 +275,7 @@
         assert choice.target is not None
         self._entries[choice.target.name].own_in_flight += 1
         self._queue.note_start(ask.organisation)
-        return Permit(choice.target, ask.organisation, choice.reason)
+        return Permit(choice.target, ask.organisation, choice.reason, _now_s())
 
     def _serve_waiting(self) -> None:
         if not self._waiting:
@@ -281,6 +295,12 @@
                 full.add(service)
 
 
+def _compare(usual_s: float | None, median_s: float) -> float:
+    if usual_s is None or median_s <= 0.0:
+        return 1.0
+    return min(SLOWEST, max(1.0 / SLOWEST, usual_s / median_s))
+
+
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
 
--- a/src/tamarackshelf/policy/routing.py
+++ b/src/tamarackshelf/policy/routing.py
@@ -6,23 +6,29 @@
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from random import Random
+from typing import TypeGuard
 
 from tamarackshelf.policy.ownership import find_owner
 from tamarackshelf.world import Target
 
 AFFINITY_BOUND = 1.25
 FAR_PENALTY = 0.05
+SLOWEST_PREFERRED = 1.5
 
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
-    """A target as this node sees it; loads count requests."""
+    """A target as this node sees it; loads count requests.
+
+    `slowness` is the time that a request takes there against the median target.
+    """
 
     target: Target
     own_in_flight: int = 0
     others_in_flight: int = 0
     share: int = 1
     ruled_out: str = ""
+    slowness: float = 1.0
 
     @property
     def load(self) -> float:
@@ -80,7 +86,7 @@
     if not free:
         return Choice(None, f"all {len(allowed)} targets are full", is_full=True)
     preferred = _find_preferred(allowed, need)
-    if preferred is not None and preferred.has_room:
+    if _is_worth_preferring(preferred):
         mean = sum(candidate.load for candidate in allowed) / len(allowed)
         if preferred.load <= AFFINITY_BOUND * mean + 1 / preferred.target.concurrency:
             return Choice(preferred.target, f"prefix affinity, load {preferred.load}")
@@ -147,9 +153,17 @@
     return None if owner is None else by_name[owner]
 
 
+def _is_worth_preferring(preferred: Candidate | None) -> TypeGuard[Candidate]:
+    if preferred is None or not preferred.has_room:
+        return False
+    return preferred.slowness <= SLOWEST_PREFERRED
+
+
 def _cost(candidate: Candidate, need: Need) -> float:
+    """Returns how long the request would take, in times of an idle target."""
     is_far = candidate.target.data_centre != need.data_centre
-    return candidate.load + (FAR_PENALTY if is_far else 0.0)
+    time = (1.0 + candidate.load) * candidate.slowness
+    return time + (FAR_PENALTY if is_far else 0.0)
 
 
 __all__ = [
--- /dev/null
+++ b/tests/dispatch/test_pool.py
@@ -0,0 +1,34 @@
+"""The pool learns from its own requests how slow a target is."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tamarackshelf.dispatch import Ask
+from tamarackshelf.policy.admission import WorkClass
+from tamarackshelf.policy.routing import Need
+from tests.support.fleet import MemoryFleet
+
+
+def test_a_target_that_takes_longer_gets_less_work(run):
+    async def play():
+        fleet = MemoryFleet()
+        for name in ("fast1", "fast2", "slow"):
+            fleet.add_engine(name)
+        pool = fleet.build_dispatcher().pool
+        deadline_s = asyncio.get_running_loop().time() + 9999
+        ask = Ask(Need("models"), "org", WorkClass.CUSTOMER, deadline_s)
+        counts = {"fast1": 0, "fast2": 0, "slow": 0}
+
+        async def work():
+            permit = await pool.acquire(ask)
+            counts[permit.target.name] += 1
+            await asyncio.sleep(5.0 if permit.target.name == "slow" else 0.5)
+            pool.release(permit)
+
+        for _ in range(40):
+            await asyncio.gather(*(work() for _ in range(4)))
+        assert counts["slow"] < counts["fast1"] / 3
+        assert counts["slow"] < counts["fast2"] / 3
+
+    run(play())
--- a/tests/policy/test_decisions.py
+++ b/tests/policy/test_decisions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -217,3 +218,14 @@
 @pytest.mark.parametrize(("processes", "share"), [(1, 1600.0), (24, 66.7), (760, 2.1)])
 def test_processes_share_the_tables_budget(processes, share):
     assert share_budget(400.0, processes) == pytest.approx(share, abs=0.1)
+
+
+def test_a_slow_target_loses_its_prefixes_and_its_lower_load():
+    slow = replace(build_candidate("slow"), slowness=4.0)
+    fast = build_candidate("fast", own=2)
+    assert choose([slow, fast]).target.name == "fast"
+    prompts = [f"p{i}" for i in range(20)]
+    chosen = {choose([slow, fast], affinity=p).target.name for p in prompts}
+    assert chosen == {"fast"}
+    busy = build_candidate("fast", own=8)
+    assert choose([slow, busy]).target.name == "slow"
