End a followed run when a fault of ours ends it; read the code once more

Cause: a run that ended with an unexpected fault never ended for those who followed it. Found by reading. Time-outs of whole answers are typed now.

--- a/src/tamarackshelf/contracts/engine.py
+++ b/src/tamarackshelf/contracts/engine.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 from dataclasses import dataclass, field
 
 import msgspec
@@ -126,7 +126,7 @@
 
 async def generate(
     http: HttpClient, address: Address, request: GenerateRequest, timeout_s: float
-) -> AsyncIterator[StreamLine]:
+) -> AsyncGenerator[StreamLine, None]:
     """Yields the engine's lines; the last one holds the end marker.
 
     Raises ConnectFailed, ConnectionLost or RefusedByTarget. A line that names
--- a/src/tamarackshelf/dispatch/completion.py
+++ b/src/tamarackshelf/dispatch/completion.py
@@ -125,8 +125,8 @@
     )
     timeout_s = job.work.ask.deadline_s - asyncio.get_running_loop().time()
     address = place.target.address
-    lines = generate(dispatcher.http, address, request, timeout_s)
-    try:
+    stream = generate(dispatcher.http, address, request, timeout_s)
+    async with contextlib.aclosing(stream) as lines:
         async for line in lines:
             if line.chunk is not None:
                 builder.add(line.chunk)
@@ -135,8 +135,6 @@
                 builder.finish(line.end)
                 place.load = line.end.load
                 return
-    finally:
-        await lines.aclose()  # type: ignore[attr-defined]
     raise ConnectionLost(f"{address} ended the stream without an end marker")
 
 
--- a/src/tamarackshelf/gateway/completions.py
+++ b/src/tamarackshelf/gateway/completions.py
@@ -12,12 +12,11 @@
 
 from tamarackshelf.contracts import Chunk
 from tamarackshelf.dispatch import Ask, CompletionJob, Dispatcher, Work, run_completion
-from tamarackshelf.errors import BadRequest, ShelfError, to_error_body
+from tamarackshelf.errors import AnswerLost, BadRequest, ShelfError, to_error_body
 from tamarackshelf.gateway.answers import (
     AnswerBook,
     CompletionAnswer,
     Progress,
-    build_key_conflict,
 )
 from tamarackshelf.gateway.caller import Caller
 from tamarackshelf.gateway.key_homes import KeyHomes
@@ -134,6 +133,11 @@
                 self._book.drop(key)
             progress.fail(error)
             return
+        except Exception:
+            # Whoever follows the run must not wait for an end that never comes.
+            self._book.drop(key)
+            progress.fail(ShelfError("an internal fault ended the run; send it again"))
+            raise
         answer = CompletionAnswer(tuple(builder.tokens), builder.segments)
         progress.finish(answer)
         duration_s = asyncio.get_running_loop().time() - started_s
@@ -175,6 +179,10 @@
         try:
             async with asyncio.timeout_at(caller.deadline_s + 1.0):
                 answer = await progress.wait_whole()
+        except TimeoutError:
+            raise AnswerLost(
+                "the answer was not whole at the deadline; send it with a later one"
+            ) from None
         finally:
             if task is not None:
                 task.cancel()
@@ -235,4 +243,4 @@
         raise BadRequest(f"max_tokens is not between 1 and {MAX_TOKENS}; change it")
 
 
-__all__ = ["CompletionBody", "CompletionReply", "Completions", "build_key_conflict"]
+__all__ = ["CompletionBody", "CompletionReply", "Completions"]
--- a/src/tamarackshelf/policy/admission.py
+++ b/src/tamarackshelf/policy/admission.py
@@ -4,7 +4,6 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Callable
 from dataclasses import dataclass
 from enum import IntEnum
 
@@ -73,11 +72,11 @@
 
     def order(self) -> list[Waiter]:
         """Returns the waiters in the order in which they are served."""
-        rank: Callable[[Waiter], tuple[int, int, int]] = lambda w: (  # noqa: E731
-            w.work_class,
-            self._in_flight[w.organisation],
-            w.number,
-        )
+
+        def rank(waiter: Waiter) -> tuple[int, int, int]:
+            held = self._in_flight[waiter.organisation]
+            return waiter.work_class, held, waiter.number
+
         return sorted(self._waiting.values(), key=rank)
 
     def note_start(self, organisation: str) -> None:
