--- a/src/tamarackshelf/contracts/engine.py
+++ b/src/tamarackshelf/contracts/engine.py
@@ -184,6 +184,15 @@
     return await call_json(http, address, "POST", path, KvHandle, timeout_s=timeout_s)
 
 
+async def import_kv(
+    http: HttpClient, address: Address, handle: KvHandle, timeout_s: float = 5.0
+) -> KvHandle:
+    """Gives an exported KV cache to another engine; generate names its handle."""
+    return await call_json(
+        http, address, "POST", "/v1/kv/import", KvHandle, handle, timeout_s
+    )
+
+
 async def read_cache_events(
     http: HttpClient, address: Address, after: int, timeout_s: float = 2.0
 ) -> tuple[CacheEvent, ...]:
@@ -220,6 +229,7 @@
     "StreamLine",
     "export_kv",
     "generate",
+    "import_kv",
     "read_cache_events",
     "read_state",
     "send_order",
--- a/src/tamarackshelf/standin/engine.py
+++ b/src/tamarackshelf/standin/engine.py
@@ -161,6 +161,10 @@
             return to_json_response(events)
         if path.startswith("/v1/kv/export/"):
             return self._export(path.rpartition("/")[2])
+        if path == "/v1/kv/import":
+            handle = request.decode(KvHandle)
+            self._exported[handle.handle] = handle.tokens
+            return to_json_response(handle)
         if path == "/standin/faults":
             apply_change(self.faults, request.decode(FaultChange))
             return to_json_response({})
--- a/tests/gateway/test_reattach.py
+++ b/tests/gateway/test_reattach.py
@@ -7,7 +7,7 @@
 import msgspec
 import pytest
 
-from tamarackshelf.errors import KeyConflict
+from tamarackshelf.errors import KeyConflict, ShelfError
 from tamarackshelf.gateway.answers import AnswerBook, KeyHome
 from tamarackshelf.gateway.caller import Caller
 from tamarackshelf.gateway.completions import CompletionReply, Completions
@@ -150,3 +150,18 @@
         assert all(event.startswith(b"event: chunk\n") for event in events[:-1])
 
     run(play())
+
+
+def test_a_fault_of_ours_ends_the_run_for_all_who_follow(run):
+    async def play():
+        _, _, gateways = build()
+
+        def fail(organisation):
+            raise KeyError("a fault of ours")
+
+        gateways[1].completions._dispatcher.note_request = fail
+        with pytest.raises(ShelfError) as failed:
+            await asyncio.wait_for(gateways[1].complete(), 5.0)
+        assert not failed.value.not_run
+
+    run(play())
