--- a/src/tamarackshelf/cli/explain.py
+++ b/src/tamarackshelf/cli/explain.py
@@ -48,6 +48,9 @@
 
 
 def _concerns(event: Event, name: str) -> bool:
+    step, _, slot = name.rpartition(".")
+    if event.subject == step and slot in event.fields.get("slots", "").split(","):
+        return True
     is_part = event.subject.startswith((f"{name}.", f"{name}/"))
     return event.subject == name or is_part or name in event.fields.values()
 
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -19,6 +19,8 @@
     second.observe(first.now_ms())
     second.record("sample_produced", "c.s1.4.0", version=3)
     first.record("order_sent", "e1", "m version 3 is the newest")
+    second.record("samples_handed_over", "c.s1", "", pull="p9", slots="1,4")
+    second.record("samples_handed_over", "c.s1", "", pull="p8", slots="14")
     return [first.page(), second.page()]
 
 
@@ -31,6 +33,8 @@
     lines = explain_subject("sample", "c.s1.4", build_pages(), ["runner@dead"])
     text = "\n".join(lines)
     assert "sample c.s1.4.0 was produced on version 3" in text
+    assert "c.s1 handed slots 1,4 to pull p9" in text
+    assert "p8" not in text
     assert "gap: runner@dead does not answer" in text
     assert "r1" not in text
 
--- a/tests/controller/test_configuration.py
+++ b/tests/controller/test_configuration.py
@@ -323,3 +323,19 @@
         assert {name for _, name in accepted} <= last.organisations.keys()
 
     run_anew(play())
+
+
+def test_a_new_node_knows_the_others_before_it_takes_part(run):
+    async def play():
+        fleet, nodes = await start_fleet(5)
+        for node in nodes:
+            node.gossip.membership.set_flags(["gateway", "runner"])
+        await asyncio.sleep(5.0)
+        await nodes[4].die()
+        new = Node(fleet, {}, "v4", nodes[4].entry, nodes[4].rows)
+        await new.start()
+        views = {view.name: view.flags for view in new.gossip.membership.views()}
+        for name in ("v0", "v1", "v2", "v3"):
+            assert views[name] == {"gateway", "runner"}
+
+    run(play())
