Announce planned stops and answer members that are not listed yet

Cause: a controller that stopped as planned was suspected and buried; a new node's probes went unanswered until the others had it in their lists, so it suspected whom it probed. Ruled out: lost datagrams (loopback). A member now says that it left, and a datagram's sender is answered at its source while it is not listed.

--- a/src/tamarackshelf/cli/explain.py
+++ b/src/tamarackshelf/cli/explain.py
@@ -22,6 +22,7 @@
     "target_leaving": "{subject} said that it is leaving",
     "member_suspect": "{subject} is suspected to be dead",
     "member_dead": "{subject} is held for dead",
+    "member_left": "{subject} stopped as planned",
     "member_alive": "{subject} is alive again",
 }
 
--- a/src/tamarackshelf/controller/gossip_link.py
+++ b/src/tamarackshelf/controller/gossip_link.py
@@ -6,6 +6,7 @@
 import hashlib
 import hmac
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 
@@ -17,7 +18,7 @@
 MAX_DATAGRAM_BYTES = 1400
 REPLAY_WINDOW_MS = 30_000
 
-Receiver = Callable[[Datagram], None]
+Receiver = Callable[[Datagram, Address], None]
 
 
 class GossipLink(asyncio.DatagramProtocol):
@@ -55,14 +56,14 @@
             self._transport.sendto(data, (address.host, address.port))
             self.sent_bytes += len(data)
 
-    def datagram_received(self, data: bytes, addr: object) -> None:
+    def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
         """Checks a datagram and hands it on."""
         self.received_bytes += len(data)
         datagram = unseal(self._key, self._wall_ms(), data)
         if datagram is None:
             self.rejected += 1
         else:
-            self._receiver(datagram)
+            self._receiver(datagram, Address(*addr[:2]))
 
     def error_received(self, exc: Exception) -> None:
         """Ignores refused datagrams; probes see the absence."""
--- a/src/tamarackshelf/controller/gossip_task.py
+++ b/src/tamarackshelf/controller/gossip_task.py
@@ -26,6 +26,7 @@
 
 TICK_S = 0.2
 JOIN_PEERS = 3
+LEAVE_SENDS = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,7 +51,7 @@
         """Sends a datagram that may be lost."""
 
 
-LinkFactory = Callable[[Callable[[Datagram], None]], Link]
+LinkFactory = Callable[[Callable[[Datagram, Address], None]], Link]
 
 
 class GossipTask:
@@ -71,6 +72,7 @@
         self._rng = rng
         self._timeline = timeline
         self._entries: dict[str, EntryVm] = {}
+        self._sources: dict[str, Address] = {}
         self._listeners: list[Callable[[], None]] = []
         self._rumour_listeners: list[tuple[str, Callable[[Rumour], None]]] = []
         self._task: asyncio.Task[None] | None = None
@@ -83,6 +85,12 @@
         """Calls the listener when a member or a rumour changed."""
         self._listeners.append(listener)
 
+    async def leave(self) -> None:
+        """Tells some members that this one stops; they spread it."""
+        for _ in range(LEAVE_SENDS):
+            self._send(self.membership.leave(_now_s()))
+            await asyncio.sleep(TICK_S / LEAVE_SENDS)
+
     def on_rumour(self, prefix: str, listener: Callable[[Rumour], None]) -> None:
         """Calls the listener with each new rumour whose subject has the prefix."""
         self._rumour_listeners.append((prefix, listener))
@@ -110,7 +118,7 @@
         self._task = start_task("gossip", self._run)
 
     async def close(self) -> None:
-        """Stops probing and closes the socket."""
+        """Stops probing and closes the socket, as a crash would."""
         await stop_tasks(self._task, self._sync)
         await self.link.close()
 
@@ -125,6 +133,7 @@
     def set_entries(self, entries: dict[str, EntryVm]) -> None:
         """Takes the entry VMs that the platform lists."""
         self._entries = entries
+        self._sources.clear()
         self.membership.set_listed(entries, _now_s())
 
     async def join(self) -> None:
@@ -154,17 +163,21 @@
             self._start_sync()
             await asyncio.sleep(TICK_S)
 
-    def _receive(self, datagram: Datagram) -> None:
+    def _receive(self, datagram: Datagram, source: Address) -> None:
         if self._is_frozen:
             return
+        if datagram.sender not in self._entries:
+            # The list lags: a new member must get its answers all the same.
+            self._sources[datagram.sender] = source
         self._send(self.membership.receive(datagram, _now_s()))
         self._notify()
 
     def _send(self, outgoing: list[Outgoing]) -> None:
         for out in outgoing:
             entry = self._entries.get(out.to)
-            if entry is not None:
-                self.link.send(entry.gossip, out.datagram)
+            address = entry.gossip if entry else self._sources.get(out.to)
+            if address is not None:
+                self.link.send(address, out.datagram)
 
     def _notify(self) -> None:
         news = self.membership.rumours.drain_news()
@@ -186,9 +199,11 @@
             status = self.membership.status(name)
             before = self._known.get(name, MemberStatus.ALIVE)
             if status is not before:
-                kind = f"member_{status.name.lower()}"
+                has_left = self.membership.has_left(name)
+                kind = "left" if has_left else status.name.lower()
+                reason = "it stopped as planned" if has_left else "gossip says so"
                 was = before.name.lower()
-                self._timeline.record(kind, name, "gossip says so", before=was)
+                self._timeline.record(f"member_{kind}", name, reason, before=was)
             self._known[name] = status
 
     def _start_sync(self) -> None:
--- a/src/tamarackshelf/controller/program.py
+++ b/src/tamarackshelf/controller/program.py
@@ -116,6 +116,7 @@
     async def close(self) -> None:
         """Releases the leases, then leaves."""
         await self._reconciler.close()
+        await self.gossip.leave()
         await self._stop_tasks()
         await self._server.close(1.0)
         await self._peers.close()
--- a/src/tamarackshelf/policy/membership.py
+++ b/src/tamarackshelf/policy/membership.py
@@ -27,6 +27,7 @@
 MEMBER_PREFIX = "vm:"
 RUMOUR_SPACE_BYTES = 900
 RANKS = 4
+LEFT = "left"
 RING_KEY = "ring"
 RING_PROBES = 2
 
@@ -81,6 +82,15 @@
         self._publish_self()
         return True
 
+    def leave(self, now_s: float) -> list[Outgoing]:
+        """Tells the others that this member stops as planned."""
+        self.set_flags([LEFT])
+        return self.tick(now_s)
+
+    def has_left(self, name: str) -> bool:
+        """Tells whether a member said that it stops."""
+        return LEFT in self._flags_of(name)
+
     def set_listed(self, names: Iterable[str], now_s: float) -> None:
         """Takes the members that the platform lists."""
         listed = set(names) - {self.name}
@@ -108,6 +118,8 @@
         rumour = self.rumours.get(MEMBER_PREFIX + name)
         if rumour is None:
             return MemberStatus.ALIVE
+        if rumour.value == LEFT:
+            return MemberStatus.DEAD
         return MemberStatus(rumour.version % RANKS)
 
     def tick(self, now_s: float) -> list[Outgoing]:
@@ -247,7 +259,11 @@
                 self._set_status(name, MemberStatus.DEAD, now_s)
 
     def _probe_dead(self) -> list[Outgoing]:
-        dead = [m for m in self._members if self.status(m) is MemberStatus.DEAD]
+        dead = [
+            name
+            for name in self._members
+            if self.status(name) is MemberStatus.DEAD and not self.has_left(name)
+        ]
         if not dead:
             return []
         name = self._rng.choice(sorted(dead))
--- a/tests/controller/test_configuration.py
+++ b/tests/controller/test_configuration.py
@@ -50,7 +50,7 @@
         link = self._links.get(address)
         if link is not None and self._rng.random() >= self._loss:
             loop = asyncio.get_running_loop()
-            loop.call_later(0.001, link._receiver, datagram)
+            loop.call_later(0.001, link._receiver, datagram, self._address)
 
 
 class Node:
@@ -61,6 +61,7 @@
         timeline = Timeline(vm, lambda: 0)
         http = MemoryHttp(fleet.network, vm, {"x-fleet-secret": SECRET})
         self.entry = entry
+        self.links = links
         self.fleet = fleet
         self.rows = rows
         self.table = fleet.build_table(vm)
@@ -325,6 +326,21 @@
     run_anew(play())
 
 
+def test_a_node_that_the_others_do_not_list_yet_suspects_nobody(run):
+    async def play():
+        fleet, nodes = await start_fleet(4)
+        links = nodes[0].links
+        entry = EntryVm("new", "a", *(new_address() for _ in range(5)))
+        rows = (*nodes[0].rows, VmRow("new", VmState.LIVE, entry=entry))
+        new = Node(fleet, links, "new", entry, rows)
+        await new.start()
+        await asyncio.sleep(10.0)
+        events = new.gossip._timeline.page().events
+        assert [e.subject for e in events if e.kind == "member_suspect"] == []
+
+    run(play())
+
+
 def test_a_new_node_knows_the_others_before_it_takes_part(run):
     async def play():
         fleet, nodes = await start_fleet(5)
--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -99,3 +99,33 @@
     if damage:
         data = data[:-1] + bytes([data[-1] ^ 1])
     assert unseal(key, now_ms, data) is None
+
+
+def test_a_planned_stop_is_known_at_once_and_raises_no_suspicion():
+    trial = GossipTrial(50, 0.0, seed=4)
+    trial.settle(2.0)
+    name = "vm-0007"
+    outgoing = trial.members[name].leave(trial.now_s)
+    trial.dead.add(name)
+    for out in outgoing:
+        trial.members[out.to].receive(out.datagram, trial.now_s)
+    suspected = []
+
+    def all_know():
+        statuses = [m.status(name) for m in trial.live()]
+        suspected.append(MemberStatus.SUSPECT in statuses)
+        return set(statuses) == {MemberStatus.DEAD}
+
+    assert trial.run_until(all_know) <= 2.0
+    trial.settle(10.0)
+    assert not any(suspected)
+    assert all(m.has_left(name) for m in trial.live())
+
+
+def test_a_member_that_left_comes_back_with_a_new_incarnation():
+    member = Membership("a", 1, Random(1))
+    member.set_listed(["a", "b"], 0.0)
+    member.take(Rumour("vm:b", 4 * 5, "left"), 0.0)
+    assert member.status("b") is MemberStatus.DEAD
+    member.take(Rumour("vm:b", 4 * 6, "gateway"), 0.0)
+    assert member.status("b") is MemberStatus.ALIVE
