Give each test address a port that nobody else takes

Cause: one run of the smoke test in nine failed on its table never answering. Free ports were found by binding to port 0 and closing, so a port could be given twice or be taken by an outgoing connection before its program bound it. Ports are now counted up from below the ephemeral range and never repeat.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+import os
 import socket
 
 import looptime
@@ -10,38 +12,27 @@
 
 from tamarackshelf.world import Address
 
-
-def find_free_address(kind: socket.SocketKind = socket.SOCK_STREAM) -> Address:
-    """Returns a loopback address that was free a moment ago."""
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return Address("127.0.0.1", probe.getsockname()[1])
-
-
-@pytest.fixture
-def free_address():
-    return find_free_address
+# Below the range from which the system takes ports of outgoing connections.
+_PORTS = itertools.count(20_000 + os.getpid() * 37 % 10_000)
 
 
-def read_known_red(root):
-    """Returns the entries of KNOWN-RED.txt by test id."""
-    lines = (root / "KNOWN-RED.txt").read_text().splitlines()
-    entries = [line.split("|", 1) for line in lines if line and line[0] != "#"]
-    return {test.strip(): rest.strip() for test, rest in entries}
+def find_free_address() -> Address:
+    """Returns a loopback address that is given to nobody else."""
+    while True:
+        address = Address("127.0.0.1", next(_PORTS))
+        if _is_free(address, socket.SOCK_STREAM) and _is_free(
+            address, socket.SOCK_DGRAM
+        ):
+            return address
 
 
-def pytest_collection_modifyitems(config, items):
-    known = read_known_red(config.rootpath)
-    config.known_red = {i.nodeid: known[i.nodeid] for i in items if i.nodeid in known}
-    if config.known_red:
-        passed_over = [item for item in items if item.nodeid in known]
-        config.hook.pytest_deselected(items=passed_over)
-        items[:] = [item for item in items if item.nodeid not in known]
-
-
-def pytest_terminal_summary(terminalreporter, config):
-    for test, rest in getattr(config, "known_red", {}).items():
-        terminalreporter.write_line(f"KNOWN-RED, passed over: {test}: {rest}")
+def _is_free(address, kind):
+    with socket.socket(socket.AF_INET, kind) as probe:
+        try:
+            probe.bind((address.host, address.port))
+        except OSError:
+            return False
+    return True
 
 
 @pytest.fixture
