--- /dev/null
+++ b/src/tamarackshelf/cli/node.py
@@ -0,0 +1,80 @@
+"""`tamarackshelf-node`: the composed process of one VM on the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+
+from tamarackshelf.entry.forwarder import Forwarder
+from tamarackshelf.jobs.desk import JobDesk
+from tamarackshelf.net import HttpClient
+from tamarackshelf.node.program import CallerHandler, NodeProgram, Servers
+from tamarackshelf.node.settings import NodeSettings
+from tamarackshelf.node.views import ConfigurationView
+from tamarackshelf.observe import Metrics, Timeline, set_up_logs
+from tamarackshelf.platform.caller_api import CallerApi
+from tamarackshelf.platform.directory import build_directory, build_ready
+from tamarackshelf.platform.rows import PlatformRowStore
+from tamarackshelf.platform.rows_taken import build_tables
+from tamarackshelf.platform.settings import (
+    SETTINGS_VARIABLE,
+    BadSettings,
+    load_settings,
+)
+from tamarackshelf.platform.target_calls import PlatformTargetCalls
+
+
+def main() -> None:
+    """Runs the node until SIGTERM; exits with 2 when its settings are wrong."""
+    path = os.environ.get(SETTINGS_VARIABLE, "")
+    try:
+        settings = load_settings(Path(path))
+    except BadSettings as error:
+        print(error, file=sys.stderr)
+        raise SystemExit(2) from error
+    set_up_logs("text", stream=sys.stdout)
+    asyncio.run(_run(settings))
+
+
+async def _run(settings: NodeSettings) -> None:
+    program = build_program(settings)
+    told_to_stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, told_to_stop.set)
+    loop.add_signal_handler(signal.SIGINT, told_to_stop.set)
+    start = loop.create_task(program.start())
+    await told_to_stop.wait()
+    if not start.done():
+        start.cancel()
+        await asyncio.wait([start])
+    await program.stop()
+
+
+def build_program(settings: NodeSettings) -> NodeProgram:
+    """Returns the node with the platform's adapter in place."""
+    timeline = Timeline(settings.vm, lambda: int(time.time() * 1000))
+    http = HttpClient()
+    return NodeProgram(
+        settings,
+        PlatformRowStore(http, settings.store_address),
+        PlatformTargetCalls(http),
+        build_tables(checks_fencing=settings.targets_check_fencing),
+        Servers(_build_callers, build_directory, build_ready),
+        http,
+        timeline,
+        Metrics(),
+    )
+
+
+def _build_callers(
+    view: ConfigurationView, forwarder: Forwarder, desk: JobDesk
+) -> CallerHandler:
+    return CallerApi(view.get_table, forwarder, desk).handle
+
+
+if __name__ == "__main__":
+    main()
--- a/src/tamarackshelf/controller/api.py
+++ b/src/tamarackshelf/controller/api.py
@@ -14,8 +14,8 @@
     TargetRank,
     build_target_rumour,
 )
-from tamarackshelf.controller.gossip_task import GossipTask
 from tamarackshelf.errors import BadRequest, NotFound, Unauthorised
+from tamarackshelf.gossip.task import GossipTask
 from tamarackshelf.net import Request, Response, to_json_response
 from tamarackshelf.observe import Metrics, Timeline
 from tamarackshelf.peers import Report, ReportKind, Role, ViewAnswer
--- a/src/tamarackshelf/controller/configuration_watch.py
+++ b/src/tamarackshelf/controller/configuration_watch.py
@@ -10,8 +10,8 @@
 from tamarackshelf.contracts import call_json
 from tamarackshelf.controller.fleet import Fleet
 from tamarackshelf.controller.fleet_view import HEAD_SUBJECT
-from tamarackshelf.controller.gossip_task import GossipTask
 from tamarackshelf.errors import StoreUnavailable
+from tamarackshelf.gossip.task import GossipTask
 from tamarackshelf.net import HttpClient
 from tamarackshelf.observe import Timeline
 from tamarackshelf.peers.view_watch import CALL_ERRORS
--- a/src/tamarackshelf/controller/list_watch.py
+++ b/src/tamarackshelf/controller/list_watch.py
@@ -9,7 +9,7 @@
 
 from tamarackshelf.contracts.platform import list_vms
 from tamarackshelf.controller.fleet import Fleet
-from tamarackshelf.controller.gossip_task import GossipTask
+from tamarackshelf.gossip.task import GossipTask
 from tamarackshelf.net import HttpClient
 from tamarackshelf.peers.view_watch import CALL_ERRORS
 from tamarackshelf.policy.listing import (
--- a/src/tamarackshelf/controller/program.py
+++ b/src/tamarackshelf/controller/program.py
@@ -10,10 +10,10 @@
 from tamarackshelf.controller.api import ControllerApi
 from tamarackshelf.controller.configuration_watch import ConfigurationWatch
 from tamarackshelf.controller.fleet import Fleet
-from tamarackshelf.controller.gossip_link import GossipLink
-from tamarackshelf.controller.gossip_task import GossipSettings, GossipTask
 from tamarackshelf.controller.list_watch import ListWatch
 from tamarackshelf.controller.reconciler import Reconciler, RollSettings
+from tamarackshelf.gossip.link import GossipLink
+from tamarackshelf.gossip.task import GossipSettings, GossipTask
 from tamarackshelf.net import HttpClient, HttpServer
 from tamarackshelf.observe import Metrics, Timeline
 from tamarackshelf.observe.record import Recorder, record_nothing
--- /dev/null
+++ b/src/tamarackshelf/jobs/desk.py
@@ -0,0 +1,478 @@
+"""Accepts, adopts, ends and reads jobs, whoever owns them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict
+from dataclasses import dataclass, replace
+from functools import partial
+
+import msgspec
+
+from tamarackshelf.contracts.rows import (
+    RowChange,
+    RowStoreError,
+    StoreRefused,
+    StoreUncertain,
+)
+from tamarackshelf.errors import NotFound, OutcomeUnknown, StoreUnavailable
+from tamarackshelf.jobs.owned_job import OwnedJob
+from tamarackshelf.jobs.runner import JobRunner
+from tamarackshelf.jobs.scorer import TableSource
+from tamarackshelf.net import HttpClient
+from tamarackshelf.node.fleet import Fleet
+from tamarackshelf.node.peer_jobs import JobRead, JobReadAnswer, ask_owner
+from tamarackshelf.observe import Timeline
+from tamarackshelf.policy.ownership import rank_owners
+from tamarackshelf.store.fleet_rows import NodeRecord
+from tamarackshelf.store.job_store import (
+    HEAD_KEY,
+    HeadChanged,
+    JobStore,
+    StoredHead,
+    decode_head,
+)
+from tamarackshelf.store.link import StoreLink
+from tamarackshelf.store.table_watch import TableWatch
+from tamarackshelf.tasks import start_task, stop_tasks
+from tamarackshelf.world.job import ItemResult, Job, JobHead, JobState
+
+TICK_S = 0.2
+# The first in rank takes an orphaned job at once; others wait in case it cannot.
+RANK_PAUSE_S = 1.5
+# A reader that waits looks at the store this often.
+READ_GAP_S = 0.12
+ACCEPT_TIMEOUT_S = 3.0
+RETRY_AFTER_S = 0.4
+PAGE_BYTES = 900_000
+CACHED_JOBS = 24
+CHANGE_TRIES = 8
+
+
+@dataclass(frozen=True, slots=True)
+class ResultPage:
+    """Results from a position on; `following` is the next position."""
+
+    total: int
+    following: int
+    results: tuple[ItemResult, ...]
+
+
+class JobDesk:
+    """Answers callers about jobs and decides which jobs this node runs."""
+
+    def __init__(
+        self,
+        link: StoreLink,
+        store: JobStore,
+        watch: TableWatch,
+        runner: JobRunner,
+        http: HttpClient,
+        table: TableSource,
+        timeline: Timeline,
+    ) -> None:
+        self.fleet: Fleet | None = None
+        self._link = link
+        self._store = store
+        self._watch = watch
+        self._runner = runner
+        self._http = http
+        self._timeline = timeline
+        self._table = table
+        self._heads: dict[str, StoredHead] = {}
+        self._orphaned_s: dict[str, float] = {}
+        self._taking: dict[str, asyncio.Task[None]] = {}
+        self._jobs: OrderedDict[str, Job] = OrderedDict()
+        self._task: asyncio.Task[None] | None = None
+        watch.on_change(self._take_rows)
+
+    async def start(self, fleet: Fleet) -> None:
+        """Starts to look for jobs that this node has to run."""
+        self.fleet = fleet
+        self._task = start_task("job_desk", self._run)
+
+    async def close(self) -> None:
+        """Stops."""
+        await stop_tasks(self._task, *self._taking.values())
+
+    async def submit(self, job: Job, due_s: float) -> None:
+        """Accepts a job once; returns when it is stored, also for a copy.
+
+        Raises StoreUnavailable when it surely is not stored, OutcomeUnknown when
+        that cannot be told.
+        """
+        if job.job_id in self._heads:
+            return
+        head = self._build_head(job)
+        is_uncertain = False
+        deadline_s = _now_s() + ACCEPT_TIMEOUT_S
+        while True:
+            try:
+                stored = await self._store.insert(job, head)
+            except HeadChanged as error:
+                self._note_accepted(job, error.current, "it was stored before")
+                return
+            except StoreUncertain:
+                is_uncertain = True
+            except StoreRefused as error:
+                if not is_uncertain:
+                    text = f"the job was not stored: {error}; send it again"
+                    raise StoreUnavailable(text, retry_after_s=RETRY_AFTER_S) from error
+            else:
+                self._note_accepted(job, stored, "it is stored")
+                if stored.head.owner == self._own.vm:
+                    self._own_job(OwnedJob(job, stored), due_s)
+                return
+            if _now_s() >= deadline_s:
+                raise OutcomeUnknown(
+                    "the store did not say whether it took the job; send it again"
+                )
+            await asyncio.sleep(0.05)
+
+    async def end(self, job_id: str) -> None:
+        """Ends a job; raises NotFound or StoreUnavailable."""
+        for _ in range(CHANGE_TRIES):
+            stored = await self._read_head(job_id)
+            if stored.head.state is JobState.ENDED:
+                return
+            ended = replace(stored.head, state=JobState.ENDED)
+            try:
+                changed = await self._store.change_head(stored, ended)
+            except HeadChanged:
+                continue
+            except RowStoreError as error:
+                raise _unavailable(error) from error
+            self._timeline.record("job_end_stored", job_id, "its caller ended it")
+            await self._note_head(changed)
+            return
+        raise StoreUnavailable(
+            "the job's head changed too often; send the request again",
+            retry_after_s=RETRY_AFTER_S,
+        )
+
+    async def read(self, job_id: str, after: int, wait_s: float) -> ResultPage:
+        """Returns stored results; raises NotFound or StoreUnavailable."""
+        deadline_s = _now_s() + wait_s
+        owned = self._runner.jobs.get(job_id)
+        while owned is not None and not owned.is_closed:
+            left_s = deadline_s - _now_s()
+            if len(owned.listed) > after or left_s <= 0:
+                return _to_page(len(owned.items), after, owned.listed[after:])
+            try:
+                async with asyncio.timeout(left_s):
+                    await owned.changed.wait()
+            except TimeoutError:
+                continue
+        return await self._read_stored(job_id, after, deadline_s)
+
+    async def read_body(self, job_id: str, item_id: str) -> bytes:
+        """Returns an item's body; raises NotFound or StoreUnavailable."""
+        job = await self._find_job(job_id)
+        for item in job.items:
+            if item.item_id == item_id:
+                return item.body
+        raise NotFound(f"job {job_id} has no item {item_id}; check the id")
+
+    def read_owned(self, request: JobRead) -> JobReadAnswer:
+        """Answers a peer that cannot reach the store."""
+        owned = self._runner.jobs.get(request.job_id)
+        if owned is None:
+            return JobReadAnswer(is_owner=False)
+        page = _to_page(len(owned.items), request.after, owned.listed[request.after :])
+        job = owned.job if request.with_job else None
+        return JobReadAnswer(True, page.total, page.results, job)
+
+    async def hand_over(self) -> None:
+        """Gives every open job of this node to another one."""
+        owned = list(self._runner.jobs.values())
+        await asyncio.gather(*(self._give(job) for job in owned if job.is_open))
+
+    async def verify(self) -> None:
+        """Reads the heads of this node's jobs anew after it stood still."""
+        for job_id in list(self._runner.jobs):
+            while True:
+                try:
+                    stored = await self._store.read_head(job_id)
+                    break
+                except RowStoreError as error:
+                    self._timeline.record("job_unverified", job_id, str(error))
+                    await asyncio.sleep(TICK_S)
+            if stored is not None:
+                await self._note_head(stored)
+
+    @property
+    def _own(self) -> NodeRecord:
+        assert self.fleet is not None
+        return self.fleet.own
+
+    def _build_head(self, job: Job) -> JobHead:
+        assert self.fleet is not None
+        owner = self._own
+        if self.fleet.is_leaving:
+            # A node that stops accepts jobs for the others.
+            names = {record.vm: record for record in self.fleet.peers()}
+            ranked = rank_owners(names, job.job_id)
+            owner = names[ranked[0]] if ranked else owner
+        return JobHead(
+            owner=owner.vm,
+            owner_incarnation=owner.incarnation,
+            epoch=1,
+            state=JobState.OPEN,
+            total=len(job.items),
+            chunks=0,
+            accepted_store_ms=self._link.now_store_ms() or 0,
+            host=job.host,
+            path=job.path,
+            model=job.model,
+        )
+
+    def _note_accepted(self, job: Job, stored: StoredHead | None, reason: str) -> None:
+        self._timeline.record(
+            "job_accepted",
+            job.job_id,
+            reason,
+            step=job.step,
+            model=job.model,
+            items=len(job.items),
+            min_version=job.min_version,
+            owner=stored.head.owner if stored else "",
+        )
+        if stored is not None:
+            self._heads.setdefault(job.job_id, stored)
+
+    def _own_job(self, owned: OwnedJob, due_s: float) -> None:
+        if owned.job_id not in self._runner.jobs:
+            self._runner.add(owned, due_s)
+
+    async def _give(self, job: OwnedJob) -> None:
+        assert self.fleet is not None
+        names = {record.vm: record for record in self.fleet.peers()}
+        ranked = rank_owners(names, job.job_id)
+        if not ranked:
+            return
+        heir = names[ranked[0]]
+        await self._runner.drop(job.job_id, f"it goes to {heir.vm}")
+        head = replace(
+            job.stored.head,
+            owner=heir.vm,
+            owner_incarnation=heir.incarnation,
+            epoch=job.stored.head.epoch + 1,
+        )
+        try:
+            await self._runner.save_progress(job)
+            await self._store.change_head(job.stored, head)
+        except HeadChanged:
+            return
+        except RowStoreError as error:
+            # The others see this node leave and take the job then.
+            self._timeline.record("job_not_handed_over", job.job_id, str(error))
+
+    async def _read_stored(
+        self, job_id: str, after: int, deadline_s: float
+    ) -> ResultPage:
+        total: int | None = None
+        while True:
+            try:
+                known = self._heads.get(job_id)
+                if total is None:
+                    stored = known or await self._store.read_head(job_id)
+                    if stored is None:
+                        raise NotFound(f"there is no job {job_id}; check the id")
+                    total = stored.head.total
+                results = await self._store.read_results(job_id, after)
+            except RowStoreError as error:
+                answer = await self._ask_owner(JobRead(job_id, after, False))
+                if answer is None:
+                    raise _unavailable(error) from error
+                total, results = answer.total, list(answer.results)
+            if results or after >= total or _now_s() + READ_GAP_S >= deadline_s:
+                return _to_page(total, after, results)
+            await asyncio.sleep(READ_GAP_S)
+
+    async def _ask_owner(self, request: JobRead) -> JobReadAnswer | None:
+        assert self.fleet is not None
+        known = self._heads.get(request.job_id)
+        record = self.fleet.find(known.head.owner) if known else None
+        if record is None:
+            return None
+        if record.vm == self._own.vm:
+            answer = self.read_owned(request)
+        else:
+            answer = await ask_owner(self._http, record.peers, request)
+        return answer if answer.is_owner else None
+
+    async def _find_job(self, job_id: str) -> Job:
+        owned = self._runner.jobs.get(job_id)
+        job = owned.job if owned is not None else self._jobs.get(job_id)
+        if job is not None:
+            return job
+        try:
+            if job_id not in self._heads:
+                await self._read_head(job_id)
+            job = await self._store.read_job(job_id)
+        except RowStoreError as error:
+            answer = await self._ask_owner(JobRead(job_id, 0, True))
+            if answer is None or answer.job is None:
+                raise _unavailable(error) from error
+            job = answer.job
+        if job is None:
+            raise NotFound(f"there is no job {job_id}; check the id")
+        self._jobs[job_id] = job
+        while len(self._jobs) > CACHED_JOBS:
+            self._jobs.popitem(last=False)
+        return job
+
+    async def _read_head(self, job_id: str) -> StoredHead:
+        try:
+            stored = await self._store.read_head(job_id)
+        except RowStoreError as error:
+            raise _unavailable(error) from error
+        if stored is None:
+            raise NotFound(f"there is no job {job_id}; check the id")
+        return stored
+
+    async def _note_head(self, stored: StoredHead) -> None:
+        known = self._heads.get(stored.job_id)
+        if known is None or stored.version > known.version:
+            self._heads[stored.job_id] = stored
+        await self._runner.note_head(stored)
+
+    def _take_rows(self, changes: tuple[RowChange, ...]) -> None:
+        for change in changes:
+            if change.value is None or change.at.key != HEAD_KEY:
+                continue
+            try:
+                head = decode_head(change.value)
+            except msgspec.DecodeError as error:
+                self._timeline.record("row_unreadable", change.at.part, str(error))
+                continue
+            stored = StoredHead(change.at.part, head, change.version)
+            known = self._heads.get(stored.job_id)
+            if known is None or stored.version > known.version:
+                self._heads[stored.job_id] = stored
+            if stored.job_id in self._runner.jobs:
+                loop = asyncio.get_running_loop()
+                loop.create_task(self._runner.note_head(stored))
+        self._look()
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self._look()
+
+    def _look(self) -> None:
+        """Starts to run jobs that are this node's, and takes orphaned ones."""
+        if self.fleet is None or self.fleet.is_leaving or self._runner.is_paused:
+            return
+        for job_id, stored in self._heads.items():
+            is_idle = stored.head.state is not JobState.OPEN
+            if is_idle or job_id in self._runner.jobs or job_id in self._taking:
+                continue
+            if self._should_take(stored):
+                loop = asyncio.get_running_loop()
+                task = loop.create_task(self._adopt(stored))
+                self._taking[job_id] = task
+                task.add_done_callback(partial(self._end_take, job_id))
+
+    def _end_take(self, job_id: str, _: asyncio.Task[None]) -> None:
+        self._taking.pop(job_id, None)
+
+    def _should_take(self, stored: StoredHead) -> bool:
+        assert self.fleet is not None
+        head = stored.head
+        if (head.owner, head.owner_incarnation) == (
+            self._own.vm,
+            self._own.incarnation,
+        ):
+            return True
+        if not self.fleet.is_gone(head.owner, head.owner_incarnation):
+            self._orphaned_s.pop(stored.job_id, None)
+            return False
+        since_s = self._orphaned_s.setdefault(stored.job_id, _now_s())
+        names = [record.vm for record in self.fleet.living()]
+        rank = rank_owners(names, stored.job_id).index(self._own.vm)
+        return _now_s() - since_s >= rank * RANK_PAUSE_S
+
+    async def _adopt(self, stored: StoredHead) -> None:
+        """Takes a job over and goes on where its results and texts are."""
+        started_s = _now_s()
+        own, head = self._own, stored.head
+        try:
+            if (head.owner, head.owner_incarnation) != (own.vm, own.incarnation):
+                new = replace(
+                    head,
+                    owner=own.vm,
+                    owner_incarnation=own.incarnation,
+                    epoch=head.epoch + 1,
+                )
+                stored = await self._store.change_head(stored, new)
+                self._timeline.record(
+                    "job_taken_over",
+                    stored.job_id,
+                    f"{head.owner} runs no more",
+                    epoch=new.epoch,
+                )
+            job, listed, progress = await asyncio.gather(
+                self._store.read_job(stored.job_id),
+                self._store.read_all_results(stored.job_id),
+                self._store.read_progress(stored.job_id),
+            )
+        except HeadChanged as error:
+            if error.current is not None:
+                await self._note_head(error.current)
+            return
+        except RowStoreError as error:
+            self._timeline.record("job_not_taken", stored.job_id, str(error))
+            return
+        if job is None:
+            self._timeline.record(
+                "job_missing", stored.job_id, "its body is not stored"
+            )
+            return
+        known = self._heads.get(stored.job_id)
+        if known is not None and known.version > stored.version:
+            stored = known
+            if stored.head.owner != own.vm:
+                return
+        self._heads[stored.job_id] = stored
+        owned = OwnedJob(job, stored, listed, progress)
+        self._own_job(owned, self._compute_due(stored.head))
+        self._timeline.record(
+            "job_adopted",
+            stored.job_id,
+            "its rows were read",
+            listed=len(listed),
+            with_text=len(progress),
+            took_ms=round((_now_s() - started_s) * 1000),
+        )
+
+    def _compute_due(self, head: JobHead) -> float:
+        now_ms = self._link.now_store_ms()
+        age_s = (now_ms - head.accepted_store_ms) / 1000 if now_ms else 0.0
+        table = self._table()
+        found = None if table is None else table.find(head.host, head.path)
+        due_after_s = 0.0 if found is None else found.job_due_s
+        return _now_s() - age_s + due_after_s
+
+
+def _to_page(total: int, after: int, results: list[ItemResult]) -> ResultPage:
+    taken: list[ItemResult] = []
+    size = 0
+    for result in results:
+        size += len(result.text) + 200
+        if taken and size > PAGE_BYTES:
+            break
+        taken.append(result)
+    return ResultPage(total, after + len(taken), tuple(taken))
+
+
+def _unavailable(error: Exception) -> StoreUnavailable:
+    text = f"the store does not answer: {error}; send the request again"
+    return StoreUnavailable(text, retry_after_s=RETRY_AFTER_S)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+__all__ = ["JobDesk", "ResultPage"]
--- /dev/null
+++ b/src/tamarackshelf/jobs/owned_job.py
@@ -0,0 +1,84 @@
+"""One job that this node owns: its items and the results in listing order."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+
+from tamarackshelf.jobs.item_state import ItemStage, ItemState
+from tamarackshelf.store.job_store import StoredHead
+from tamarackshelf.world.job import ItemProgress, ItemResult, Job, JobState
+
+
+class OwnedJob:
+    """State of a job at its owner; results are listed once they are stored."""
+
+    def __init__(
+        self,
+        job: Job,
+        stored: StoredHead,
+        listed: Iterable[ItemResult] = (),
+        progress: dict[str, ItemProgress] | None = None,
+    ) -> None:
+        self.job = job
+        self.stored = stored
+        self.listed = list(listed)
+        self.unlisted: list[ItemResult] = []
+        self.changed = asyncio.Event()
+        self.is_closed = False
+        self.tasks: dict[str, asyncio.Task[None]] = {}
+        self.listing: asyncio.Task[None] | None = None
+        self.items = {item.item_id: ItemState(item) for item in job.items}
+        for result in self.listed:
+            self.items[result.item_id].stage = ItemStage.DONE
+        for item_id, text in (progress or {}).items():
+            state = self.items.get(item_id)
+            if state is not None and state.stage is ItemStage.WAITING:
+                state.restore(text)
+
+    @property
+    def job_id(self) -> str:
+        """Returns the job's id."""
+        return self.job.job_id
+
+    @property
+    def is_open(self) -> bool:
+        """Tells whether items may still be run."""
+        return not self.is_closed and self.stored.head.state is JobState.OPEN
+
+    @property
+    def is_whole(self) -> bool:
+        """Tells whether every item is listed."""
+        return len(self.listed) == len(self.items)
+
+    def waiting(self) -> list[ItemState]:
+        """Returns the items that are at no engine."""
+        return [s for s in self.items.values() if s.stage is ItemStage.WAITING]
+
+    def count_missing(self) -> dict[str, int]:
+        """Returns how many items of each group are not done."""
+        missing: dict[str, int] = {}
+        for state in self.items.values():
+            if state.stage is not ItemStage.DONE:
+                group = state.item.group
+                missing[group] = missing.get(group, 0) + 1
+        return missing
+
+    def finish(self, result: ItemResult) -> None:
+        """Takes an item's result, which is to be listed next."""
+        self.items[result.item_id].stage = ItemStage.DONE
+        self.unlisted.append(result)
+
+    def note_listed(self, count: int) -> None:
+        """Moves the first results from unlisted to listed and wakes readers."""
+        self.listed += self.unlisted[:count]
+        del self.unlisted[:count]
+        self.wake()
+
+    def wake(self) -> None:
+        """Wakes everyone who waits for a change."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+__all__ = ["OwnedJob"]
--- /dev/null
+++ b/src/tamarackshelf/jobs/runner.py
@@ -0,0 +1,450 @@
+"""Runs the items of the jobs that this node owns."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import math
+from collections.abc import Coroutine
+
+from tamarackshelf.contracts.rows import RowStoreError
+from tamarackshelf.contracts.targets import (
+    ItemEvent,
+    ItemFailed,
+    ItemImpossible,
+    ItemRun,
+    NotRun,
+    OutcomeUnknown,
+    TargetCalls,
+    TargetChanged,
+)
+from tamarackshelf.jobs.item_state import BrokenText, ItemStage, ItemState
+from tamarackshelf.jobs.owned_job import OwnedJob
+from tamarackshelf.jobs.scorer import ScoreImpossible, Scorer, TableSource
+from tamarackshelf.node.targets import TargetBoard, TargetState
+from tamarackshelf.observe import Metrics, Timeline
+from tamarackshelf.policy.item_placement import (
+    EnginePlace,
+    WaitingItem,
+    order_items,
+    place_item,
+)
+from tamarackshelf.policy.route_table import pick_service
+from tamarackshelf.store.job_store import HeadChanged, JobStore, StoredHead
+from tamarackshelf.tasks import start_task, stop_tasks
+from tamarackshelf.world import Target
+from tamarackshelf.world.job import ItemResult, JobState
+from tamarackshelf.world.route import Route
+
+# The whole board is looked at this often even when nothing happened.
+TICK_S = 0.1
+# An engine answers within a step and its prefill unless it is stuck or loads weights.
+FIRST_EVENT_S = 2.5
+# Several times the slowest event of a slow engine, and longer than a weight load.
+NEXT_EVENT_S = 1.8
+FULL_PAUSE_S = 0.12
+BROKEN_PAUSE_S = 0.3
+GONE_PAUSE_S = 1.0
+FAILED_PAUSE_S = 0.05
+# Texts of running items are stored this often, for whoever takes a job over.
+SAVE_EVERY_S = 1.5
+SAVE_MIN_PIECES = 8
+
+
+class OldVersion(Exception):
+    """The engine made text with weights older than the job allows."""
+
+
+class JobRunner:
+    """Places items on engines, gathers their text and lists the results."""
+
+    def __init__(
+        self,
+        store: JobStore,
+        board: TargetBoard,
+        calls: TargetCalls,
+        scorer: Scorer,
+        table: TableSource,
+        timeline: Timeline,
+        metrics: Metrics,
+    ) -> None:
+        self.jobs: dict[str, OwnedJob] = {}
+        self._store = store
+        self._board = board
+        self._calls = calls
+        self._scorer = scorer
+        self._table = table
+        self._timeline = timeline
+        self._metrics = metrics
+        self._wake = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+        self._due_s: dict[str, float] = {}
+        self.is_paused = False
+        board.on_change(self._wake.set)
+
+    async def start(self) -> None:
+        """Starts to place items."""
+        self._tasks = [
+            start_task("job_runner", self._run),
+            start_task("job_progress", self._save_often),
+        ]
+
+    async def close(self) -> None:
+        """Stops all runs at once."""
+        await stop_tasks(*self._tasks)
+        for job in list(self.jobs.values()):
+            await self.drop(job.job_id, "this process stops")
+
+    def add(self, job: OwnedJob, due_s: float) -> None:
+        """Takes a job; `due_s` is when its results are due on the loop's clock."""
+        self.jobs[job.job_id] = job
+        self._due_s[job.job_id] = due_s
+        self._wake.set()
+
+    async def drop(self, job_id: str, reason: str) -> None:
+        """Stops the runs of a job that is not this node's any more."""
+        job = self.jobs.pop(job_id, None)
+        if job is None:
+            return
+        job.is_closed = True
+        self._timeline.record("job_dropped", job_id, reason)
+        await stop_tasks(*job.tasks.values(), job.listing)
+        job.wake()
+
+    async def pause(self) -> None:
+        """Stops all runs; they go on where they were after `resume`."""
+        self.is_paused = True
+        for job in self.jobs.values():
+            await stop_tasks(*job.tasks.values())
+
+    def resume(self) -> None:
+        """Lets items run again."""
+        self.is_paused = False
+        self._wake.set()
+
+    async def note_head(self, stored: StoredHead) -> None:
+        """Takes a head that the store holds now."""
+        job = self.jobs.get(stored.job_id)
+        if job is None or stored.version <= job.stored.version:
+            return
+        before = job.stored.head
+        if (stored.head.owner, stored.head.epoch) != (before.owner, before.epoch):
+            await self.drop(stored.job_id, f"{stored.head.owner} owns it now")
+            return
+        job.stored = stored
+        if stored.head.state is JobState.ENDED:
+            self._timeline.record("job_ended", stored.job_id, "its end was stored")
+            await stop_tasks(*job.tasks.values())
+            job.wake()
+
+    async def save_progress(self, job: OwnedJob, min_pieces: int = 1) -> None:
+        """Stores texts that grew by some pieces since they were stored last."""
+        grown = [
+            state
+            for state in job.items.values()
+            if state.stage in (ItemStage.RUNNING, ItemStage.WAITING)
+            and len(state.pieces) - state.saved_pieces >= min_pieces
+        ]
+        if not grown:
+            return
+        lengths = [len(state.pieces) for state in grown]
+        await self._store.save_progress(
+            job.stored, [state.to_progress() for state in grown]
+        )
+        for state, length in zip(grown, lengths, strict=True):
+            state.saved_pieces = length
+
+    async def _save_often(self) -> None:
+        while True:
+            await asyncio.sleep(SAVE_EVERY_S)
+            for job in list(self.jobs.values()):
+                if not job.is_open:
+                    continue
+                try:
+                    await self.save_progress(job, SAVE_MIN_PIECES)
+                except RowStoreError as error:
+                    self._timeline.record(
+                        "progress_unsaved", job.job_id, str(error) or repr(error)
+                    )
+
+    async def _run(self) -> None:
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(TICK_S):
+                    await self._wake.wait()
+            self._wake.clear()
+            self._board.drop_missing()
+            if not self.is_paused:
+                self._place_all()
+
+    def _place_all(self) -> None:
+        now_s = _now_s()
+        self._score_waiting()
+        engines: dict[tuple[str, str], list[EnginePlace]] = {}
+        for waiting in order_items(self._list_waiting(now_s)):
+            job = self.jobs[waiting.job_id]
+            state = job.items[waiting.item_id]
+            found = self._find_route(job, state)
+            if found is None:
+                continue
+            service = pick_service(found.shares, self._board.rng)
+            key = (service, job.job.model)
+            if key not in engines:
+                engines[key] = self._board.engines(*key)
+            name = place_item(engines[key], job.job.min_version)
+            target = self._board.get(name) if name is not None else None
+            if target is None:
+                continue
+            self._start(job, state, target, found)
+            engines[key] = [_take_place(e, target) for e in engines[key]]
+
+    def _list_waiting(self, now_s: float) -> list[WaitingItem]:
+        found = []
+        for job in self.jobs.values():
+            if not job.is_open:
+                continue
+            missing = job.count_missing()
+            for state in job.waiting():
+                if state.is_whole or state.not_before_s > now_s:
+                    continue
+                item = state.item
+                found.append(
+                    WaitingItem(
+                        job_id=job.job_id,
+                        item_id=item.item_id,
+                        group=item.group,
+                        rank=0,
+                        due_s=self._due_s.get(job.job_id, math.inf),
+                        expected_tokens=item.expected_tokens,
+                        group_missing=missing[item.group],
+                        is_begun=state.is_begun,
+                    )
+                )
+        return found
+
+    def _score_waiting(self) -> None:
+        """Has texts scored that are whole and whose score call was stopped."""
+        for job in self.jobs.values():
+            if job.is_open:
+                for state in job.waiting():
+                    if state.is_whole:
+                        state.stage = ItemStage.SCORING
+                        self._track(job, state, self._score_alone(job, state))
+
+    async def _score_alone(self, job: OwnedJob, state: ItemState) -> None:
+        try:
+            await self._score(job, state)
+        finally:
+            if state.stage is ItemStage.SCORING:
+                state.stage = ItemStage.WAITING
+
+    def _track(
+        self, job: OwnedJob, state: ItemState, work: Coroutine[None, None, None]
+    ) -> None:
+        item_id = state.item.item_id
+        task = asyncio.get_running_loop().create_task(work, name=f"item_{item_id}")
+        job.tasks[item_id] = task
+        task.add_done_callback(lambda _: job.tasks.pop(item_id, None))
+
+    def _find_route(self, job: OwnedJob, state: ItemState) -> Route | None:
+        table = self._table()
+        if table is None:
+            return None
+        return table.find(job.job.host, state.item.path)
+
+    def _start(
+        self, job: OwnedJob, state: ItemState, target: TargetState, found: Route
+    ) -> None:
+        state.stage = ItemStage.RUNNING
+        target.in_flight += 1
+        self._track(job, state, self._work(job, state, target, found))
+
+    async def _work(
+        self, job: OwnedJob, state: ItemState, target: TargetState, found: Route
+    ) -> None:
+        """Runs an item once and, when its text is whole, has it scored."""
+        try:
+            try:
+                is_whole = await self._run_once(job, state, target, found)
+            finally:
+                target.in_flight -= 1
+                self._wake.set()
+            if is_whole:
+                state.is_whole = True
+                state.stage = ItemStage.SCORING
+                await self._score(job, state)
+        finally:
+            if state.stage in (ItemStage.RUNNING, ItemStage.SCORING):
+                state.stage = ItemStage.WAITING
+
+    async def _run_once(
+        self, job: OwnedJob, state: ItemState, target: TargetState, found: Route
+    ) -> bool:
+        """Returns whether the text is whole."""
+        name = target.target.name
+        first_piece = len(state.pieces)
+        started_s = _now_s()
+        reason = "whole"
+        try:
+            await self._gather(job, state, target.target, found)
+            return True
+        except NotRun as error:
+            pause_s = GONE_PAUSE_S if _is_gone(error) else FULL_PAUSE_S
+            self._board.avoid(name, str(error), pause_s)
+            reason = str(error)
+        except (OutcomeUnknown, BrokenText) as error:
+            self._board.avoid(name, str(error), BROKEN_PAUSE_S)
+            reason = str(error)
+        except OldVersion as error:
+            reason = str(error)
+        except ItemFailed as error:
+            state.failures += 1
+            state.not_before_s = _now_s() + FAILED_PAUSE_S
+            reason = str(error)
+            if state.failures >= found.max_attempts:
+                self._terminate(job, state, reason)
+        except ItemImpossible as error:
+            reason = str(error)
+            self._terminate(job, state, reason)
+        finally:
+            self._timeline.record(
+                "item_run",
+                state.item.item_id,
+                reason,
+                job=job.job_id,
+                target=name,
+                after=first_piece,
+                pieces=len(state.pieces),
+                took_ms=round((_now_s() - started_s) * 1000),
+            )
+        return False
+
+    async def _gather(
+        self, job: OwnedJob, state: ItemState, target: Target, found: Route
+    ) -> None:
+        run = ItemRun(
+            item=state.item,
+            host=job.job.host,
+            after_event_id=state.last_event_id,
+            rank=min(9, found.rank),
+            first_event_s=FIRST_EVENT_S,
+            next_event_s=NEXT_EVENT_S,
+        )
+        last_s: float | None = None
+        async with contextlib.aclosing(self._calls.run_item(target, run)) as events:
+            async for event in events:
+                self._check_version(job, state, target, found, event)
+                state.add(event)
+                now_s = _now_s()
+                if last_s is not None:
+                    self._board.note_duration(target.name, now_s - last_s)
+                last_s = now_s
+        if not state.pieces:
+            raise OutcomeUnknown(f"{target.name} ended a text without any event")
+
+    def _check_version(
+        self,
+        job: OwnedJob,
+        state: ItemState,
+        target: Target,
+        found: Route,
+        event: ItemEvent,
+    ) -> None:
+        self._board.note_load(target.name, event.load)
+        self._board.note_version(target.name, job.job.model, event.version)
+        if event.version < job.job.min_version:
+            raise OldVersion(
+                f"{target.name} has version {event.version}, "
+                f"the job wants {job.job.min_version}"
+            )
+        is_mixed = bool(state.versions - {event.version})
+        if found.is_single_version and is_mixed:
+            state.reset()
+            raise OldVersion(f"{target.name} changed to version {event.version}")
+
+    async def _score(self, job: OwnedJob, state: ItemState) -> None:
+        call = state.item.score_call
+        started_s = _now_s()
+        if call is None:
+            self._finish(job, state.to_result(""))
+            return
+        try:
+            score = await self._scorer.score(call)
+        except ScoreImpossible as error:
+            self._terminate(job, state, str(error))
+            return
+        self._metrics.observe_s("score", _now_s() - started_s)
+        self._finish(job, state.to_result(score))
+
+    def _terminate(self, job: OwnedJob, state: ItemState, reason: str) -> None:
+        self._timeline.record(
+            "item_given_up", state.item.item_id, reason, job=job.job_id
+        )
+        self._finish(job, ItemResult(state.item.item_id, is_complete=False))
+
+    def _finish(self, job: OwnedJob, result: ItemResult) -> None:
+        job.finish(result)
+        if job.listing is None or job.listing.done():
+            loop = asyncio.get_running_loop()
+            job.listing = loop.create_task(self._list_results(job))
+
+    async def _list_results(self, job: OwnedJob) -> None:
+        while job.unlisted:
+            first, batch = len(job.listed), list(job.unlisted)
+            started_s = _now_s()
+            try:
+                count = await self._store.append(job.stored, first, batch)
+            except HeadChanged as error:
+                if not await self._take_change(job, error.current):
+                    return
+                continue
+            self._metrics.observe_s("list_results", _now_s() - started_s)
+            self._timeline.record(
+                "results_listed",
+                job.job_id,
+                "they are stored",
+                first=first,
+                count=count,
+                items=",".join(result.item_id for result in batch[:count]),
+                took_ms=round((_now_s() - started_s) * 1000),
+            )
+            job.note_listed(count)
+        if job.is_whole and job.is_open:
+            self._timeline.record("job_whole", job.job_id, "every item is listed")
+
+    async def _take_change(self, job: OwnedJob, current: StoredHead | None) -> bool:
+        """Returns whether results may still be listed under the changed head."""
+        if current is None:
+            self._timeline.record("job_missing", job.job_id, "its head is not stored")
+            return False
+        before = job.stored.head
+        if (current.head.owner, current.head.epoch) != (before.owner, before.epoch):
+            # The drop cancels this very task, so it runs beside it.
+            asyncio.get_running_loop().create_task(self.note_head(current))
+            return False
+        job.stored = current
+        return current.head.state is JobState.OPEN
+
+
+def _is_gone(error: NotRun) -> bool:
+    return isinstance(error, TargetChanged) or type(error) is NotRun
+
+
+def _take_place(engine: EnginePlace, target: TargetState) -> EnginePlace:
+    if engine.name != target.target.name:
+        return engine
+    return EnginePlace(
+        engine.name,
+        engine.places,
+        engine.in_use + 1,
+        engine.version,
+        engine.slowness,
+        engine.loads_in,
+    )
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+__all__ = ["JobRunner"]
--- a/src/tamarackshelf/net/http_client.py
+++ b/src/tamarackshelf/net/http_client.py
@@ -4,18 +4,22 @@
 
 import asyncio
 import contextlib
+import re
 from collections.abc import AsyncIterator, Callable
 from dataclasses import dataclass
 
 import h11
 
 from tamarackshelf.net.http_types import Headers
+from tamarackshelf.net.sockets import set_keep_alive
 from tamarackshelf.world import Address
 
 READ_SIZE_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 2.0
 POOL_SIZE_PER_ADDRESS = 16
 MAX_BODY_BYTES = 64 * 1024 * 1024
+# An idle connection is dropped this long before the peer says that it closes it.
+KEEP_ALIVE_MARGIN_S = 0.5
 
 
 class ConnectFailed(Exception):
@@ -52,10 +56,13 @@
 
     async def close(self) -> None:
         """Closes the idle connections."""
-        for connections in self._idle.values():
-            for connection in connections:
-                connection.close()
-        self._idle.clear()
+        for address in list(self._idle):
+            self.drop_idle(address)
+
+    def drop_idle(self, address: Address) -> None:
+        """Closes the idle connections to one address."""
+        for connection in self._idle.pop(address, []):
+            connection.close()
 
     async def request(
         self,
@@ -67,12 +74,14 @@
         body: bytes = b"",
         timeout_s: float = 10.0,
         fresh: bool = False,
+        resend: bool = True,
     ) -> Answer:
         """Returns the whole answer.
 
         Raises ConnectFailed when nothing was sent and ConnectionLost when bytes
         left without a whole answer. `fresh` forbids a pooled connection and thus
-        any second send.
+        any second send; without `resend` a pooled connection may be used, but its
+        loss is reported.
         """
         async with self.stream(
             address,
@@ -82,6 +91,7 @@
             body=body,
             timeout_s=timeout_s,
             fresh=fresh,
+            resend=resend,
         ) as answer:
             data = bytearray()
             async for chunk in answer.chunks():
@@ -101,6 +111,7 @@
         body: bytes = b"",
         timeout_s: float = 10.0,
         fresh: bool = False,
+        resend: bool = True,
     ) -> AsyncIterator[StreamedAnswer]:
         """Opens an answer whose chunks are read as they come."""
         loop = asyncio.get_running_loop()
@@ -115,7 +126,7 @@
             try:
                 answer = await connection.send(head, body, deadline_s)
             except ConnectionLost:
-                if not connection.reused:
+                if not connection.reused or not resend:
                     raise
                 # A pooled connection may have been closed while it was idle.
                 connection.close()
@@ -133,7 +144,7 @@
         idle = self._idle.get(address)
         while idle and not fresh:
             connection = idle.pop()
-            if connection.is_open():
+            if connection.is_fresh():
                 connection.reused = True
                 return connection
             connection.close()
@@ -155,12 +166,21 @@
     ) -> None:
         self._connection = connection
         self._deadline_s = deadline_s
+        connection.note_keep_alive(head)
         self.status: int = head.status_code
         self.headers: Headers = {
             name.decode("latin-1"): value.decode("latin-1")
             for name, value in head.headers
         }
 
+    def distrust(self) -> None:
+        """Closes the connection after this answer."""
+        self._connection.is_trusted = False
+
+    def set_deadline(self, deadline_s: float) -> None:
+        """Moves the deadline of the next chunk; seconds of the loop's clock."""
+        self._deadline_s = deadline_s
+
     async def chunks(self) -> AsyncIterator[bytes]:
         """Yields the body; raises ConnectionLost when its end marker is missing."""
         while True:
@@ -183,6 +203,20 @@
         self._writer = writer
         self._http = h11.Connection(h11.CLIENT)
         self.reused = False
+        self.is_trusted = True
+        self._keep_s = self._idle_until_s = float("inf")
+
+    def note_keep_alive(self, head: h11.Response) -> None:
+        """Takes over how long the peer keeps the connection when idle."""
+        for name, value in head.headers:
+            match = _TIMEOUT.search(value) if name == b"keep-alive" else None
+            if match is not None:
+                self._keep_s = float(match.group(1)) - KEEP_ALIVE_MARGIN_S
+
+    def is_fresh(self) -> bool:
+        """Tells whether the connection is open and not about to be closed."""
+        now_s = asyncio.get_running_loop().time()
+        return self.is_open() and now_s < self._idle_until_s
 
     def is_open(self) -> bool:
         """Tells whether neither side has closed."""
@@ -194,7 +228,10 @@
             return False
         if self._http.their_state is not h11.DONE:
             return False
+        if not self.is_trusted or self._http.trailing_data[0]:
+            return False
         self._http.start_next_cycle()
+        self._idle_until_s = asyncio.get_running_loop().time() + self._keep_s
         return self.is_open()
 
     def close(self) -> None:
@@ -253,9 +290,12 @@
             )
     except (OSError, TimeoutError) as error:
         raise ConnectFailed(f"cannot connect to {address}: {error}") from error
+    set_keep_alive(writer)
     return _Connection(reader, writer)
 
 
+_TIMEOUT = re.compile(rb"timeout=(\d+)")
+
 __all__ = [
     "Answer",
     "ConnectFailed",
--- a/src/tamarackshelf/net/http_server.py
+++ b/src/tamarackshelf/net/http_server.py
@@ -16,9 +16,11 @@
     Response,
     to_error_response,
 )
+from tamarackshelf.net.sockets import set_keep_alive
 from tamarackshelf.world import Address
 
 Handler = Callable[[Request], Awaitable[Response]]
+LimitsSource = Callable[[], "ServerLimits"]
 
 READ_SIZE_BYTES = 64 * 1024
 QUIET_S = 0.2
@@ -40,9 +42,20 @@
 class HttpServer:
     """Serves one handler; closes gracefully."""
 
-    def __init__(self, handler: Handler, limits: ServerLimits | None = None) -> None:
+    def __init__(
+        self,
+        handler: Handler,
+        limits: ServerLimits | LimitsSource | None = None,
+        *,
+        cancels_abandoned: bool = False,
+    ) -> None:
+        """Takes fixed limits, or a function that returns those in force.
+
+        `cancels_abandoned` cancels a handler whose caller closed the connection.
+        """
         self._handler = handler
-        self._limits = limits or ServerLimits()
+        self._limits = _to_source(limits)
+        self._cancels_abandoned = cancels_abandoned
         self._server: asyncio.Server | None = None
         self._connections: dict[asyncio.Task[None], _Connection] = {}
         self._closing = False
@@ -74,6 +87,12 @@
             _, pending = await asyncio.wait(tasks, timeout=grace_s)
             await _cancel_all(pending)
 
+    def announce_close(self) -> None:
+        """Ends each connection after its next response; idle ones stay open."""
+        self._closing = True
+        for connection in list(self._connections.values()):
+            connection.close_after_next()
+
     async def _wait_quiet(self, linger_s: float) -> None:
         loop = asyncio.get_running_loop()
         started_s = loop.time()
@@ -95,13 +114,20 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._accepted_at_s = asyncio.get_running_loop().time()
-        if self._aborted or len(self._connections) >= self._limits.connections:
+        limits = self._limits()
+        if self._aborted or len(self._connections) >= limits.connections:
             writer.transport.abort()
             return
         task = asyncio.current_task()
         assert task is not None
+        set_keep_alive(writer)
         connection = _Connection(
-            reader, writer, self._handler, self._limits, is_last=self._closing
+            reader,
+            writer,
+            self._handler,
+            self._limits,
+            is_last=self._closing,
+            cancels_abandoned=self._cancels_abandoned,
         )
         self._connections[task] = connection
         try:
@@ -121,19 +147,21 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
         handler: Handler,
-        limits: ServerLimits,
+        limits: LimitsSource,
         *,
         is_last: bool,
+        cancels_abandoned: bool,
     ) -> None:
         self._reader = reader
         self._writer = writer
         self._handler = handler
         self._limits = limits
         self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.head_bytes
+            h11.SERVER, max_incomplete_event_size=limits().head_bytes
         )
         self._idle = True
         self._last = is_last
+        self._cancels_abandoned = cancels_abandoned
 
     def close_when_idle(self) -> None:
         """Closes now when no request is in flight, else after it."""
@@ -141,6 +169,10 @@
         if self._idle:
             self._reader.feed_eof()
 
+    def close_after_next(self) -> None:
+        """Closes after the next response."""
+        self._last = True
+
     def cut(self) -> None:
         """Resets the connection."""
         self._writer.transport.abort()
@@ -151,7 +183,9 @@
             request = await self._read_request()
             if request is None:
                 return
-            response = await self._call_handler(request)
+            response = await self._answer(request)
+            if response is None:
+                return
             await self._send(response)
             if self._last or self._http.our_state is not h11.DONE:
                 return
@@ -162,11 +196,11 @@
 
     async def _read_request(self) -> Request | None:
         try:
-            head = await self._next_event(self._limits.idle_s)
+            head = await self._next_head()
             if not isinstance(head, h11.Request):
                 return None
             self._idle = False
-            async with asyncio.timeout(self._limits.request_read_s):
+            async with asyncio.timeout(self._limits().request_read_s):
                 body = await self._read_body()
         except TimeoutError:
             if not self._idle:
@@ -176,18 +210,56 @@
             await self._refuse(error.error_status_hint, f"not valid HTTP: {error}")
             return None
         if body is None:
-            limit = self._limits.body_bytes
+            limit = self._limits().body_bytes
             await self._refuse(413, f"the body is over {limit} bytes; send less")
             return None
         return _to_request(head, body)
 
+    async def _next_head(self) -> object:
+        """Waits for a request; a limit that grew meanwhile counts at once."""
+        loop = asyncio.get_running_loop()
+        since_s = loop.time()
+        while True:
+            left_s = since_s + self._limits().idle_s - loop.time()
+            if left_s <= 0:
+                raise TimeoutError
+            with contextlib.suppress(TimeoutError):
+                return await self._next_event(left_s)
+
+    async def _answer(self, request: Request) -> Response | None:
+        """Calls the handler; returns None when the caller left meanwhile."""
+        if not self._cancels_abandoned:
+            return await self._call_handler(request)
+        loop = asyncio.get_running_loop()
+        work = loop.create_task(self._call_handler(request))
+        more = loop.create_task(self._reader.read(READ_SIZE_BYTES))
+        try:
+            await asyncio.wait([work, more], return_when=asyncio.FIRST_COMPLETED)
+            if more.done() and not work.done():
+                data = b"" if more.exception() else more.result()
+                return await work if data else None
+            return work.result()
+        finally:
+            for task in (work, more):
+                if not task.done():
+                    task.cancel()
+            await asyncio.gather(work, more, return_exceptions=True)
+            self._keep_early_bytes(more)
+
+    def _keep_early_bytes(self, more: asyncio.Task[bytes]) -> None:
+        # The read may have ended while it was being cancelled.
+        if more.cancelled() or more.exception() is not None:
+            return
+        if more.result():
+            self._http.receive_data(more.result())
+
     async def _read_body(self) -> bytes | None:
         body = bytearray()
         while True:
             event = await self._next_event(None)
             if isinstance(event, h11.Data):
                 body += event.data
-                if len(body) > self._limits.body_bytes:
+                if len(body) > self._limits().body_bytes:
                     return None
             elif isinstance(event, h11.EndOfMessage):
                 return bytes(body)
@@ -225,7 +297,9 @@
                 await self._send(Response(status=status, body=body))
 
     async def _send(self, response: Response) -> None:
-        headers = {"content-type": response.content_type, **response.headers}
+        headers = dict(response.headers)
+        if response.content_type:
+            headers.setdefault("content-type", response.content_type)
         if isinstance(response.body, bytes):
             headers["content-length"] = str(len(response.body))
         if self._last:
@@ -258,12 +332,20 @@
 
 def _to_request(head: h11.Request, body: bytes) -> Request:
     path, _, query = head.target.decode("latin-1").partition("?")
-    headers = {
-        name.decode("latin-1"): value.decode("latin-1") for name, value in head.headers
-    }
+    headers: dict[str, str] = {}
+    for raw_name, raw_value in head.headers:
+        name, value = raw_name.decode("latin-1"), raw_value.decode("latin-1")
+        headers[name] = f"{headers[name]}, {value}" if name in headers else value
     return Request(head.method.decode(), path, query, headers, body)
 
 
+def _to_source(limits: ServerLimits | LimitsSource | None) -> LimitsSource:
+    if callable(limits):
+        return limits
+    fixed = limits or ServerLimits()
+    return lambda: fixed
+
+
 async def _cancel_all(tasks: set[asyncio.Task[None]]) -> None:
     for task in tasks:
         task.cancel()
--- /dev/null
+++ b/src/tamarackshelf/node/fleet.py
@@ -0,0 +1,157 @@
+"""The nodes of the system as this one sees them: rows of the store and gossip."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from tamarackshelf.contracts.rows import RowChange, RowKey
+from tamarackshelf.gossip.link import GossipLink
+from tamarackshelf.gossip.task import GossipSettings, GossipTask
+from tamarackshelf.net import HttpClient
+from tamarackshelf.node.peer_store import PeerStore
+from tamarackshelf.node.settings import NodeSettings
+from tamarackshelf.observe import Timeline
+from tamarackshelf.policy.membership import MemberStatus
+from tamarackshelf.store.fleet_rows import NODE_TABLE, NodeRecord, decode_node
+from tamarackshelf.store.table_watch import TableWatch
+from tamarackshelf.world import EntryVm
+
+# Keeps datagrams of another system on the same network out; it is no secret.
+GOSSIP_KEY = b"tamarackshelf-gossip"
+
+
+class Fleet:
+    """Knows which nodes live; this node is always among them while it runs."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        own: NodeRecord,
+        watch: TableWatch,
+        http: HttpClient,
+        timeline: Timeline,
+        wall_ms: Callable[[], int],
+    ) -> None:
+        self.own = own
+        self.is_leaving = False
+        self._http = http
+        self._timeline = timeline
+        self._rng = random.Random()
+        self._records: dict[str, NodeRecord] = {own.vm: own}
+        self._watch = watch
+        self.gossip = GossipTask(
+            GossipSettings(own.vm, own.incarnation, settings.peer_address),
+            http,
+            timeline,
+            random.Random(),
+            lambda receiver: GossipLink(GOSSIP_KEY, wall_ms, receiver),
+        )
+        watch.on_change(self._take_rows)
+
+    async def start(self) -> None:
+        """Starts to probe the other nodes."""
+        self._take_all()
+        await self.gossip.start()
+
+    async def close(self) -> None:
+        """Stops probing."""
+        await self.gossip.close()
+
+    async def leave(self) -> None:
+        """Tells the others that this node stops."""
+        self.is_leaving = True
+        await self.gossip.leave()
+
+    def living(self) -> list[NodeRecord]:
+        """Returns the nodes that are not held for dead or leaving."""
+        return [
+            record
+            for name, record in self._records.items()
+            if (name == self.own.vm and not self.is_leaving)
+            or (name != self.own.vm and self._status(name) is not MemberStatus.DEAD)
+        ]
+
+    def peers(self) -> list[NodeRecord]:
+        """Returns the other living nodes in random order."""
+        others = [record for record in self.living() if record.vm != self.own.vm]
+        self._rng.shuffle(others)
+        return others
+
+    def peer_stores(self) -> list[PeerStore]:
+        """Returns the row store as reached through each living peer."""
+        return [PeerStore(self._http, record.peers) for record in self.peers()]
+
+    def find(self, vm: str) -> NodeRecord | None:
+        """Returns what is known of a node."""
+        return self._records.get(vm)
+
+    def is_gone(self, vm: str, incarnation: int) -> bool:
+        """Tells whether this incarnation of a node runs no more."""
+        if vm == self.own.vm:
+            return incarnation != self.own.incarnation
+        record = self._records.get(vm)
+        if record is None or record.incarnation > incarnation:
+            return True
+        return self._status(vm) is MemberStatus.DEAD
+
+    def _status(self, vm: str) -> MemberStatus:
+        return self.gossip.membership.status(vm)
+
+    def _take_all(self) -> None:
+        rows = self._watch.rows.values()
+        self._take_rows(tuple(RowChange(r.at, r.value, r.version) for r in rows))
+
+    def _take_rows(self, changes: tuple[RowChange, ...]) -> None:
+        for change in changes:
+            self._take_row(change)
+        entries = {name: _to_entry(record) for name, record in self._records.items()}
+        self.gossip.set_entries(entries)
+
+    def _take_row(self, change: RowChange) -> None:
+        name = change.at.key
+        if name == self.own.vm:
+            return
+        if change.value is None:
+            if self._records.pop(name, None) is not None:
+                self._timeline.record("node_unlisted", name, "its row was deleted")
+            return
+        try:
+            record = decode_node(change.value)
+        except msgspec.DecodeError as error:
+            self._timeline.record("row_unreadable", f"{NODE_TABLE}/{name}", str(error))
+            return
+        known = self._records.get(name)
+        if known is None or record.incarnation > known.incarnation:
+            self._records[name] = record
+            self._timeline.record(
+                "node_listed", name, "its row is new", incarnation=record.incarnation
+            )
+
+    def row_version(self) -> int | None:
+        """Returns the version of this node's own row."""
+        row = self._watch.rows.get(RowKey(NODE_TABLE, "", self.own.vm))
+        return None if row is None else row.version
+
+
+def _to_entry(record: NodeRecord) -> EntryVm:
+    return EntryVm(
+        name=record.vm,
+        data_centre=record.data_centre,
+        gateway=record.callers,
+        gateway_peer=record.peers,
+        runner_peer=record.peers,
+        controller=record.peers,
+        gossip=record.peers,
+    )
+
+
+def now_s() -> float:
+    """Returns the loop's clock."""
+    return asyncio.get_running_loop().time()
+
+
+__all__ = ["Fleet", "now_s"]
--- /dev/null
+++ b/src/tamarackshelf/node/peer_store.py
@@ -0,0 +1,174 @@
+"""The row store as reached through a peer, and the peer's side of it."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+from typing import TypeVar
+
+import msgspec
+
+from tamarackshelf.contracts.rows import (
+    Commit,
+    FeedPage,
+    FeedQuery,
+    HistoryLost,
+    RowConflict,
+    RowPage,
+    RowQuery,
+    RowTransaction,
+    StoredRow,
+    StoreRefused,
+    StoreUncertain,
+)
+from tamarackshelf.net import ConnectFailed, ConnectionLost, HttpClient, Response
+from tamarackshelf.store.link import StoreLink
+from tamarackshelf.world import Address
+
+RELAY_PATH = "/store"
+# A peer's own call to the store has to fit in.
+RELAY_TIMEOUT_S = 1.6
+# Feeds are asked for more often over a peer, so that a cut one is noticed soon.
+RELAYED_FEED_WAIT_S = 1.0
+
+
+T = TypeVar("T")
+
+
+class Outcome(enum.StrEnum):
+    """What became of a relayed call."""
+
+    DONE = "done"
+    CONFLICT = "conflict"
+    HISTORY_LOST = "history_lost"
+    REFUSED = "refused"
+    UNCERTAIN = "uncertain"
+
+
+@dataclass(frozen=True, slots=True)
+class RelayRequest:
+    """Exactly one of the calls to the row store."""
+
+    commit: RowTransaction | None = None
+    read: RowQuery | None = None
+    parts_of: str | None = None
+    feed: FeedQuery | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class RelayAnswer:
+    """The outcome and what the call returned."""
+
+    outcome: Outcome
+    reason: str = ""
+    commit: Commit | None = None
+    page: RowPage | None = None
+    parts: tuple[str, ...] = ()
+    feed: FeedPage | None = None
+    rows: tuple[StoredRow, ...] = ()
+
+
+class PeerStore:
+    """A RowStore that one peer calls for this node."""
+
+    def __init__(self, http: HttpClient, address: Address) -> None:
+        self._http = http
+        self._address = address
+
+    async def commit(self, transaction: RowTransaction) -> Commit:
+        """Commits or raises RowConflict."""
+        answer = await self._call(RelayRequest(commit=transaction))
+        return _get(answer.commit)
+
+    async def read(self, query: RowQuery) -> RowPage:
+        """Returns rows as of one moment."""
+        answer = await self._call(RelayRequest(read=query))
+        return _get(answer.page)
+
+    async def list_parts(self, table: str) -> tuple[str, ...]:
+        """Returns the parts of a table that hold rows."""
+        answer = await self._call(RelayRequest(parts_of=table))
+        return answer.parts
+
+    async def feed(self, query: FeedQuery) -> FeedPage:
+        """Returns changes as soon as there are some, or none after the wait."""
+        wait_s = min(query.wait_s, RELAYED_FEED_WAIT_S)
+        short = FeedQuery(query.table, query.after, wait_s)
+        answer = await self._call(RelayRequest(feed=short), wait_s)
+        return _get(answer.feed)
+
+    async def _call(self, request: RelayRequest, wait_s: float = 0.0) -> RelayAnswer:
+        try:
+            answer = await self._http.request(
+                self._address,
+                "POST",
+                RELAY_PATH,
+                body=msgspec.msgpack.encode(request),
+                timeout_s=RELAY_TIMEOUT_S + wait_s,
+                resend=request.commit is None,
+            )
+        except ConnectFailed as error:
+            raise StoreRefused(str(error)) from error
+        except ConnectionLost as error:
+            self._http.drop_idle(self._address)
+            raise StoreUncertain(str(error)) from error
+        if answer.status != 200:
+            raise StoreRefused(f"{self._address} answered {answer.status}")
+        relayed = msgspec.msgpack.decode(answer.body, type=RelayAnswer)
+        _raise_for(relayed)
+        return relayed
+
+
+async def answer_relay(link: StoreLink, body: bytes) -> Response:
+    """Carries out a peer's call at the store itself, never over a third node."""
+    request = msgspec.msgpack.decode(body, type=RelayRequest)
+    try:
+        answer = await _carry_out(link, request)
+    except RowConflict as error:
+        answer = RelayAnswer(Outcome.CONFLICT, rows=error.rows)
+    except HistoryLost as error:
+        answer = RelayAnswer(Outcome.HISTORY_LOST, str(error))
+    except StoreUncertain as error:
+        answer = RelayAnswer(Outcome.UNCERTAIN, str(error))
+    except StoreRefused as error:
+        answer = RelayAnswer(Outcome.REFUSED, str(error))
+    return Response(200, msgspec.msgpack.encode(answer))
+
+
+async def _carry_out(link: StoreLink, request: RelayRequest) -> RelayAnswer:
+    done = Outcome.DONE
+    if request.commit is not None:
+        transaction = request.commit
+        commit = await link.call_direct(lambda store: store.commit(transaction))
+        return RelayAnswer(done, commit=commit)
+    if request.read is not None:
+        query = request.read
+        page = await link.call_direct(lambda store: store.read(query))
+        return RelayAnswer(done, page=page)
+    if request.feed is not None:
+        feed_query = request.feed
+        feed = await link.call_direct(lambda store: store.feed(feed_query))
+        return RelayAnswer(done, feed=feed)
+    table = request.parts_of or ""
+    parts = await link.call_direct(lambda store: store.list_parts(table))
+    return RelayAnswer(done, parts=parts)
+
+
+def _raise_for(answer: RelayAnswer) -> None:
+    if answer.outcome is Outcome.CONFLICT:
+        raise RowConflict(answer.rows)
+    if answer.outcome is Outcome.HISTORY_LOST:
+        raise HistoryLost(answer.reason)
+    if answer.outcome is Outcome.UNCERTAIN:
+        raise StoreUncertain(answer.reason)
+    if answer.outcome is Outcome.REFUSED:
+        raise StoreRefused(answer.reason)
+
+
+def _get(value: T | None) -> T:
+    if value is None:
+        raise StoreUncertain("the peer's answer holds no result")
+    return value
+
+
+__all__ = ["RELAY_PATH", "PeerStore", "answer_relay"]
--- /dev/null
+++ b/src/tamarackshelf/node/program.py
@@ -0,0 +1,310 @@
+"""The composed process of one VM, from start to planned stop."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import msgspec
+
+from tamarackshelf.contracts.rows import RowChange, RowStore, RowStoreError
+from tamarackshelf.contracts.targets import TargetCalls
+from tamarackshelf.entry.forwarder import Forwarder
+from tamarackshelf.jobs.desk import JobDesk
+from tamarackshelf.jobs.runner import JobRunner
+from tamarackshelf.jobs.scorer import Scorer
+from tamarackshelf.net import HttpClient, HttpServer, Request, Response
+from tamarackshelf.node.fleet import Fleet
+from tamarackshelf.node.freeze import watch_for_freezes
+from tamarackshelf.node.peer_jobs import READ_PATH, JobRead
+from tamarackshelf.node.peer_store import RELAY_PATH, answer_relay
+from tamarackshelf.node.settings import NodeSettings
+from tamarackshelf.node.targets import TargetBoard
+from tamarackshelf.node.views import ConfigurationView
+from tamarackshelf.node.weights import WeightKeeper
+from tamarackshelf.observe import Metrics, Timeline
+from tamarackshelf.policy.entries import EntryAnswer, choose_entries
+from tamarackshelf.policy.rumours import Rumour
+from tamarackshelf.store.fleet_rows import (
+    NODE_TABLE,
+    NodeRecord,
+    register,
+    unregister,
+)
+from tamarackshelf.store.job_store import HEAD_TABLE, JobStore
+from tamarackshelf.store.link import StoreLink
+from tamarackshelf.store.table_watch import TableWatch
+from tamarackshelf.tasks import start_task, stop_tasks
+from tamarackshelf.world import EntryVm
+
+RETRY_GAP_S = 0.2
+# Callers keep an answer as long, some of them three times as long.
+ENTRIES_VALID_S = 2.0
+KEEPS_ANSWER_TIMES = 3
+# Left of the grace time for closing connections at the end.
+CLOSING_S = 0.7
+
+SyncHandler = Callable[[Request], Response]
+RowsTaken = Callable[[tuple[RowChange, ...]], None]
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformTables:
+    """The platform's tables and what decodes their rows."""
+
+    operator_table: str
+    targets_table: str
+    take_operator_rows: Callable[[ConfigurationView, WeightKeeper], RowsTaken]
+    take_target_rows: Callable[[TargetBoard], RowsTaken]
+
+
+@dataclass(frozen=True, slots=True)
+class Servers:
+    """Builds the handlers that speak the platform's protocol."""
+
+    callers: Callable[[ConfigurationView, Forwarder, JobDesk], CallerHandler]
+    directory: Callable[[Callable[[str, str], EntryAnswer]], SyncHandler]
+    ready: Callable[[Callable[[], bool]], SyncHandler]
+
+
+CallerHandler = Callable[[Request], Awaitable[Response]]
+
+
+class NodeProgram:
+    """Owns everything that runs on one VM."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        rows: RowStore,
+        calls: TargetCalls,
+        tables: PlatformTables,
+        servers: Servers,
+        http: HttpClient,
+        timeline: Timeline,
+        metrics: Metrics,
+    ) -> None:
+        self._settings = settings
+        self._tables = tables
+        self._http = http
+        self._timeline = timeline
+        self._metrics = metrics
+        self._calls = calls
+        self.fleet: Fleet | None = None
+        self.weights: WeightKeeper | None = None
+        self.link = StoreLink(rows, timeline)
+        self.view = ConfigurationView(timeline)
+        self.board = TargetBoard(
+            timeline, lambda: self.link.recovered_at_s, random.Random()
+        )
+        scorer = Scorer(
+            self.board, calls, self.view.get_table, settings.data_centre, timeline
+        )
+        store = JobStore(self.link, settings.store_budget.row_bytes)
+        self.runner = JobRunner(
+            store, self.board, calls, scorer, self.view.get_table, timeline, metrics
+        )
+        self._watches = {
+            name: TableWatch(self.link, name, timeline, has_parts=name == HEAD_TABLE)
+            for name in (
+                tables.operator_table,
+                tables.targets_table,
+                NODE_TABLE,
+                HEAD_TABLE,
+            )
+        }
+        self.desk = JobDesk(
+            self.link,
+            store,
+            self._watches[HEAD_TABLE],
+            self.runner,
+            http,
+            self.view.get_table,
+            timeline,
+        )
+        forwarder = Forwarder(
+            self.board, calls, settings.data_centre, timeline, metrics
+        )
+        self._callers = HttpServer(
+            servers.callers(self.view, forwarder, self.desk),
+            self.view.limits,
+            cancels_abandoned=True,
+        )
+        self._directory = HttpServer(_to_async(servers.directory(self._choose)))
+        self._ready = HttpServer(_to_async(servers.ready(self.is_ready)))
+        self._peers = HttpServer(self._answer_peer)
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def is_ready(self) -> bool:
+        """Tells whether callers should be sent here."""
+        return (
+            self.fleet is not None
+            and not self.fleet.is_leaving
+            and self.view.table is not None
+            and self._watches[self._tables.targets_table].loaded.is_set()
+        )
+
+    async def start(self) -> None:
+        """Listens at once and serves as soon as the store has told enough."""
+        self._timeline.record("process_started", self._settings.vm, "")
+        await self._callers.start(self._settings.callers_address)
+        await self._directory.start(self._settings.directory_address)
+        await self._ready.start(self._settings.ready_address)
+        await self._peers.start(self._settings.peer_address)
+        for watch in self._watches.values():
+            await watch.start()
+        own = await self._register()
+        fleet = Fleet(
+            self._settings,
+            own,
+            self._watches[NODE_TABLE],
+            self._http,
+            self._timeline,
+            _wall_ms,
+        )
+        self.link.set_peers(fleet.peer_stores)
+        self.weights = WeightKeeper(
+            self.link,
+            fleet,
+            self.board,
+            self._calls,
+            self._settings.lease_s,
+            self._timeline,
+        )
+        self.weights.configuration = lambda: self.view.configuration
+        self._follow(self.weights)
+        await self._watches[NODE_TABLE].loaded.wait()
+        await fleet.start()
+        self.fleet = fleet
+        await self.runner.start()
+        await self.desk.start(fleet)
+        await self.weights.start()
+        self._tasks = [
+            start_task("freeze_watch", lambda: watch_for_freezes(self._thaw)),
+        ]
+
+    async def stop(self) -> None:
+        """Stops as planned: tells everyone, serves on, hands over, closes."""
+        started_s = _now_s()
+        self._timeline.record("process_stops", self._settings.vm, "it was told to")
+        fleet = self.fleet
+        if fleet is not None:
+            version = fleet.row_version()
+            await fleet.leave()
+            self._callers.announce_close()
+            await self.desk.hand_over()
+            if version is not None:
+                try:
+                    await unregister(self.link, self._settings.vm, version)
+                except RowStoreError as error:
+                    self._timeline.record("row_not_deleted", NODE_TABLE, str(error))
+            wanted_s = KEEPS_ANSWER_TIMES * self._valid_for_s()
+            longest_s = self._settings.grace_s - CLOSING_S - 0.5
+            left_s = min(wanted_s, longest_s) - (_now_s() - started_s)
+            await asyncio.sleep(max(0.0, left_s))
+        await self._callers.close(grace_s=CLOSING_S)
+        await self.close()
+        self._timeline.record("process_stopped", self._settings.vm, "")
+
+    async def close(self) -> None:
+        """Closes everything at once."""
+        await stop_tasks(*self._tasks)
+        await self.desk.close()
+        await self.runner.close()
+        if self.weights is not None:
+            await self.weights.close()
+        if self.fleet is not None:
+            await self.fleet.close()
+        for watch in self._watches.values():
+            await watch.close()
+        for server in (self._callers, self._directory, self._ready, self._peers):
+            await server.abort()
+        await self._http.close()
+
+    def _follow(self, weights: WeightKeeper) -> None:
+        """Hands rows of the platform to whoever they are for."""
+        tables = self._tables
+        takers = {
+            tables.operator_table: tables.take_operator_rows(self.view, weights),
+            tables.targets_table: tables.take_target_rows(self.board),
+        }
+        for name, take in takers.items():
+            watch = self._watches[name]
+            rows = tuple(
+                RowChange(row.at, row.value, row.version) for row in watch.rows.values()
+            )
+            watch.on_change(take)
+            take(rows)
+
+    async def _register(self) -> NodeRecord:
+        settings = self._settings
+        record = NodeRecord(
+            vm=settings.vm,
+            incarnation=1,
+            data_centre=settings.data_centre,
+            callers=settings.callers_address,
+            peers=settings.peer_address,
+        )
+        while True:
+            try:
+                return await register(self.link, record)
+            except RowStoreError as error:
+                self._timeline.record("not_registered", settings.vm, str(error))
+                await asyncio.sleep(RETRY_GAP_S)
+
+    async def _thaw(self, gap_s: float) -> None:
+        """Lets nothing go on after a standstill before it is verified."""
+        self._timeline.record(
+            "process_thawed",
+            self._settings.vm,
+            "its clock jumped",
+            gap_ms=round(gap_s * 1000),
+        )
+        await self.runner.pause()
+        await self.desk.verify()
+        self.runner.resume()
+
+    def _valid_for_s(self) -> float:
+        return min(ENTRIES_VALID_S, self._settings.entries_valid_max_s)
+
+    def _choose(self, caller: str, data_centre: str) -> EntryAnswer:
+        if self.fleet is None:
+            return EntryAnswer((), 0.0)
+        live = tuple(
+            EntryVm(r.vm, r.data_centre, r.callers, r.peers, r.peers, r.peers, r.peers)
+            for r in self.fleet.living()
+        )
+        return choose_entries(live, caller, data_centre, self._valid_for_s())
+
+    async def _answer_peer(self, request: Request) -> Response:
+        if request.path == RELAY_PATH:
+            return await answer_relay(self.link, request.body)
+        if request.path == READ_PATH:
+            read = msgspec.msgpack.decode(request.body, type=JobRead)
+            return Response(200, msgspec.msgpack.encode(self.desk.read_owned(read)))
+        if request.path == "/v1/sync" and self.fleet is not None:
+            gossip = self.fleet.gossip
+            gossip.take_all(request.decode(tuple[Rumour, ...]))
+            return Response(200, msgspec.json.encode(gossip.membership.rumours.all()))
+        return Response(404)
+
+
+def _to_async(handler: SyncHandler) -> CallerHandler:
+    async def answer(request: Request) -> Response:
+        return handler(request)
+
+    return answer
+
+
+def _wall_ms() -> int:
+    return int(time.time() * 1000)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+__all__ = ["NodeProgram", "PlatformTables", "Servers"]
--- /dev/null
+++ b/src/tamarackshelf/node/settings.py
@@ -0,0 +1,46 @@
+"""Settings of the composed process."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from tamarackshelf.world import Address
+
+
+@dataclass(frozen=True, slots=True)
+class StoreBudget:
+    """What all nodes together may ask of the row store, and its row size."""
+
+    reads_per_s: float
+    writes_per_s: float
+    row_bytes: int
+
+
+@dataclass(frozen=True, slots=True)
+class NodeSettings:
+    """Who this node is, where it listens and which bounds hold."""
+
+    vm: str
+    data_centre: str
+    region: str
+    host: str
+    callers_address: Address
+    ready_address: Address
+    directory_address: Address
+    peer_ports: tuple[int, int]
+    store_address: Address
+    store_budget: StoreBudget
+    grace_s: float
+    drain_s: float
+    lease_s: float
+    entries_valid_max_s: float
+    targets_check_fencing: bool
+    is_first_start: bool
+
+    @property
+    def peer_address(self) -> Address:
+        """Returns where other nodes reach this one, by HTTP and by gossip."""
+        return Address(self.host, self.peer_ports[0])
+
+
+__all__ = ["NodeSettings", "StoreBudget"]
--- /dev/null
+++ b/src/tamarackshelf/node/targets.py
@@ -0,0 +1,216 @@
+"""The targets as this node sees them: listed, in use, slow or to be avoided."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from random import Random
+
+from tamarackshelf.contracts.targets import TargetLoad, TargetRecord
+from tamarackshelf.observe import Timeline
+from tamarackshelf.policy.item_placement import EnginePlace
+from tamarackshelf.policy.routing import Candidate
+from tamarackshelf.world import Target
+
+# A target that refused or failed gets no new work for as long.
+AVOID_S = 0.3
+# A load report counts less and less until it is this old.
+REPORT_FADES_S = 1.0
+SMOOTHING = 0.25
+SLOWEST = 8.0
+# An entry that vanished while the store was away may be back this long after.
+RETURN_GRACE_S = 2.2
+
+
+@dataclass(slots=True)
+class TargetState:
+    """One listed target and what this node learnt of it."""
+
+    record: TargetRecord
+    in_flight: int = 0
+    others: int = 0
+    reported_at_s: float = float("-inf")
+    avoid_until_s: float = float("-inf")
+    avoid_reason: str = ""
+    missing_since_s: float | None = None
+    usual_s: float | None = None
+    versions: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def target(self) -> Target:
+        """Returns the target itself."""
+        return self.record.target
+
+    def version_of(self, model: str) -> int | None:
+        """Returns the newest version of a model that was seen here."""
+        known = [self.versions.get(model), self.record.versions.get(model)]
+        seen = [version for version in known if version is not None]
+        return max(seen, default=None)
+
+
+class TargetBoard:
+    """Holds the targets; `recovered_at_s` tells when the store last came back."""
+
+    def __init__(
+        self, timeline: Timeline, recovered_at_s: Callable[[], float], rng: Random
+    ) -> None:
+        self.rng = rng
+        self._timeline = timeline
+        self._recovered_at_s = recovered_at_s
+        self._states: dict[str, TargetState] = {}
+        self._listeners: list[Callable[[], None]] = []
+
+    def on_change(self, listener: Callable[[], None]) -> None:
+        """Calls the listener when a target came, left or changed."""
+        self._listeners.append(listener)
+
+    def put(self, record: TargetRecord) -> None:
+        """Takes a listed target; another incarnation starts with nothing known."""
+        name = record.target.name
+        state = self._states.get(name)
+        if state is None or state.target.incarnation != record.target.incarnation:
+            self._timeline.record(
+                "target_listed",
+                name,
+                "it is new in the list",
+                service=record.target.service,
+                leaving=record.is_leaving,
+            )
+            state = self._states[name] = TargetState(record)
+        elif record.is_leaving and not state.record.is_leaving:
+            self._timeline.record("target_leaving", name, "it says so")
+        state.record = record
+        state.missing_since_s = None
+        self._notify()
+
+    def remove(self, name: str) -> None:
+        """Takes that a target is listed no more."""
+        state = self._states.get(name)
+        if state is None:
+            return
+        if _now_s() - self._recovered_at_s() < RETURN_GRACE_S:
+            state.missing_since_s = _now_s()
+            self._timeline.record(
+                "target_missing", name, "it may come back as the store has returned"
+            )
+            return
+        self._drop(name)
+
+    def drop_missing(self) -> None:
+        """Drops targets that did not come back after the store's return."""
+        for name, state in list(self._states.items()):
+            missing_s = state.missing_since_s
+            if missing_s is not None and _now_s() - missing_s >= RETURN_GRACE_S:
+                self._drop(name)
+
+    def get(self, name: str) -> TargetState | None:
+        """Returns one target."""
+        return self._states.get(name)
+
+    def of_service(self, service: str) -> list[TargetState]:
+        """Returns the targets of a service that may get new work."""
+        return [
+            state
+            for state in self._states.values()
+            if state.target.service == service and not state.record.is_leaving
+        ]
+
+    def all_of(self, services: Iterable[str]) -> list[TargetState]:
+        """Returns the listed targets of some services, leaving ones too."""
+        wanted = set(services)
+        return [s for s in self._states.values() if s.target.service in wanted]
+
+    def avoid(self, name: str, reason: str, duration_s: float = AVOID_S) -> None:
+        """Gives a target no new work for a while."""
+        state = self._states.get(name)
+        if state is not None:
+            state.avoid_until_s = max(state.avoid_until_s, _now_s() + duration_s)
+            state.avoid_reason = reason
+
+    def note_load(self, name: str, load: TargetLoad | None) -> None:
+        """Takes the load that a target reported."""
+        state = self._states.get(name)
+        if state is not None and load is not None:
+            state.others = max(0, load.running + load.waiting - state.in_flight)
+            state.reported_at_s = _now_s()
+
+    def note_duration(self, name: str, duration_s: float) -> None:
+        """Smooths the time that a request or an event takes at a target."""
+        state = self._states.get(name)
+        if state is not None:
+            before_s = duration_s if state.usual_s is None else state.usual_s
+            state.usual_s = before_s + SMOOTHING * (duration_s - before_s)
+
+    def note_version(self, name: str, model: str, version: int) -> None:
+        """Takes the version under which a target made an event."""
+        state = self._states.get(name)
+        if state is not None:
+            known = state.versions.get(model, 0)
+            state.versions[model] = max(known, version)
+
+    def candidates(self, service: str, excluded: frozenset[str]) -> list[Candidate]:
+        """Returns the targets of a service for the router."""
+        states = self.of_service(service)
+        fastest_s = _find_fastest(states)
+        now_s = _now_s()
+        return [
+            Candidate(
+                target=state.target,
+                own_in_flight=state.in_flight,
+                others_in_flight=round(_fade(state, now_s)),
+                share=state.target.concurrency,
+                ruled_out=state.avoid_reason if state.avoid_until_s > now_s else "",
+                slowness=_compare(state.usual_s, fastest_s),
+            )
+            for state in states
+            if state.target.name not in excluded
+        ]
+
+    def engines(self, service: str, model: str) -> list[EnginePlace]:
+        """Returns the engines of a service that may take an item now."""
+        states = self.of_service(service)
+        fastest_s = _find_fastest(states)
+        now_s = _now_s()
+        return [
+            EnginePlace(
+                name=state.target.name,
+                places=state.target.concurrency,
+                in_use=state.in_flight + round(_fade(state, now_s)),
+                version=state.version_of(model),
+                slowness=_compare(state.usual_s, fastest_s),
+            )
+            for state in states
+            if state.avoid_until_s <= now_s
+        ]
+
+    def _drop(self, name: str) -> None:
+        del self._states[name]
+        self._timeline.record("target_gone", name, "it is listed no more")
+        self._notify()
+
+    def _notify(self) -> None:
+        for listener in self._listeners:
+            listener()
+
+
+def _fade(state: TargetState, now_s: float) -> float:
+    age_s = now_s - state.reported_at_s
+    return state.others * max(0.0, 1.0 - age_s / REPORT_FADES_S)
+
+
+def _find_fastest(states: Iterable[TargetState]) -> float | None:
+    return min((s.usual_s for s in states if s.usual_s is not None), default=None)
+
+
+def _compare(usual_s: float | None, fastest_s: float | None) -> float:
+    if usual_s is None or not fastest_s:
+        return 1.0
+    return min(SLOWEST, max(1.0, usual_s / fastest_s))
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+__all__ = ["AVOID_S", "TargetBoard", "TargetState"]
--- a/src/tamarackshelf/observe/logs.py
+++ b/src/tamarackshelf/observe/logs.py
@@ -5,13 +5,16 @@
 import json
 import logging
 import sys
+from typing import TextIO
 
 from pythonjsonlogger.json import JsonFormatter
 
 
-def set_up_logs(log_format: str, level: str = "INFO") -> None:
-    """Sends the log to stderr in `text` or `json` form."""
-    handler = logging.StreamHandler(sys.stderr)
+def set_up_logs(
+    log_format: str, level: str = "INFO", stream: TextIO = sys.stderr
+) -> None:
+    """Sends the log to the stream in `text` or `json` form."""
+    handler = logging.StreamHandler(stream)
     if log_format == "json":
         handler.setFormatter(JsonFormatter("%(asctime)s %(levelname)s %(message)s"))
     else:
--- /dev/null
+++ b/src/tamarackshelf/platform/__init__.py
@@ -0,0 +1,3 @@
+"""The users' platform: its names, formats and calls, translated to the product's."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/tamarackshelf/platform/caller_api.py
@@ -0,0 +1,230 @@
+"""What callers of the platform send, decoded, and what they get back."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import math
+from collections.abc import Callable
+from urllib.parse import unquote
+
+import msgspec
+
+from tamarackshelf.contracts.targets import PlainRequest, TargetAnswer
+from tamarackshelf.entry.forwarder import Forwarder
+from tamarackshelf.errors import BadRequest, NotFound, NotReady, ShelfError
+from tamarackshelf.jobs.desk import JobDesk, ResultPage
+from tamarackshelf.net import Request, Response
+from tamarackshelf.platform.target_calls import OWN_HEADERS
+from tamarackshelf.policy.route_table import RouteTable
+from tamarackshelf.world.job import ItemResult, Job, JobItem, ScoreCall
+from tamarackshelf.world.route import Route, RouteKind
+
+RESULTS_PATH = "/v1/lots/"
+BODIES_PATH = "/v1/items/"
+# The platform's longest wait for a page of results.
+LONGEST_WAIT_S = 1.0
+
+
+class _ScorerUrl(msgspec.Struct):
+    id: str
+    host: str
+    path: str
+    body: str = ""
+
+
+class _Item(msgspec.Struct, rename="camel"):
+    id: str
+    path: str
+    headers: dict[str, str] = {}
+    # The request's bytes in base64.
+    body: str = ""
+    # Prompt tokens and the most output tokens, added up.
+    tokens: int = 0
+    group: str = ""
+    # Not a URL but the whole call that scores the item's text.
+    scorer_url: _ScorerUrl | None = None
+
+
+class _Submission(msgspec.Struct, rename="camel"):
+    # The platform lists items under this name.
+    requests: list[_Item]
+    step: int = 0
+    model: str = ""
+    min_version: int = 0
+    group_count: int = 0
+
+
+class CallerApi:
+    """HTTP handler of the callers' address."""
+
+    def __init__(
+        self,
+        table: Callable[[], RouteTable | None],
+        forwarder: Forwarder,
+        desk: JobDesk,
+    ) -> None:
+        self._table = table
+        self._forwarder = forwarder
+        self._desk = desk
+
+    async def handle(self, request: Request) -> Response:
+        """Answers one request of a caller."""
+        try:
+            return await self._dispatch(request)
+        except ShelfError as error:
+            return to_refusal(error)
+
+    async def _dispatch(self, request: Request) -> Response:
+        table = self._table()
+        if table is None or self._desk.fleet is None:
+            raise NotReady(
+                "this node knows no configuration yet; use another entry",
+                retry_after_s=0.3,
+            )
+        if request.path.startswith(RESULTS_PATH):
+            return await self._handle_results(request)
+        if request.path.startswith(BODIES_PATH):
+            job_id = unquote(request.path.removeprefix(BODIES_PATH))
+            body = await self._desk.read_body(job_id, request.parameter("id"))
+            return Response(200, body, content_type="application/octet-stream")
+        host = request.headers.get("host", "")
+        found = table.find(host, request.path)
+        if found is None:
+            raise NotFound(f"no route of {host} matches the path; check both")
+        if found.kind is RouteKind.JOB:
+            return await self._handle_job(request, host, found)
+        return await self._handle_plain(request, host, found)
+
+    async def _handle_plain(
+        self, request: Request, host: str, found: Route
+    ) -> Response:
+        request_id = request.headers.get("x-request-id", "")
+        plain = PlainRequest(request_id, host, request)
+        timeout_s = min(found.timeout_s, _parse_deadline_s(request))
+        answer = await self._forwarder.forward(plain, found, timeout_s)
+        return _to_response(answer)
+
+    async def _handle_job(self, request: Request, host: str, found: Route) -> Response:
+        if request.method != "POST":
+            raise BadRequest("jobs are submitted with POST; use it")
+        job = decode_job(request, host)
+        await self._desk.submit(job, _now_s() + found.job_due_s)
+        return Response(202)
+
+    async def _handle_results(self, request: Request) -> Response:
+        job_id = unquote(request.path.removeprefix(RESULTS_PATH))
+        if request.method == "DELETE":
+            await self._desk.end(job_id)
+            return Response(200)
+        wait_s = min(LONGEST_WAIT_S, _parse_ms(request, "x-wait-ms", 0.0))
+        after = _parse_after(request)
+        page = await self._desk.read(job_id, after, wait_s)
+        return Response(200, msgspec.json.encode(_encode_page(page)))
+
+
+def decode_job(request: Request, host: str) -> Job:
+    """Returns the submitted job; raises BadRequest."""
+    job_id = request.headers.get("x-request-id", "")
+    if not job_id:
+        raise BadRequest("a job needs its id in X-Request-Id; add it")
+    submission = request.decode(_Submission)
+    items = tuple(_to_item(item) for item in submission.requests)
+    if len({item.item_id for item in items}) != len(items):
+        raise BadRequest("two items of the job have one id; give each its own")
+    return Job(
+        job_id=job_id,
+        host=host,
+        path=request.path,
+        model=submission.model,
+        step=submission.step,
+        min_version=submission.min_version,
+        group_count=submission.group_count,
+        items=items,
+    )
+
+
+def to_refusal(error: ShelfError) -> Response:
+    """Returns the answer that tells a caller about an error."""
+    headers = {}
+    if error.retry_after_s is not None:
+        headers["retry-after"] = f"{error.retry_after_s:.2f}"
+    body = msgspec.json.encode({"error": error.kind, "message": error.message})
+    return Response(error.status, body, headers=headers)
+
+
+def _to_item(item: _Item) -> JobItem:
+    call = item.scorer_url
+    score_call = None
+    if call is not None:
+        score_call = ScoreCall(call.id, call.host, call.path, _to_bytes(call.body))
+    headers = {name.lower(): value for name, value in item.headers.items()}
+    hint = headers.get("x-length-hint", "")
+    expected = int(hint) if hint.isdigit() else item.tokens
+    return JobItem(
+        item_id=item.id,
+        path=item.path,
+        headers=item.headers,
+        body=_to_bytes(item.body),
+        group=item.group,
+        expected_tokens=expected,
+        score_call=score_call,
+    )
+
+
+def _to_bytes(text: str) -> bytes:
+    try:
+        return base64.b64decode(text, validate=True)
+    except ValueError as error:
+        raise BadRequest(f"a body is not base64: {error}; encode it") from error
+
+
+def _encode_page(page: ResultPage) -> dict[str, object]:
+    return {
+        "total": page.total,
+        "next": page.following,
+        "results": [_encode_result(result) for result in page.results],
+    }
+
+
+def _encode_result(result: ItemResult) -> dict[str, object]:
+    if not result.is_complete:
+        return {"id": result.item_id, "state": "terminated"}
+    return {
+        "id": result.item_id,
+        "state": "completed",
+        "output": result.text,
+        "versions": result.versions,
+        "score": result.score,
+    }
+
+
+def _to_response(answer: TargetAnswer) -> Response:
+    raw = answer.answer
+    headers = {n: v for n, v in raw.headers.items() if n not in OWN_HEADERS}
+    return Response(raw.status, raw.body, content_type="", headers=headers)
+
+
+def _parse_deadline_s(request: Request) -> float:
+    return _parse_ms(request, "x-deadline-ms", math.inf)
+
+
+def _parse_ms(request: Request, name: str, default_s: float) -> float:
+    try:
+        return max(0.0, float(request.headers[name]) / 1000)
+    except (KeyError, ValueError):
+        return default_s
+
+
+def _parse_after(request: Request) -> int:
+    text = request.parameter("after", "0")
+    if not text.isdigit():
+        raise BadRequest("after is the position of a result; send a whole number")
+    return int(text)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+__all__ = ["CallerApi", "decode_job", "to_refusal"]
--- /dev/null
+++ b/src/tamarackshelf/platform/directory.py
@@ -0,0 +1,49 @@
+"""The platform's questions which entries to use and whether a node is ready."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+
+from tamarackshelf.net import Request, Response
+from tamarackshelf.policy.entries import EntryAnswer
+
+RESOLVE_PATH = "/v1/resolve"
+READY_PATH = "/v1/ready"
+
+# Takes the caller's host name and data centre.
+EntrySource = Callable[[str, str], EntryAnswer]
+
+
+def build_directory(choose: EntrySource) -> Callable[[Request], Response]:
+    """Returns the handler of the directory's address."""
+
+    def answer(request: Request) -> Response:
+        if request.path != RESOLVE_PATH:
+            return Response(404)
+        chosen = choose(request.parameter("name"), request.parameter("zone"))
+        if not chosen.entries:
+            return Response(503, headers={"retry-after": "0.3"})
+        body = {
+            "addresses": chosen.entries,
+            # How long callers keep the answer; some keep it three times as long.
+            "recordTtlS": chosen.valid_for_s,
+        }
+        return Response(200, msgspec.json.encode(body))
+
+    return answer
+
+
+def build_ready(is_ready: Callable[[], bool]) -> Callable[[Request], Response]:
+    """Returns the handler of the address that the platform's checks ask."""
+
+    def answer(request: Request) -> Response:
+        if request.path != READY_PATH:
+            return Response(404)
+        return Response(200 if is_ready() else 503)
+
+    return answer
+
+
+__all__ = ["build_directory", "build_ready"]
--- /dev/null
+++ b/src/tamarackshelf/platform/records.py
@@ -0,0 +1,214 @@
+"""Rows that the operator and the workers write, decoded into the product's types."""
+
+from __future__ import annotations
+
+import logging
+import math
+from typing import Any
+
+import msgspec
+
+from tamarackshelf.contracts.targets import TargetRecord
+from tamarackshelf.world import Target, TargetKind, parse_address
+from tamarackshelf.world.route import (
+    CallerLimits,
+    Route,
+    RouteKind,
+    RoutingConfiguration,
+    Service,
+    ServiceShare,
+)
+
+# Tables whose rows the platform's pages write as `op/NAME` and `servers/NAME`.
+OPERATOR_TABLE = "op"
+TARGETS_TABLE = "servers"
+CONFIGURATION_KEY = "config"
+VERSION_KEY_PREFIX = "version/"
+
+_KINDS = {
+    "idempotent": RouteKind.IDEMPOTENT,
+    "non_idempotent": RouteKind.NON_IDEMPOTENT,
+    "streaming": RouteKind.STREAMING,
+    "rollout": RouteKind.JOB,
+}
+
+log = logging.getLogger("tamarackshelf")
+
+
+class UnreadableRecord(Exception):
+    """A row that cannot be understood; it is left out."""
+
+
+class _Split(msgspec.Struct):
+    upstream: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, rename="camel"):
+    name: str
+    host: str
+    path_prefix: str
+    route_type: str
+    # How long the operator wants a request kept waiting at most.
+    timeout_ms: float = 10_000.0
+    # The time within which an answer earns its whole credit, not a limit.
+    target_latency_ms: float = 1_000.0
+    priority: int = 5
+    upstream: str = ""
+    traffic_split: list[_Split] = []
+    # The number of workers that one caller's attempt may reach.
+    max_attempts: int = 1
+    resumable: bool = False
+    single_version: bool = False
+    due_ms: float = 0.0
+    max_wait_s: float = 0.0
+
+
+class _Model(msgspec.Struct):
+    name: str
+
+
+class _Backend(msgspec.Struct):
+    models: list[_Model] = []
+
+
+class _Upstream(msgspec.Struct, rename="camel"):
+    name: str
+    # Counted by the worker over the callers of all VMs.
+    max_connections: int = 100
+    backend: _Backend | None = None
+
+
+class _Limits(msgspec.Struct, rename="camel"):
+    max_header_bytes: int = 16 * 1024
+    max_body_bytes: int = 32 * 1024 * 1024
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    # The platform says upstream for what the brief calls a service.
+    upstreams: list[_Upstream] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _LoadedModel(msgspec.Struct):
+    name: str
+    version: int
+
+
+class _Worker(msgspec.Struct, rename="camel"):
+    upstream: str
+    address: str
+    zone: str
+    state: str
+    capacity: int = 1
+    # Unix milliseconds of the start; the same id started again has another one.
+    born: int = 0
+    models: list[_LoadedModel] = []
+    # `sequence` counts the heartbeats here, unlike in a worker's report.
+
+
+class _NamedVersion(msgspec.Struct):
+    model: str
+    version: int
+
+
+def decode_configuration(value: bytes) -> RoutingConfiguration:
+    """Returns the operator's configuration; raises UnreadableRecord."""
+    record = _decode(value, _Configuration)
+    routes = tuple(_to_route(route) for route in record.routes)
+    services = {each.name: _to_service(each) for each in record.upstreams}
+    limits = CallerLimits(
+        head_bytes=record.limits.max_header_bytes,
+        body_bytes=record.limits.max_body_bytes,
+        head_timeout_s=record.limits.header_timeout_ms / 1000,
+        idle_timeout_s=record.limits.idle_timeout_ms / 1000,
+    )
+    return RoutingConfiguration(record.version, routes, services, limits)
+
+
+def decode_target(name: str, value: bytes, *, checks_fencing: bool) -> TargetRecord:
+    """Returns a listed worker; raises UnreadableRecord."""
+    record = _decode(value, _Worker)
+    if record.state not in ("ready", "draining"):
+        raise UnreadableRecord(f"unknown state {record.state!r}")
+    if record.capacity < 1:
+        raise UnreadableRecord(f"capacity {record.capacity} is below one")
+    try:
+        address = parse_address(record.address)
+    except ValueError as error:
+        raise UnreadableRecord(str(error)) from error
+    target = Target(
+        name=name,
+        service=record.upstream,
+        kind=TargetKind.ENGINE if record.models else TargetKind.PLAIN,
+        data_centre=record.zone,
+        address=address,
+        incarnation=record.born,
+        concurrency=record.capacity,
+        checks_fencing=checks_fencing,
+    )
+    versions = {model.name: model.version for model in record.models}
+    is_leaving = record.state == "draining"
+    return TargetRecord(target, is_leaving, versions)
+
+
+def decode_named_version(value: bytes) -> tuple[str, int]:
+    """Returns a model and the version that its trainer named."""
+    record = _decode(value, _NamedVersion)
+    return record.model, record.version
+
+
+def _to_route(route: _Route) -> Route:
+    kind = _KINDS.get(route.route_type)
+    if kind is None:
+        # The strictest treatment is safe for a kind that is not known.
+        log.warning(
+            "route_kind_unknown",
+            extra={"event": {"route": route.name, "kind": route.route_type}},
+        )
+        kind = RouteKind.NON_IDEMPOTENT
+    split = route.traffic_split or [_Split(route.upstream)]
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        path_prefix=route.path_prefix,
+        kind=kind,
+        shares=tuple(ServiceShare(s.upstream, s.weight) for s in split),
+        timeout_s=route.timeout_ms / 1000,
+        target_latency_s=route.target_latency_ms / 1000,
+        max_attempts=max(1, route.max_attempts),
+        rank=route.priority,
+        is_resumable=route.resumable,
+        is_single_version=route.single_version,
+        job_due_s=route.due_ms / 1000,
+        job_max_wait_s=route.max_wait_s or math.inf,
+    )
+
+
+def _to_service(record: _Upstream) -> Service:
+    models = record.backend.models if record.backend is not None else []
+    names = tuple(model.name for model in models)
+    return Service(record.name, record.max_connections, names)
+
+
+def _decode(value: bytes, kind: Any) -> Any:
+    try:
+        return msgspec.json.decode(value, type=kind)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise UnreadableRecord(str(error)) from error
+
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "OPERATOR_TABLE",
+    "TARGETS_TABLE",
+    "VERSION_KEY_PREFIX",
+    "UnreadableRecord",
+    "decode_configuration",
+    "decode_named_version",
+    "decode_target",
+]
--- /dev/null
+++ b/src/tamarackshelf/platform/rows_taken.py
@@ -0,0 +1,74 @@
+"""Hands decoded rows of the operator and the workers to the product."""
+
+from __future__ import annotations
+
+import logging
+
+from tamarackshelf.contracts.rows import RowChange
+from tamarackshelf.node.program import PlatformTables, RowsTaken
+from tamarackshelf.node.targets import TargetBoard
+from tamarackshelf.node.views import ConfigurationView
+from tamarackshelf.node.weights import WeightKeeper
+from tamarackshelf.platform.records import (
+    CONFIGURATION_KEY,
+    OPERATOR_TABLE,
+    TARGETS_TABLE,
+    VERSION_KEY_PREFIX,
+    UnreadableRecord,
+    decode_configuration,
+    decode_named_version,
+    decode_target,
+)
+
+log = logging.getLogger("tamarackshelf")
+
+
+def build_tables(*, checks_fencing: bool) -> PlatformTables:
+    """Returns the platform's tables with what takes their rows."""
+
+    def take_targets(board: TargetBoard) -> RowsTaken:
+        def take(changes: tuple[RowChange, ...]) -> None:
+            for change in changes:
+                name = change.at.key
+                if change.value is None:
+                    board.remove(name)
+                    continue
+                try:
+                    value = change.value
+                    board.put(decode_target(name, value, checks_fencing=checks_fencing))
+                except UnreadableRecord as error:
+                    _log_unreadable(change, error)
+                    board.remove(name)
+
+        return take
+
+    return PlatformTables(
+        operator_table=OPERATOR_TABLE,
+        targets_table=TARGETS_TABLE,
+        take_operator_rows=_take_operator_rows,
+        take_target_rows=take_targets,
+    )
+
+
+def _take_operator_rows(view: ConfigurationView, weights: WeightKeeper) -> RowsTaken:
+    def take(changes: tuple[RowChange, ...]) -> None:
+        for change in changes:
+            if change.value is None:
+                continue
+            try:
+                if change.at.key == CONFIGURATION_KEY:
+                    view.take(decode_configuration(change.value))
+                elif change.at.key.startswith(VERSION_KEY_PREFIX):
+                    weights.name_version(*decode_named_version(change.value))
+            except UnreadableRecord as error:
+                _log_unreadable(change, error)
+
+    return take
+
+
+def _log_unreadable(change: RowChange, error: UnreadableRecord) -> None:
+    event = {"row": f"{change.at.table}/{change.at.key}", "reason": str(error)}
+    log.warning("row_unreadable", extra={"event": event})
+
+
+__all__ = ["build_tables"]
--- /dev/null
+++ b/src/tamarackshelf/platform/settings.py
@@ -0,0 +1,61 @@
+"""The settings file of the platform, read into the product's settings."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from tamarackshelf.node.settings import NodeSettings, StoreBudget
+from tamarackshelf.world import parse_address
+
+SETTINGS_VARIABLE = "TAMARACKSHELF_CONFIG"
+
+
+class BadSettings(Exception):
+    """The settings file misses a field or holds a wrong one; mend the file."""
+
+
+def load_settings(path: Path) -> NodeSettings:
+    """Reads the file; unknown fields are ignored."""
+    try:
+        lines = path.read_text().splitlines()
+    except OSError as error:
+        raise BadSettings(
+            f"cannot read {path}: {error}; name a readable file"
+        ) from error
+    fields = dict(line.split("=", 1) for line in lines if "=" in line)
+    try:
+        return _to_settings(fields)
+    except KeyError as error:
+        raise BadSettings(f"{path} has no field {error}; add it") from error
+    except ValueError as error:
+        raise BadSettings(f"{path} has a wrong field: {error}; mend it") from error
+
+
+def _to_settings(fields: dict[str, str]) -> NodeSettings:
+    first_port, last_port = (int(p) for p in fields["portRange"].split(","))
+    return NodeSettings(
+        vm=fields["nodeName"],
+        data_centre=fields["zone"],
+        region=fields["region"],
+        host=fields["ip"],
+        callers_address=parse_address(fields["listen.front"]),
+        ready_address=parse_address(fields["listen.ready"]),
+        directory_address=parse_address(fields["listen.directory"]),
+        # Ports for whatever the nodes say to each other.
+        peer_ports=(first_port, last_port),
+        store_address=parse_address(fields["provider.address"]),
+        store_budget=StoreBudget(
+            reads_per_s=float(fields["provider.readsPerS"]),
+            writes_per_s=float(fields["provider.writesPerS"]),
+            row_bytes=int(fields["provider.rowBytes"]),
+        ),
+        grace_s=float(fields["bounds.gracePeriodS"]),
+        drain_s=float(fields["bounds.drainMs"]) / 1000,
+        lease_s=float(fields["bounds.leaseTtlMs"]) / 1000,
+        entries_valid_max_s=float(fields["bounds.ttl_max_s"]),
+        targets_check_fencing=fields["bounds.fencing"] == "true",
+        is_first_start=fields["bootstrap"] == "true",
+    )
+
+
+__all__ = ["SETTINGS_VARIABLE", "BadSettings", "load_settings"]
--- /dev/null
+++ b/src/tamarackshelf/store/table_watch.py
@@ -0,0 +1,126 @@
+"""Keeps a table's rows up to date by its change feed."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Iterable
+
+from tamarackshelf.contracts.rows import (
+    FeedQuery,
+    HistoryLost,
+    RowChange,
+    RowKey,
+    RowPage,
+    RowQuery,
+    RowStore,
+    RowStoreError,
+    StoredRow,
+)
+from tamarackshelf.observe import Timeline
+from tamarackshelf.tasks import start_task, stop_tasks
+
+# Long enough to keep reads few, short enough to notice a silent connection soon.
+FEED_WAIT_S = 2.0
+RETRY_GAP_S = 0.15
+
+Listener = Callable[[tuple[RowChange, ...]], None]
+
+
+class TableWatch:
+    """Holds the rows of one table; `rows` never goes back to an older version."""
+
+    def __init__(
+        self, store: RowStore, table: str, timeline: Timeline, *, has_parts: bool
+    ) -> None:
+        self.rows: dict[RowKey, StoredRow] = {}
+        self.loaded = asyncio.Event()
+        self.heard_at_s = float("-inf")
+        self._store = store
+        self._table = table
+        self._timeline = timeline
+        self._has_parts = has_parts
+        self._version = 0
+        self._listeners: list[Listener] = []
+        self._task: asyncio.Task[None] | None = None
+
+    def on_change(self, listener: Listener) -> None:
+        """Calls the listener with rows that changed; deleted ones have no value."""
+        self._listeners.append(listener)
+
+    async def start(self) -> None:
+        """Starts to read and to follow."""
+        self._task = start_task(f"watch_{self._table}", self._run)
+
+    async def close(self) -> None:
+        """Stops following."""
+        await stop_tasks(self._task)
+
+    def take(self, changes: Iterable[RowChange]) -> None:
+        """Takes changes that are newer than what is known."""
+        news = tuple(change for change in changes if self._apply(change))
+        if news:
+            for listener in self._listeners:
+                listener(news)
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                if not self.loaded.is_set():
+                    await self._load()
+                query = FeedQuery(self._table, self._version, FEED_WAIT_S)
+                page = await self._store.feed(query)
+            except HistoryLost as error:
+                self._timeline.record("feed_reread", self._table, str(error))
+                self.loaded.clear()
+                continue
+            except RowStoreError as error:
+                self._timeline.record("feed_failed", self._table, str(error))
+                await asyncio.sleep(RETRY_GAP_S)
+                continue
+            self.heard_at_s = asyncio.get_running_loop().time()
+            self.take(page.changes)
+            self._version = max(self._version, page.version)
+
+    async def _load(self) -> None:
+        """Reads the whole table; rows that are gone count as deleted."""
+        first = await self._store.read(RowQuery(self._table, ""))
+        rows = [*first.rows, *await self._read_rest("", first)]
+        if self._has_parts:
+            parts = await self._store.list_parts(self._table)
+            read = [self._read_part(part) for part in parts if part]
+            for found in await asyncio.gather(*read):
+                rows += found
+        found_at = {row.at: row for row in rows}
+        gone = (
+            RowChange(at, None, first.version)
+            for at, row in list(self.rows.items())
+            if at not in found_at and row.version <= first.version
+        )
+        changes = [RowChange(row.at, row.value, row.version) for row in rows]
+        self.take([*changes, *gone])
+        self._version = max(self._version, first.version)
+        self.loaded.set()
+
+    async def _read_part(self, part: str) -> list[StoredRow]:
+        page = await self._store.read(RowQuery(self._table, part))
+        return [*page.rows, *await self._read_rest(part, page)]
+
+    async def _read_rest(self, part: str, page: RowPage) -> list[StoredRow]:
+        rows: list[StoredRow] = []
+        while page.has_more and page.rows:
+            after = page.rows[-1].at.key + "\0"
+            page = await self._store.read(RowQuery(self._table, part, after))
+            rows += page.rows
+        return rows
+
+    def _apply(self, change: RowChange) -> bool:
+        known = self.rows.get(change.at)
+        if known is not None and known.version >= change.version:
+            return False
+        if change.value is None:
+            return self.rows.pop(change.at, None) is not None
+        self.rows[change.at] = StoredRow(change.at, change.value, change.version)
+        return True
+
+
+__all__ = ["TableWatch"]
--- a/src/tamarackshelf/trials/crowd.py
+++ b/src/tamarackshelf/trials/crowd.py
@@ -8,8 +8,8 @@
 from dataclasses import replace
 from random import Random
 
-from tamarackshelf.controller.gossip_link import GossipLink
-from tamarackshelf.controller.gossip_task import GossipSettings, GossipTask
+from tamarackshelf.gossip.link import GossipLink
+from tamarackshelf.gossip.task import GossipSettings, GossipTask
 from tamarackshelf.net import HttpClient
 from tamarackshelf.observe import Timeline
 from tamarackshelf.policy.rumours import Rumour
--- a/src/tamarackshelf/trials/gossip.py
+++ b/src/tamarackshelf/trials/gossip.py
@@ -9,8 +9,8 @@
 from dataclasses import dataclass
 from random import Random
 
-from tamarackshelf.controller.gossip_link import seal
-from tamarackshelf.controller.gossip_task import TICK_S
+from tamarackshelf.gossip.link import seal
+from tamarackshelf.gossip.task import TICK_S
 from tamarackshelf.policy.membership import (
     Datagram,
     GossipTimes,
--- /dev/null
+++ b/src/tamarackshelf/world/job.py
@@ -0,0 +1,100 @@
+"""Jobs: the samples of one training step, handed in at once and run later."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class ScoreCall:
+    """The call that scores an item's text."""
+
+    call_id: str
+    host: str
+    path: str
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class JobItem:
+    """One sample to generate; `expected_tokens` is the caller's estimate."""
+
+    item_id: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    group: str
+    expected_tokens: int
+    score_call: ScoreCall | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """A whole step; no text may be older than `min_version`."""
+
+    job_id: str
+    host: str
+    path: str
+    model: str
+    step: int
+    min_version: int
+    group_count: int
+    items: tuple[JobItem, ...]
+
+
+class JobState(enum.StrEnum):
+    """Where a job stands."""
+
+    OPEN = "open"
+    WHOLE = "whole"
+    ENDED = "ended"
+
+
+@dataclass(frozen=True, slots=True)
+class JobHead:
+    """Who runs a job; `epoch` rises at each change of the owner."""
+
+    owner: str
+    owner_incarnation: int
+    epoch: int
+    state: JobState
+    total: int
+    chunks: int
+    accepted_store_ms: int
+    host: str
+    path: str
+    model: str
+
+
+@dataclass(frozen=True, slots=True)
+class ItemResult:
+    """A listed result; `versions` are those that made its text."""
+
+    item_id: str
+    is_complete: bool
+    text: str = ""
+    versions: tuple[int, ...] = ()
+    score: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class ItemProgress:
+    """The part of an item's text that exists so far."""
+
+    item_id: str
+    pieces: tuple[str, ...] = ()
+    last_event_id: int = -1
+    versions: tuple[int, ...] = ()
+    is_whole: bool = False
+
+
+__all__ = [
+    "ItemProgress",
+    "ItemResult",
+    "Job",
+    "JobHead",
+    "JobItem",
+    "JobState",
+    "ScoreCall",
+]
--- a/tests/controller/test_configuration.py
+++ b/tests/controller/test_configuration.py
@@ -14,8 +14,8 @@
 from tamarackshelf.controller.api import ControllerApi
 from tamarackshelf.controller.configuration_watch import ConfigurationWatch
 from tamarackshelf.controller.fleet import Fleet
-from tamarackshelf.controller.gossip_task import GossipSettings, GossipTask
 from tamarackshelf.errors import RevisionConflict, StoreUnavailable
+from tamarackshelf.gossip.task import GossipSettings, GossipTask
 from tamarackshelf.observe import Metrics, Timeline
 from tamarackshelf.state.configuration import accept, read_body, read_head
 from tamarackshelf.world import EntryVm, Parameters, VmRow, VmState
--- a/tests/policy/test_membership.py
+++ b/tests/policy/test_membership.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tamarackshelf.controller.gossip_link import REPLAY_WINDOW_MS, seal, unseal
+from tamarackshelf.gossip.link import REPLAY_WINDOW_MS, seal, unseal
 from tamarackshelf.policy.membership import (
     Datagram,
     DatagramKind,
