End connections that keep-alive found dead

Ruled out: gossip and the feeds, by a watchdog's traceback of the spinning loop. Conclusion: errors of a socket become ConnectionError where they are read.

--- a/src/tamarackshelf/net/http_server.py
+++ b/src/tamarackshelf/net/http_server.py
@@ -132,7 +132,7 @@
         self._connections[task] = connection
         try:
             await connection.serve()
-        except (ConnectionError, asyncio.CancelledError):
+        except (OSError, asyncio.CancelledError):
             pass
         finally:
             del self._connections[task]
@@ -232,7 +232,7 @@
             return await self._call_handler(request)
         loop = asyncio.get_running_loop()
         work = loop.create_task(self._call_handler(request))
-        more = loop.create_task(self._reader.read(READ_SIZE_BYTES))
+        more = loop.create_task(self._read())
         try:
             await asyncio.wait([work, more], return_when=asyncio.FIRST_COMPLETED)
             if more.done() and not work.done():
@@ -275,7 +275,15 @@
                 if self._http.they_are_waiting_for_100_continue:
                     go_on = h11.InformationalResponse(status_code=100, headers=[])
                     self._write(go_on)
-                self._http.receive_data(await self._reader.read(READ_SIZE_BYTES))
+                self._http.receive_data(await self._read())
+
+    async def _read(self) -> bytes:
+        try:
+            return await self._reader.read(READ_SIZE_BYTES)
+        except OSError as error:
+            # ETIMEDOUT of a dead connection is a TimeoutError, which would look
+            # like the end of a wait that may be repeated.
+            raise ConnectionError(str(error)) from error
 
     async def _call_handler(self, request: Request) -> Response:
         try:
--- /dev/null
+++ b/tests/net/test_dead_connections.py
@@ -0,0 +1,95 @@
+"""Connections whose peer is gone: keep-alive ends them with ETIMEDOUT."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+
+import pytest
+
+from tamarackshelf.net import HttpServer, Response, ServerLimits
+from tests.conftest import find_free_address
+
+MOST_READS = 50
+
+
+class DeadReader:
+    """Fails each read as a socket does whose keep-alive probes got no answer."""
+
+    def __init__(self):
+        self.reads = 0
+
+    async def read(self, size):
+        self.reads += 1
+        if self.reads > MOST_READS:
+            raise AssertionError("the server reads a dead connection again and again")
+        raise TimeoutError(errno.ETIMEDOUT, "Connection timed out")
+
+
+class Writer:
+    def __init__(self):
+        self.closed = False
+        self.transport = self
+
+    def get_extra_info(self, name):
+        return None
+
+    def close(self):
+        self.closed = True
+
+
+async def answer(request):
+    return Response(200)
+
+
+@pytest.mark.parametrize("cancels_abandoned", [False, True])
+def test_server_gives_up_a_connection_that_timed_out(run, cancels_abandoned):
+    async def scenario():
+        server = HttpServer(answer, cancels_abandoned=cancels_abandoned)
+        reader, writer = DeadReader(), Writer()
+        await server._accept(reader, writer)
+        assert writer.closed
+        assert reader.reads == 1
+
+    run(scenario())
+
+
+def test_idle_limit_that_grows_meanwhile_holds_at_once(run_anew):
+    async def scenario():
+        limits = [ServerLimits(idle_s=1.0)]
+        server = HttpServer(answer, lambda: limits[0])
+        reader, writer = asyncio.StreamReader(), Writer()
+        task = asyncio.create_task(server._accept(reader, writer))
+        await asyncio.sleep(0.5)
+        limits[0] = ServerLimits(idle_s=5.0)
+        await asyncio.sleep(2.0)
+        still_open = not task.done()
+        await asyncio.sleep(3.0)
+        return still_open, task.done(), writer.closed
+
+    assert run_anew(scenario()) == (True, True, True)
+
+
+def test_handler_is_cancelled_when_its_caller_leaves():
+    async def scenario():
+        cancelled = asyncio.Event()
+
+        async def slow(request):
+            try:
+                await asyncio.sleep(30)
+            except asyncio.CancelledError:
+                cancelled.set()
+                raise
+            return Response(200)
+
+        server = HttpServer(slow, cancels_abandoned=True)
+        address = await server.start(find_free_address())
+        _, writer = await asyncio.open_connection(address.host, address.port)
+        writer.write(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        await writer.drain()
+        await asyncio.sleep(0.05)
+        writer.close()
+        await asyncio.wait_for(cancelled.wait(), 5)
+        await server.abort()
+
+    asyncio.run(scenario())
