Move runs from slow engines to fast ones with a free place

Ruled out: waiting for a free place on a fast engine, as both engines of a model are needed at the start of a step. Conclusion: a run goes on elsewhere with its last event id; reading in is cheap.

--- a/src/tamarackshelf/jobs/item_state.py
+++ b/src/tamarackshelf/jobs/item_state.py
@@ -22,6 +22,15 @@
     """An event does not go on where the text ends."""
 
 
+@dataclass(frozen=True, slots=True)
+class CurrentRun:
+    """Where an item runs and since when; seconds of the loop's clock."""
+
+    engine: str
+    service: str
+    started_s: float
+
+
 @dataclass(slots=True)
 class ItemState:
     """An item, its text so far and how often it failed."""
@@ -35,6 +44,7 @@
     not_before_s: float = 0.0
     saved_pieces: int = 0
     is_whole: bool = False
+    run: CurrentRun | None = None
 
     @property
     def is_begun(self) -> bool:
@@ -85,4 +95,4 @@
         return ItemResult(self.item.item_id, True, text, versions, score)
 
 
-__all__ = ["BrokenText", "ItemStage", "ItemState"]
+__all__ = ["BrokenText", "CurrentRun", "ItemStage", "ItemState"]
--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -6,6 +6,7 @@
 import contextlib
 import math
 from collections.abc import Coroutine
+from dataclasses import replace
 
 from tamarackshelf.contracts.rows import RowStoreError
 from tamarackshelf.contracts.targets import (
@@ -18,14 +19,21 @@
     TargetCalls,
     TargetChanged,
 )
-from tamarackshelf.jobs.item_state import BrokenText, ItemStage, ItemState
+from tamarackshelf.jobs.item_state import (
+    BrokenText,
+    CurrentRun,
+    ItemStage,
+    ItemState,
+)
 from tamarackshelf.jobs.owned_job import OwnedJob
 from tamarackshelf.jobs.scorer import ScoreImpossible, Scorer, TableSource
 from tamarackshelf.node.targets import TargetBoard, TargetState
 from tamarackshelf.observe import Metrics, Timeline
 from tamarackshelf.policy.item_placement import (
     EnginePlace,
+    RunningItem,
     WaitingItem,
+    choose_moves,
     order_items,
     place_item,
 )
@@ -49,6 +57,10 @@
 # Texts of running items are stored this often, for whoever takes a job over.
 SAVE_EVERY_S = 1.5
 SAVE_MIN_PIECES = 8
+# A run stays on its engine at least as long, so that moves cannot chase each other.
+STAY_S = 0.4
+# About as many tokens come in one event; only used to order runs by what is left.
+TOKENS_PER_PIECE = 50
 
 
 class OldVersion(Exception):
@@ -197,6 +209,34 @@
                 continue
             self._start(job, state, target, found)
             engines[key] = [_take_place(e, target) for e in engines[key]]
+        self._move_stragglers(now_s)
+
+    def _move_stragglers(self, now_s: float) -> None:
+        """Stops runs on slow engines when a much faster one has a free place."""
+        running: dict[tuple[str, str], list[RunningItem]] = {}
+        for job in self.jobs.values():
+            if not job.is_open:
+                continue
+            for state in job.items.values():
+                run = state.run
+                if run is None or now_s - run.started_s < STAY_S:
+                    continue
+                done = len(state.pieces) * TOKENS_PER_PIECE
+                item = RunningItem(
+                    job_id=job.job_id,
+                    item_id=state.item.item_id,
+                    engine=run.engine,
+                    min_version=job.job.min_version,
+                    remaining_tokens=max(0, state.item.expected_tokens - done),
+                )
+                running.setdefault((run.service, job.job.model), []).append(item)
+        for key, items in running.items():
+            for item in choose_moves(items, self._board.engines(*key)):
+                job = self.jobs[item.job_id]
+                self._timeline.record(
+                    "item_moved", item.item_id, "its engine is slow", target=item.engine
+                )
+                job.tasks[item.item_id].cancel()
 
     def _list_waiting(self, now_s: float) -> list[WaitingItem]:
         found = []
@@ -257,6 +297,7 @@
     ) -> None:
         state.stage = ItemStage.RUNNING
         target.in_flight += 1
+        state.run = CurrentRun(target.target.name, target.target.service, _now_s())
         self._track(job, state, self._work(job, state, target, found))
 
     async def _work(
@@ -267,6 +308,7 @@
             try:
                 is_whole = await self._run_once(job, state, target, found)
             finally:
+                state.run = None
                 target.in_flight -= 1
                 self._wake.set()
             if is_whole:
@@ -433,14 +475,7 @@
 def _take_place(engine: EnginePlace, target: TargetState) -> EnginePlace:
     if engine.name != target.target.name:
         return engine
-    return EnginePlace(
-        engine.name,
-        engine.places,
-        engine.in_use + 1,
-        engine.version,
-        engine.slowness,
-        engine.loads_in,
-    )
+    return replace(engine, in_use=engine.in_use + 1)
 
 
 def _now_s() -> float:
--- a/src/tamarackshelf/node/targets.py
+++ b/src/tamarackshelf/node/targets.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import statistics
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from random import Random
@@ -17,7 +19,11 @@
 AVOID_S = 0.3
 # A load report counts less and less until it is this old.
 REPORT_FADES_S = 1.0
-SMOOTHING = 0.25
+# The median of the last durations passes over single pauses.
+DURATIONS_KEPT = 7
+DURATIONS_NEEDED = 3
+# A target without work for as long may have changed its speed.
+SPEED_FADES_S = 3.0
 SLOWEST = 8.0
 # An entry that vanished while the store was away may be back this long after.
 RETURN_GRACE_S = 2.2
@@ -34,7 +40,10 @@
     avoid_until_s: float = float("-inf")
     avoid_reason: str = ""
     missing_since_s: float | None = None
-    usual_s: float | None = None
+    durations_s: deque[float] = field(
+        default_factory=lambda: deque(maxlen=DURATIONS_KEPT)
+    )
+    measured_at_s: float = float("-inf")
     versions: dict[str, int] = field(default_factory=dict)
 
     @property
@@ -42,6 +51,13 @@
         """Returns the target itself."""
         return self.record.target
 
+    def usual_s(self) -> float | None:
+        """Returns the median of the last durations while they are recent."""
+        is_old = _now_s() - self.measured_at_s > SPEED_FADES_S
+        if is_old or len(self.durations_s) < DURATIONS_NEEDED:
+            return None
+        return statistics.median(self.durations_s)
+
     def version_of(self, model: str) -> int | None:
         """Returns the newest version of a model that was seen here."""
         known = [self.versions.get(model), self.record.versions.get(model)]
@@ -136,11 +152,11 @@
             state.reported_at_s = _now_s()
 
     def note_duration(self, name: str, duration_s: float) -> None:
-        """Smooths the time that a request or an event takes at a target."""
+        """Takes how long a request or an event took at a target."""
         state = self._states.get(name)
         if state is not None:
-            before_s = duration_s if state.usual_s is None else state.usual_s
-            state.usual_s = before_s + SMOOTHING * (duration_s - before_s)
+            state.durations_s.append(duration_s)
+            state.measured_at_s = _now_s()
 
     def note_version(self, name: str, model: str, version: int) -> None:
         """Takes the version under which a target made an event."""
@@ -161,7 +177,7 @@
                 others_in_flight=round(_fade(state, now_s)),
                 share=state.target.concurrency,
                 ruled_out=state.avoid_reason if state.avoid_until_s > now_s else "",
-                slowness=_compare(state.usual_s, fastest_s),
+                slowness=_compare(state.usual_s(), fastest_s),
             )
             for state in states
             if state.target.name not in excluded
@@ -178,7 +194,7 @@
                 places=state.target.concurrency,
                 in_use=state.in_flight + round(_fade(state, now_s)),
                 version=state.version_of(model),
-                slowness=_compare(state.usual_s, fastest_s),
+                slowness=_compare(state.usual_s(), fastest_s),
             )
             for state in states
             if state.avoid_until_s <= now_s
@@ -200,7 +216,8 @@
 
 
 def _find_fastest(states: Iterable[TargetState]) -> float | None:
-    return min((s.usual_s for s in states if s.usual_s is not None), default=None)
+    known = (state.usual_s() for state in states)
+    return min((usual_s for usual_s in known if usual_s is not None), default=None)
 
 
 def _compare(usual_s: float | None, fastest_s: float | None) -> float:
--- a/src/tamarackshelf/policy/item_placement.py
+++ b/src/tamarackshelf/policy/item_placement.py
@@ -10,8 +10,12 @@
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass
 
-# An engine this much slower than the fastest gets only items that find no other.
-SLOW_FACTOR = 2.0
+# A run is moved when its engine takes this many times as long for an event as one
+# with a free place: reading a text in again costs less than two events.
+MOVE_FACTOR = 1.5
+# How much longer an event takes on a full engine; the engines' published step times
+# grow by half a percent a request.
+FULL_FACTOR = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,6 +32,17 @@
     is_begun: bool
 
 
+@dataclass(frozen=True, slots=True)
+class RunningItem:
+    """An item on an engine; `remaining_tokens` is an estimate."""
+
+    job_id: str
+    item_id: str
+    engine: str
+    min_version: int
+    remaining_tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class EnginePlace:
     """An engine as this node sees it.
@@ -41,7 +56,6 @@
     in_use: int
     version: int | None
     slowness: float = 1.0
-    loads_in: bool = False
 
     @property
     def free(self) -> int:
@@ -80,10 +94,45 @@
     return best.name
 
 
+def choose_moves(
+    running: Sequence[RunningItem], engines: Sequence[EnginePlace]
+) -> list[RunningItem]:
+    """Returns the runs to stop on slow engines and to go on with elsewhere.
+
+    The longest go first, each only when a much faster engine has a free place.
+    """
+    by_name = {engine.name: engine for engine in engines}
+    free = {engine.name: engine.free for engine in engines}
+    moves = []
+    for item in sorted(running, key=lambda r: (-r.remaining_tokens, r.item_id)):
+        here = by_name.get(item.engine)
+        if here is None:
+            continue
+        better = [
+            engine
+            for engine in engines
+            if free[engine.name] > 0
+            and engine.slowness * MOVE_FACTOR <= here.slowness
+            and engine.version is not None
+            and engine.version >= item.min_version
+        ]
+        if better:
+            free[min(better, key=_cost).name] -= 1
+            moves.append(item)
+    return moves
+
+
 def _cost(engine: EnginePlace) -> tuple[float, str]:
     """Returns the expected time of an event, more the fuller the engine is."""
     filled = engine.in_use / max(1, engine.places)
-    return (engine.slowness * (1.0 + 0.25 * filled), engine.name)
+    return (engine.slowness * (1.0 + FULL_FACTOR * filled), engine.name)
 
 
-__all__ = ["EnginePlace", "WaitingItem", "order_items", "place_item"]
+__all__ = [
+    "EnginePlace",
+    "RunningItem",
+    "WaitingItem",
+    "choose_moves",
+    "order_items",
+    "place_item",
+]
--- /dev/null
+++ b/tests/policy/test_item_placement.py
@@ -0,0 +1,121 @@
+"""Loads of items on engines, without network: who runs where and who moves."""
+
+from __future__ import annotations
+
+from random import Random
+
+from tamarackshelf.policy.engine_share import share_engines
+from tamarackshelf.policy.item_placement import (
+    EnginePlace,
+    RunningItem,
+    WaitingItem,
+    choose_moves,
+    order_items,
+    place_item,
+)
+
+EVENT_S = 0.036
+
+
+def build_item(name, tokens=1000, due_s=10.0, job="j", begun=False):
+    return WaitingItem(
+        job_id=job,
+        item_id=name,
+        group="g",
+        rank=0,
+        due_s=due_s,
+        expected_tokens=tokens,
+        group_missing=4,
+        is_begun=begun,
+    )
+
+
+def build_engine(name, in_use=0, slowness=1.0, version=5, places=8):
+    return EnginePlace(name, places, in_use, version, slowness)
+
+
+def test_longest_items_start_first():
+    items = [build_item("short", 100), build_item("long", 5000)]
+    assert [item.item_id for item in order_items(items)] == ["long", "short"]
+
+
+def test_items_of_the_job_that_is_due_first_start_first():
+    items = [build_item("late", 5000, due_s=20.0), build_item("soon", 10, due_s=5.0)]
+    assert order_items(items)[0].item_id == "soon"
+
+
+def test_item_waits_for_an_engine_that_has_its_version():
+    engines = [build_engine("old", version=3), build_engine("full", in_use=8)]
+    assert place_item(engines, min_version=4) is None
+    assert place_item(engines, min_version=3) == "old"
+
+
+def test_fast_engine_is_filled_before_a_slow_one():
+    engines = [build_engine("a-slow", slowness=2.5), build_engine("b-fast", in_use=7)]
+    assert place_item(engines, 0) == "b-fast"
+
+
+def test_runs_move_only_to_a_much_faster_engine_with_room():
+    slow = build_engine("slow", in_use=3, slowness=2.6)
+    runs = [RunningItem("j", f"r{n}", "slow", 5, 100 * n) for n in range(3)]
+    assert choose_moves(runs, [slow, build_engine("near", slowness=2.0)]) == []
+    assert choose_moves(runs, [slow, build_engine("full", in_use=8)]) == []
+    assert choose_moves(runs, [slow, build_engine("old", version=4)]) == []
+    moved = choose_moves(runs, [slow, build_engine("fast", in_use=6)])
+    assert [run.item_id for run in moved] == ["r2", "r1"]
+
+
+def test_load_of_one_slow_engine_stragglers_end_by_moving():
+    """Pattern: one of two engines turns slow while a step's longest item is on it."""
+    stays_s, moves_s = _run_step(moves=False), _run_step(moves=True)
+    assert moves_s < 0.7 * stays_s
+    # Without the slow engine at all the longest item takes its events at full speed.
+    assert moves_s < 1.3 * 150 * EVENT_S
+
+
+def test_shares_of_engines_are_even_and_stay():
+    names = ["e1", "e2", "e3", "e4"]
+    first = share_engines(names, ("m0", "m1"), {}, {})
+    assert sorted(first.values()) == ["m0", "m0", "m1", "m1"]
+    assert share_engines(names, ("m0", "m1"), {}, first) == first
+
+
+def test_share_of_a_lost_engine_is_taken_only_from_two_more():
+    before = {"e1": "m0", "e2": "m0", "e3": "m1", "e4": "m1", "e5": "m1"}
+    after = share_engines(["e1", "e3", "e4", "e5"], ("m0", "m1"), {}, before)
+    assert sorted(after.values()) == ["m0", "m0", "m1", "m1"]
+
+
+def test_new_holder_keeps_the_shares_that_loaded_versions_show():
+    versions = {
+        "e1": {"m0": 7, "m1": 1},
+        "e2": {"m0": 1, "m1": 6},
+        "e3": {"m0": 6, "m1": 1},
+        "e4": {"m0": 1, "m1": 7},
+    }
+    shares = share_engines(list(versions), ("m0", "m1"), versions, {})
+    assert shares == {"e1": "m0", "e2": "m1", "e3": "m0", "e4": "m1"}
+
+
+def _run_step(*, moves):
+    """Returns when the last of 16 items ends; engine b takes 2.6 times as long."""
+    rng = Random(7)
+    left = {f"i{n}": rng.choice([10, 20, 40]) for n in range(15)} | {"tail": 150}
+    at = {name: "b" if n % 2 else "a" for n, name in enumerate(left)}
+    slowness = {"a": 1.0, "b": 2.6}
+    now_s = 0.0
+    while left:
+        now_s += EVENT_S
+        for name in list(left):
+            left[name] -= 1 / slowness[at[name]]
+            if left[name] <= 0:
+                del left[name]
+        if moves:
+            engines = [
+                build_engine(e, sum(at[n] == e for n in left), slowness[e])
+                for e in slowness
+            ]
+            runs = [RunningItem("j", n, at[n], 5, int(t)) for n, t in left.items()]
+            for run in choose_moves(runs, engines):
+                at[run.item_id] = "a"
+    return now_s
