Hand running jobs to a peer, ask for engines when a job will be late

The whole job now goes to a peer, which runs on at once and claims the head when the store is back. - With two engines a model, one crashed or cut off and the other slow, a step had no engine of its version while the other model's engines idled.

--- a/src/tamarackshelf/cli/node.py
+++ b/src/tamarackshelf/cli/node.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import os
 import signal
 import sys
@@ -27,6 +28,12 @@
 )
 from tamarackshelf.platform.target_calls import PlatformTargetCalls
 
+# Connections within a region take a few milliseconds; one that is not there by then
+# goes to a cut or dark peer.
+CONNECT_TIMEOUT_S = 0.5
+
+log = logging.getLogger("tamarackshelf")
+
 
 def main() -> None:
     """Runs the node until SIGTERM; exits with 2 when its settings are wrong."""
@@ -36,16 +43,19 @@
     except BadSettings as error:
         print(error, file=sys.stderr)
         raise SystemExit(2) from error
+    # Until the loop takes the signal, it must not end the process.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     set_up_logs("text", stream=sys.stdout)
-    asyncio.run(_run(settings))
+    asyncio.run(_run(Path(path), settings))
 
 
-async def _run(settings: NodeSettings) -> None:
+async def _run(path: Path, settings: NodeSettings) -> None:
     program = build_program(settings)
     told_to_stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, told_to_stop.set)
     loop.add_signal_handler(signal.SIGINT, told_to_stop.set)
+    loop.add_signal_handler(signal.SIGHUP, _reload, path, settings)
     start = loop.create_task(program.start())
     await told_to_stop.wait()
     if not start.done():
@@ -54,10 +64,21 @@
     await program.stop()
 
 
+def _reload(path: Path, settings: NodeSettings) -> None:
+    """Reads the settings again; addresses and bounds hold until the next start."""
+    try:
+        changed = load_settings(path) != settings
+    except BadSettings as error:
+        log.warning("settings_refused", extra={"event": {"reason": str(error)}})
+        return
+    reason = "they differ; the next start takes them" if changed else "unchanged"
+    log.info("settings_reloaded", extra={"event": {"reason": reason}})
+
+
 def build_program(settings: NodeSettings) -> NodeProgram:
     """Returns the node with the platform's adapter in place."""
     timeline = Timeline(settings.vm, lambda: int(time.time() * 1000))
-    http = HttpClient()
+    http = HttpClient(connect_timeout_s=CONNECT_TIMEOUT_S)
     return NodeProgram(
         settings,
         PlatformRowStore(http, settings.store_address),
--- a/src/tamarackshelf/jobs/desk.py
+++ b/src/tamarackshelf/jobs/desk.py
@@ -21,7 +21,13 @@
 from tamarackshelf.jobs.scorer import TableSource
 from tamarackshelf.net import HttpClient
 from tamarackshelf.node.fleet import Fleet
-from tamarackshelf.node.peer_jobs import JobRead, JobReadAnswer, ask_owner
+from tamarackshelf.node.peer_jobs import (
+    JobHandover,
+    JobRead,
+    JobReadAnswer,
+    ask_owner,
+    hand_over_to,
+)
 from tamarackshelf.observe import Timeline
 from tamarackshelf.policy.ownership import rank_owners
 from tamarackshelf.store.fleet_rows import NodeRecord
@@ -47,6 +53,8 @@
 PAGE_BYTES = 900_000
 CACHED_JOBS = 24
 CHANGE_TRIES = 8
+# Peers that are asked in turn to take a job of a node that stops.
+HEIRS_TRIED = 3
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,6 +89,7 @@
         self._table = table
         self._heads: dict[str, StoredHead] = {}
         self._orphaned_s: dict[str, float] = {}
+        self._accepting: set[str] = set()
         self._taking: dict[str, asyncio.Task[None]] = {}
         self._jobs: OrderedDict[str, Job] = OrderedDict()
         self._task: asyncio.Task[None] | None = None
@@ -103,6 +112,14 @@
         """
         if job.job_id in self._heads:
             return
+        # The feed may tell of the new row before the store's answer is here.
+        self._accepting.add(job.job_id)
+        try:
+            await self._accept(job, due_s)
+        finally:
+            self._accepting.discard(job.job_id)
+
+    async def _accept(self, job: Job, due_s: float) -> None:
         head = self._build_head(job)
         is_uncertain = False
         deadline_s = _now_s() + ACCEPT_TIMEOUT_S
@@ -245,28 +262,98 @@
             self._runner.add(owned, due_s)
 
     async def _give(self, job: OwnedJob) -> None:
+        """Stops a job's runs and hands it over, over the peers or the store."""
         assert self.fleet is not None
         names = {record.vm: record for record in self.fleet.peers()}
         ranked = rank_owners(names, job.job_id)
-        if not ranked:
-            return
-        heir = names[ranked[0]]
-        await self._runner.drop(job.job_id, f"it goes to {heir.vm}")
-        head = replace(
-            job.stored.head,
-            owner=heir.vm,
-            owner_incarnation=heir.incarnation,
-            epoch=job.stored.head.epoch + 1,
+        await self._runner.drop(job.job_id, "this node stops")
+        handover = JobHandover(
+            job.job, job.stored, tuple(job.listed), tuple(job.unlisted), job.texts()
         )
+        for name in ranked[:HEIRS_TRIED]:
+            if await hand_over_to(self._http, names[name].peers, handover):
+                self._timeline.record(
+                    "job_handed_over",
+                    job.job_id,
+                    "this node stops",
+                    to=name,
+                    unlisted=len(job.unlisted),
+                    texts=len(handover.texts),
+                )
+                return
         try:
             await self._runner.save_progress(job)
-            await self._store.change_head(job.stored, head)
-        except HeadChanged:
-            return
-        except RowStoreError as error:
+        except (HeadChanged, RowStoreError) as error:
             # The others see this node leave and take the job then.
             self._timeline.record("job_not_handed_over", job.job_id, str(error))
 
+    def take_handover(self, handover: JobHandover) -> bool:
+        """Goes on with a job whose owner stops; claims it in the store meanwhile."""
+        job_id = handover.job.job_id
+        known = self._heads.get(job_id)
+        is_stale = known is not None and known.version > handover.stored.version
+        if self.fleet is None or self.fleet.is_leaving or is_stale:
+            return False
+        if job_id in self._runner.jobs or job_id in self._taking:
+            return False
+        texts = {text.item_id: text for text in handover.texts}
+        owned = OwnedJob(
+            handover.job, handover.stored, handover.listed, texts, handover.unlisted
+        )
+        owned.await_claim(self._own_head(handover.stored.head))
+        self._own_job(owned, self._compute_due(handover.stored.head))
+        self._timeline.record(
+            "job_received",
+            job_id,
+            f"{handover.stored.head.owner} stops",
+            unlisted=len(handover.unlisted),
+            texts=len(texts),
+        )
+        task = asyncio.get_running_loop().create_task(self._claim(owned))
+        self._taking[job_id] = task
+        task.add_done_callback(partial(self._end_take, job_id))
+        return True
+
+    async def _claim(self, owned: OwnedJob) -> None:
+        """Writes this node into the head of a job that was handed over."""
+        claim = owned.claim
+        while claim is not None and owned.claim is claim and not owned.is_closed:
+            try:
+                stored = await self._store.change_head(owned.stored, claim)
+            except HeadChanged as error:
+                await self._yield_claim(owned, error.current)
+                return
+            except RowStoreError as error:
+                self._timeline.record("job_unclaimed", owned.job_id, str(error))
+                await asyncio.sleep(TICK_S)
+                continue
+            owned.note_claimed(stored)
+            self._note_known(stored)
+
+    async def _yield_claim(self, owned: OwnedJob, current: StoredHead | None) -> None:
+        """Gives way to another owner; claims anew when only the job's end changed."""
+        before = owned.stored.head
+        if current is not None:
+            same = (current.head.owner, current.head.epoch) == (
+                before.owner,
+                before.epoch,
+            )
+            if same and current.head.state is JobState.OPEN:
+                owned.stored = current
+                await self._claim(owned)
+                return
+            self._note_known(current)
+        await self._runner.drop(owned.job_id, "another node owns it or it has ended")
+
+    def _own_head(self, head: JobHead) -> JobHead:
+        own = self._own
+        return replace(
+            head,
+            owner=own.vm,
+            owner_incarnation=own.incarnation,
+            epoch=head.epoch + 1,
+        )
+
     async def _read_stored(
         self, job_id: str, after: int, deadline_s: float
     ) -> ResultPage:
@@ -332,10 +419,13 @@
         return stored
 
     async def _note_head(self, stored: StoredHead) -> None:
+        self._note_known(stored)
+        await self._runner.note_head(stored)
+
+    def _note_known(self, stored: StoredHead) -> None:
         known = self._heads.get(stored.job_id)
         if known is None or stored.version > known.version:
             self._heads[stored.job_id] = stored
-        await self._runner.note_head(stored)
 
     def _take_rows(self, changes: tuple[RowChange, ...]) -> None:
         for change in changes:
@@ -347,9 +437,7 @@
                 self._timeline.record("row_unreadable", change.at.part, str(error))
                 continue
             stored = StoredHead(change.at.part, head, change.version)
-            known = self._heads.get(stored.job_id)
-            if known is None or stored.version > known.version:
-                self._heads[stored.job_id] = stored
+            self._note_known(stored)
             if stored.job_id in self._runner.jobs:
                 loop = asyncio.get_running_loop()
                 loop.create_task(self._runner.note_head(stored))
@@ -366,7 +454,8 @@
             return
         for job_id, stored in self._heads.items():
             is_idle = stored.head.state is not JobState.OPEN
-            if is_idle or job_id in self._runner.jobs or job_id in self._taking:
+            is_taken = job_id in self._taking or job_id in self._accepting
+            if is_idle or is_taken or job_id in self._runner.jobs:
                 continue
             if self._should_take(stored):
                 loop = asyncio.get_running_loop()
@@ -389,6 +478,8 @@
             self._orphaned_s.pop(stored.job_id, None)
             return False
         since_s = self._orphaned_s.setdefault(stored.job_id, _now_s())
+        # Nobody can take a job while the store is away, so ranks count from then.
+        since_s = max(since_s, self._link.recovered_at_s)
         names = [record.vm for record in self.fleet.living()]
         rank = rank_owners(names, stored.job_id).index(self._own.vm)
         return _now_s() - since_s >= rank * RANK_PAUSE_S
@@ -399,12 +490,7 @@
         own, head = self._own, stored.head
         try:
             if (head.owner, head.owner_incarnation) != (own.vm, own.incarnation):
-                new = replace(
-                    head,
-                    owner=own.vm,
-                    owner_incarnation=own.incarnation,
-                    epoch=head.epoch + 1,
-                )
+                new = self._own_head(head)
                 stored = await self._store.change_head(stored, new)
                 self._timeline.record(
                     "job_taken_over",
--- a/src/tamarackshelf/jobs/owned_job.py
+++ b/src/tamarackshelf/jobs/owned_job.py
@@ -7,7 +7,13 @@
 
 from tamarackshelf.jobs.item_state import ItemStage, ItemState
 from tamarackshelf.store.job_store import StoredHead
-from tamarackshelf.world.job import ItemProgress, ItemResult, Job, JobState
+from tamarackshelf.world.job import (
+    ItemProgress,
+    ItemResult,
+    Job,
+    JobHead,
+    JobState,
+)
 
 
 class OwnedJob:
@@ -19,17 +25,24 @@
         stored: StoredHead,
         listed: Iterable[ItemResult] = (),
         progress: dict[str, ItemProgress] | None = None,
+        unlisted: Iterable[ItemResult] = (),
     ) -> None:
         self.job = job
         self.stored = stored
         self.listed = list(listed)
-        self.unlisted: list[ItemResult] = []
+        self.unlisted = list(unlisted)
         self.changed = asyncio.Event()
         self.is_closed = False
+        self.short_since_s: float | None = None
+        # A job that was handed over runs at once, but lists nothing before the
+        # store has this head.
+        self.claim: JobHead | None = None
+        self.claimed = asyncio.Event()
+        self.claimed.set()
         self.tasks: dict[str, asyncio.Task[None]] = {}
         self.listing: asyncio.Task[None] | None = None
         self.items = {item.item_id: ItemState(item) for item in job.items}
-        for result in self.listed:
+        for result in (*self.listed, *self.unlisted):
             self.items[result.item_id].stage = ItemStage.DONE
         for item_id, text in (progress or {}).items():
             state = self.items.get(item_id)
@@ -55,6 +68,14 @@
         """Returns the items that are at no engine."""
         return [s for s in self.items.values() if s.stage is ItemStage.WAITING]
 
+    def texts(self) -> tuple[ItemProgress, ...]:
+        """Returns the texts of items that are begun and not done."""
+        return tuple(
+            state.to_progress()
+            for state in self.items.values()
+            if state.stage is not ItemStage.DONE and state.is_begun
+        )
+
     def count_missing(self) -> dict[str, int]:
         """Returns how many items of each group are not done."""
         missing: dict[str, int] = {}
@@ -69,12 +90,34 @@
         self.items[result.item_id].stage = ItemStage.DONE
         self.unlisted.append(result)
 
+    def await_claim(self, head: JobHead) -> None:
+        """Lists nothing until the store has taken this head."""
+        self.claim = head
+        self.claimed.clear()
+
+    def note_claimed(self, stored: StoredHead) -> None:
+        """Takes the head that the store has now."""
+        self.stored = stored
+        self.claim = None
+        self.claimed.set()
+
     def note_listed(self, count: int) -> None:
         """Moves the first results from unlisted to listed and wakes readers."""
         self.listed += self.unlisted[:count]
         del self.unlisted[:count]
         self.wake()
 
+    def stop_run(self, item_id: str) -> None:
+        """Stops an item's run; it waits for another engine."""
+        task = self.tasks.get(item_id)
+        if task is not None:
+            task.cancel()
+
+    def forget_task(self, item_id: str, task: asyncio.Task[None]) -> None:
+        """Forgets an item's task once it has ended, unless a newer one runs."""
+        if self.tasks.get(item_id) is task:
+            del self.tasks[item_id]
+
     def wake(self) -> None:
         """Wakes everyone who waits for a change."""
         self.changed.set()
--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -5,8 +5,9 @@
 import asyncio
 import contextlib
 import math
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from dataclasses import replace
+from functools import partial
 
 from tamarackshelf.contracts.rows import RowStoreError
 from tamarackshelf.contracts.targets import (
@@ -29,6 +30,7 @@
 from tamarackshelf.jobs.scorer import ScoreImpossible, Scorer, TableSource
 from tamarackshelf.node.targets import TargetBoard, TargetState
 from tamarackshelf.observe import Metrics, Timeline
+from tamarackshelf.policy.engine_wish import choose_wish
 from tamarackshelf.policy.item_placement import (
     EnginePlace,
     RunningItem,
@@ -61,6 +63,10 @@
 STAY_S = 0.4
 # About as many tokens come in one event; only used to order runs by what is left.
 TOKENS_PER_PIECE = 50
+# The time of an event before any was measured.
+USUAL_EVENT_S = 0.04
+# A job must be short of engines as long before it asks for one more, and again.
+WISH_AFTER_S = 0.5
 
 
 class OldVersion(Exception):
@@ -92,6 +98,8 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._due_s: dict[str, float] = {}
         self.is_paused = False
+        # Takes a model and the engine that should load its weights.
+        self.on_wish: Callable[[str, str], None] = lambda model, engine: None
         board.on_change(self._wake.set)
 
     async def start(self) -> None:
@@ -111,6 +119,7 @@
         """Takes a job; `due_s` is when its results are due on the loop's clock."""
         self.jobs[job.job_id] = job
         self._due_s[job.job_id] = due_s
+        self._start_listing(job)
         self._wake.set()
 
     async def drop(self, job_id: str, reason: str) -> None:
@@ -139,6 +148,9 @@
         job = self.jobs.get(stored.job_id)
         if job is None or stored.version <= job.stored.version:
             return
+        if job.claim is not None and stored.head == job.claim:
+            job.note_claimed(stored)
+            return
         before = job.stored.head
         if (stored.head.owner, stored.head.epoch) != (before.owner, before.epoch):
             await self.drop(stored.job_id, f"{stored.head.owner} owns it now")
@@ -170,7 +182,7 @@
         while True:
             await asyncio.sleep(SAVE_EVERY_S)
             for job in list(self.jobs.values()):
-                if not job.is_open:
+                if not job.is_open or job.claim is not None:
                     continue
                 try:
                     await self.save_progress(job, SAVE_MIN_PIECES)
@@ -210,6 +222,52 @@
             self._start(job, state, target, found)
             engines[key] = [_take_place(e, target) for e in engines[key]]
         self._move_stragglers(now_s)
+        self._wish_for_engines(now_s)
+
+    def _wish_for_engines(self, now_s: float) -> None:
+        """Asks for the weights on one more engine when a job will be late."""
+        for job in self.jobs.values():
+            wished = self._choose_wish(job, now_s) if job.is_open else None
+            if wished is None:
+                job.short_since_s = None
+                continue
+            if job.short_since_s is None:
+                job.short_since_s = now_s
+            if now_s - job.short_since_s < WISH_AFTER_S:
+                continue
+            job.short_since_s = now_s
+            self._timeline.record(
+                "engine_wished",
+                job.job_id,
+                "its own engines will not end it in time",
+                target=wished,
+                model=job.job.model,
+            )
+            self.on_wish(job.job.model, wished)
+
+    def _choose_wish(self, job: OwnedJob, now_s: float) -> str | None:
+        open_items = [
+            state
+            for state in job.items.values()
+            if state.stage in (ItemStage.WAITING, ItemStage.RUNNING)
+            and not state.is_whole
+        ]
+        table = self._table()
+        found = None if table is None else table.find(job.job.host, job.job.path)
+        if not open_items or found is None:
+            return None
+        service = found.shares[0].service
+        remaining = [
+            max(1.0, state.item.expected_tokens / TOKENS_PER_PIECE - len(state.pieces))
+            for state in open_items
+        ]
+        return choose_wish(
+            remaining,
+            self._board.engines(service, job.job.model),
+            job.job.min_version,
+            self._board.fastest_s(service) or USUAL_EVENT_S,
+            self._due_s[job.job_id] - now_s,
+        )
 
     def _move_stragglers(self, now_s: float) -> None:
         """Stops runs on slow engines when a much faster one has a free place."""
@@ -236,7 +294,7 @@
                 self._timeline.record(
                     "item_moved", item.item_id, "its engine is slow", target=item.engine
                 )
-                job.tasks[item.item_id].cancel()
+                job.stop_run(item.item_id)
 
     def _list_waiting(self, now_s: float) -> list[WaitingItem]:
         found = []
@@ -284,7 +342,7 @@
         item_id = state.item.item_id
         task = asyncio.get_running_loop().create_task(work, name=f"item_{item_id}")
         job.tasks[item_id] = task
-        task.add_done_callback(lambda _: job.tasks.pop(item_id, None))
+        task.add_done_callback(partial(job.forget_task, item_id))
 
     def _find_route(self, job: OwnedJob, state: ItemState) -> Route | None:
         table = self._table()
@@ -426,11 +484,15 @@
 
     def _finish(self, job: OwnedJob, result: ItemResult) -> None:
         job.finish(result)
-        if job.listing is None or job.listing.done():
+        self._start_listing(job)
+
+    def _start_listing(self, job: OwnedJob) -> None:
+        if job.unlisted and (job.listing is None or job.listing.done()):
             loop = asyncio.get_running_loop()
             job.listing = loop.create_task(self._list_results(job))
 
     async def _list_results(self, job: OwnedJob) -> None:
+        await job.claimed.wait()
         while job.unlisted:
             first, batch = len(job.listed), list(job.unlisted)
             started_s = _now_s()
--- a/src/tamarackshelf/net/http_client.py
+++ b/src/tamarackshelf/net/http_client.py
@@ -49,7 +49,9 @@
         self,
         delay_s: Callable[[Address], float] | None = None,
         headers: Headers | None = None,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> None:
+        self._connect_timeout_s = connect_timeout_s
         self._delay_s = delay_s or (lambda address: 0.0)
         self._headers = headers or {}
         self._idle: dict[Address, list[_Connection]] = {}
@@ -130,7 +132,7 @@
                     raise
                 # A pooled connection may have been closed while it was idle.
                 connection.close()
-                connection = await _connect(address, deadline_s)
+                connection = await self._connect(address, deadline_s)
                 answer = await connection.send(head, body, deadline_s)
             if delay_s:
                 await asyncio.sleep(delay_s)
@@ -148,6 +150,11 @@
                 connection.reused = True
                 return connection
             connection.close()
+        return await self._connect(address, deadline_s)
+
+    async def _connect(self, address: Address, deadline_s: float) -> _Connection:
+        loop = asyncio.get_running_loop()
+        deadline_s = min(deadline_s, loop.time() + self._connect_timeout_s)
         return await _connect(address, deadline_s)
 
     def _give_back(self, address: Address, connection: _Connection) -> None:
@@ -282,9 +289,8 @@
 
 
 async def _connect(address: Address, deadline_s: float) -> _Connection:
-    loop = asyncio.get_running_loop()
     try:
-        async with asyncio.timeout_at(min(deadline_s, loop.time() + CONNECT_TIMEOUT_S)):
+        async with asyncio.timeout_at(deadline_s):
             reader, writer = await asyncio.open_connection(
                 address.host, address.port, limit=READ_SIZE_BYTES
             )
--- a/src/tamarackshelf/node/peer_jobs.py
+++ b/src/tamarackshelf/node/peer_jobs.py
@@ -1,4 +1,4 @@
-"""Reading a job from its owner, for nodes that cannot reach the store."""
+"""Jobs among peers: reading from the owner, and handing a running job over."""
 
 from __future__ import annotations
 
@@ -7,10 +7,14 @@
 import msgspec
 
 from tamarackshelf.net import ConnectFailed, ConnectionLost, HttpClient
+from tamarackshelf.store.job_store import StoredHead
 from tamarackshelf.world import Address
-from tamarackshelf.world.job import ItemResult, Job
+from tamarackshelf.world.job import ItemProgress, ItemResult, Job
 
 READ_PATH = "/job-read"
+TAKE_PATH = "/job-take"
+# A job with its texts is a few hundred kilobytes.
+TAKE_TIMEOUT_S = 1.0
 # Callers wait at most a little longer than a second for a page.
 READ_TIMEOUT_S = 0.6
 
@@ -34,6 +38,34 @@
     job: Job | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class JobHandover:
+    """A running job whose owner stops; `unlisted` results are not stored yet."""
+
+    job: Job
+    stored: StoredHead
+    listed: tuple[ItemResult, ...]
+    unlisted: tuple[ItemResult, ...]
+    texts: tuple[ItemProgress, ...]
+
+
+async def hand_over_to(
+    http: HttpClient, address: Address, handover: JobHandover
+) -> bool:
+    """Returns whether the peer took the job."""
+    try:
+        answer = await http.request(
+            address,
+            "POST",
+            TAKE_PATH,
+            body=msgspec.msgpack.encode(handover),
+            timeout_s=TAKE_TIMEOUT_S,
+        )
+    except (ConnectFailed, ConnectionLost):
+        return False
+    return answer.status == 200
+
+
 async def ask_owner(
     http: HttpClient, address: Address, request: JobRead
 ) -> JobReadAnswer:
@@ -53,4 +85,12 @@
     return msgspec.msgpack.decode(answer.body, type=JobReadAnswer)
 
 
-__all__ = ["READ_PATH", "JobRead", "JobReadAnswer", "ask_owner"]
+__all__ = [
+    "READ_PATH",
+    "TAKE_PATH",
+    "JobHandover",
+    "JobRead",
+    "JobReadAnswer",
+    "ask_owner",
+    "hand_over_to",
+]
--- a/src/tamarackshelf/node/peer_store.py
+++ b/src/tamarackshelf/node/peer_store.py
@@ -27,9 +27,9 @@
 
 RELAY_PATH = "/store"
 # A peer's own call to the store has to fit in.
-RELAY_TIMEOUT_S = 1.6
+RELAY_TIMEOUT_S = 1.3
 # Feeds are asked for more often over a peer, so that a cut one is noticed soon.
-RELAYED_FEED_WAIT_S = 1.0
+RELAYED_FEED_WAIT_S = 0.3
 
 
 T = TypeVar("T")
@@ -105,7 +105,8 @@
                 RELAY_PATH,
                 body=msgspec.msgpack.encode(request),
                 timeout_s=RELAY_TIMEOUT_S + wait_s,
-                resend=request.commit is None,
+                # Whatever silenced the store may have silenced older connections.
+                fresh=True,
             )
         except ConnectFailed as error:
             raise StoreRefused(str(error)) from error
--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -16,10 +16,21 @@
 from tamarackshelf.jobs.desk import JobDesk
 from tamarackshelf.jobs.runner import JobRunner
 from tamarackshelf.jobs.scorer import Scorer
-from tamarackshelf.net import HttpClient, HttpServer, Request, Response
+from tamarackshelf.net import (
+    HttpClient,
+    HttpServer,
+    Request,
+    Response,
+    ServerLimits,
+)
 from tamarackshelf.node.fleet import Fleet
 from tamarackshelf.node.freeze import watch_for_freezes
-from tamarackshelf.node.peer_jobs import READ_PATH, JobRead
+from tamarackshelf.node.peer_jobs import (
+    READ_PATH,
+    TAKE_PATH,
+    JobHandover,
+    JobRead,
+)
 from tamarackshelf.node.peer_store import RELAY_PATH, answer_relay
 from tamarackshelf.node.settings import NodeSettings
 from tamarackshelf.node.targets import TargetBoard
@@ -44,9 +55,17 @@
 # Callers keep an answer as long, some of them three times as long.
 ENTRIES_VALID_S = 2.0
 KEEPS_ANSWER_TIMES = 3
+WISH = "wish:"
+# Rumours that reach a node later, as at its start, are no wishes any more. Clocks
+# of VMs differ by less.
+WISH_OLD_MS = 5_000
+FLEET_SIZE_EVERY_S = 1.0
 # Left of the grace time for closing connections at the end.
 CLOSING_S = 0.7
 
+# A job with all its texts, with room to spare.
+PEER_BODY_BYTES = 32 * 1024 * 1024
+
 SyncHandler = Callable[[Request], Response]
 RowsTaken = Callable[[tuple[RowChange, ...]], None]
 
@@ -135,7 +154,9 @@
         )
         self._directory = HttpServer(_to_async(servers.directory(self._choose)))
         self._ready = HttpServer(_to_async(servers.ready(self.is_ready)))
-        self._peers = HttpServer(self._answer_peer)
+        self._peers = HttpServer(
+            self._answer_peer, ServerLimits(body_bytes=PEER_BODY_BYTES)
+        )
         self._tasks: list[asyncio.Task[None]] = []
 
     def is_ready(self) -> bool:
@@ -176,6 +197,7 @@
         )
         self.weights.configuration = lambda: self.view.configuration
         self._follow(self.weights)
+        self._connect_wishes(fleet, self.weights)
         await self._watches[NODE_TABLE].loaded.wait()
         await fleet.start()
         self.fleet = fleet
@@ -184,6 +206,7 @@
         await self.weights.start()
         self._tasks = [
             start_task("freeze_watch", lambda: watch_for_freezes(self._thaw)),
+            start_task("fleet_size", self._tell_fleet_size),
         ]
 
     async def stop(self) -> None:
@@ -224,6 +247,19 @@
             await server.abort()
         await self._http.close()
 
+    def _connect_wishes(self, fleet: Fleet, weights: WeightKeeper) -> None:
+        """Spreads wishes for engines by gossip to whoever gives the orders."""
+
+        def spread(model: str, engine: str) -> None:
+            fleet.gossip.publish(Rumour(f"{WISH}{model}", _wall_ms(), engine))
+
+        def take(rumour: Rumour) -> None:
+            if _wall_ms() - rumour.version < WISH_OLD_MS:
+                weights.wish(rumour.subject.removeprefix(WISH), rumour.value)
+
+        self.runner.on_wish = spread
+        fleet.gossip.on_rumour(WISH, take)
+
     def _follow(self, weights: WeightKeeper) -> None:
         """Hands rows of the platform to whoever they are for."""
         tables = self._tables
@@ -255,6 +291,15 @@
                 self._timeline.record("not_registered", settings.vm, str(error))
                 await asyncio.sleep(RETRY_GAP_S)
 
+    async def _tell_fleet_size(self) -> None:
+        """Lets the feeds wait longer in a larger fleet."""
+        while True:
+            if self.fleet is not None:
+                nodes = len(self.fleet.living())
+                for watch in self._watches.values():
+                    watch.nodes = nodes
+            await asyncio.sleep(FLEET_SIZE_EVERY_S)
+
     async def _thaw(self, gap_s: float) -> None:
         """Lets nothing go on after a standstill before it is verified."""
         self._timeline.record(
@@ -285,6 +330,9 @@
         if request.path == READ_PATH:
             read = msgspec.msgpack.decode(request.body, type=JobRead)
             return Response(200, msgspec.msgpack.encode(self.desk.read_owned(read)))
+        if request.path == TAKE_PATH:
+            handover = msgspec.msgpack.decode(request.body, type=JobHandover)
+            return Response(200 if self.desk.take_handover(handover) else 409)
         if request.path == "/v1/sync" and self.fleet is not None:
             gossip = self.fleet.gossip
             gossip.take_all(request.decode(tuple[Rumour, ...]))
--- a/src/tamarackshelf/node/targets.py
+++ b/src/tamarackshelf/node/targets.py
@@ -200,6 +200,10 @@
             if state.avoid_until_s <= now_s
         ]
 
+    def fastest_s(self, service: str) -> float | None:
+        """Returns the usual duration at the fastest target of a service."""
+        return _find_fastest(self.of_service(service))
+
     def _drop(self, name: str) -> None:
         del self._states[name]
         self._timeline.record("target_gone", name, "it is listed no more")
--- a/src/tamarackshelf/node/weights.py
+++ b/src/tamarackshelf/node/weights.py
@@ -43,6 +43,8 @@
 GIVE_UP_S = 3.0
 # The engines of one model that load at once.
 WAVE_SHARE = 0.5
+# A wish holds for one load; a job that is still late repeats it.
+WISH_HOLDS_S = 1.5
 # A new holder waits out the time in which two holders would seem to take turns.
 TURN_MARGIN_S = 0.3
 
@@ -57,6 +59,7 @@
 
     shares: dict[str, str] = field(default_factory=dict)
     sequences: dict[tuple[str, int], int] = field(default_factory=dict)
+    wishes: dict[tuple[str, str], float] = field(default_factory=dict)
     roll: RollMemory = field(default_factory=RollMemory)
 
 
@@ -103,6 +106,10 @@
                 "version_named", model, "its trainer", version=version
             )
 
+    def wish(self, model: str, engine: str) -> None:
+        """Takes that a job's owner wants a model's weights on an engine too."""
+        self._memory.wishes[model, engine] = _now_s() + WISH_HOLDS_S
+
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
@@ -144,8 +151,19 @@
             self._memory.shares.update(shares)
             for name, model in shares.items():
                 groups.setdefault(model, []).append(engines[name])
+            for model, name in self._list_wishes():
+                group = groups.setdefault(model, [])
+                if name in engines and engines[name] not in group:
+                    group.append(engines[name])
         return groups
 
+    def _list_wishes(self) -> list[tuple[str, str]]:
+        now_s = _now_s()
+        wishes = self._memory.wishes
+        for key in [key for key, until_s in wishes.items() if until_s < now_s]:
+            del wishes[key]
+        return list(wishes)
+
     async def _hold_lease(self) -> bool:
         """Returns whether this node may give orders now."""
         now_s = _now_s()
@@ -170,7 +188,9 @@
         if taken is None:
             return False
         self._lease = taken
-        wait_s = self._lease_s + TURN_MARGIN_S if holder.holder else 0.0
+        # A VM that started again is still the same holder to the engines.
+        is_other = holder.holder not in ("", own.vm)
+        wait_s = self._lease_s + TURN_MARGIN_S if is_other else 0.0
         self._not_before_s = _now_s() + wait_s
         self._timeline.record(
             "lease_taken",
--- a/src/tamarackshelf/platform/rows.py
+++ b/src/tamarackshelf/platform/rows.py
@@ -29,6 +29,8 @@
 # Ten times the store's ordinary answer on its slowest days (0.5 s) is too long for
 # callers; a call without an answer by then counts as uncertain.
 CALL_TIMEOUT_S = 1.2
+# An empty answer to a feed comes right after its wait.
+FEED_SLACK_S = 0.6
 PARTS_PER_PAGE = 1000
 
 T = TypeVar("T")
@@ -104,7 +106,7 @@
             "waitMs": str(int(query.wait_s * 1000)),
         }
         path = f"/v1/rows-feed?{urlencode(words)}"
-        answer = await self._call("GET", path, timeout_s=query.wait_s + CALL_TIMEOUT_S)
+        answer = await self._call("GET", path, timeout_s=query.wait_s + FEED_SLACK_S)
         if answer.status == 410:
             raise HistoryLost(f"no changes of {query.table} after {query.after}")
         page = _decode(answer, _Answer)
--- a/src/tamarackshelf/policy/breaker.py
+++ b/src/tamarackshelf/policy/breaker.py
@@ -10,7 +10,8 @@
 class Breaker:
     """Opens after failures in a row and lets one probe through per pause."""
 
-    def __init__(self) -> None:
+    def __init__(self, longest_pause_s: float = LONGEST_PAUSE_S) -> None:
+        self._longest_pause_s = longest_pause_s
         self._failures = 0
         self._pause_s = FIRST_PAUSE_S
         self._retry_at_s = 0.0
@@ -39,7 +40,7 @@
         self._failures += 1
         if not self.is_closed:
             self._retry_at_s = now_s + self._pause_s
-            self._pause_s = min(LONGEST_PAUSE_S, self._pause_s * 2)
+            self._pause_s = min(self._longest_pause_s, self._pause_s * 2)
 
 
 __all__ = ["Breaker"]
--- a/src/tamarackshelf/store/link.py
+++ b/src/tamarackshelf/store/link.py
@@ -25,6 +25,9 @@
 
 # Peers asked in turn for one call; a third would only repeat an outage.
 PEERS_PER_CALL = 2
+# The store itself is tried again as often while it does not answer. What leaves
+# while this node is cut off has to be known well before it counts as reachable.
+LONGEST_PAUSE_S = 0.4
 
 T = TypeVar("T")
 Call = Callable[[RowStore], Awaitable[T]]
@@ -38,7 +41,7 @@
         self.direct = direct
         self.recovered_at_s = float("-inf")
         self._timeline = timeline
-        self._breaker = Breaker()
+        self._breaker = Breaker(LONGEST_PAUSE_S)
         self._peers: PeerSource = lambda: ()
         self._was_up = True
         self._offset_ms: float | None = None
--- a/src/tamarackshelf/store/table_watch.py
+++ b/src/tamarackshelf/store/table_watch.py
@@ -17,11 +17,14 @@
     StoredRow,
 )
 from tamarackshelf.observe import Timeline
+from tamarackshelf.policy.periods import scale_period_s
 from tamarackshelf.tasks import start_task, stop_tasks
 
-# Long enough to keep reads few, short enough to notice a silent connection soon.
-FEED_WAIT_S = 2.0
-RETRY_GAP_S = 0.15
+# Short enough to notice a silent connection soon; a larger fleet waits longer, so
+# that its reads stay within the store's rate.
+FEED_WAIT_S = 0.8
+LONGEST_FEED_WAIT_S = 10.0
+RETRY_GAP_S = 0.1
 
 Listener = Callable[[tuple[RowChange, ...]], None]
 
@@ -35,6 +38,7 @@
         self.rows: dict[RowKey, StoredRow] = {}
         self.loaded = asyncio.Event()
         self.heard_at_s = float("-inf")
+        self.nodes = 1
         self._store = store
         self._table = table
         self._timeline = timeline
@@ -67,7 +71,8 @@
             try:
                 if not self.loaded.is_set():
                     await self._load()
-                query = FeedQuery(self._table, self._version, FEED_WAIT_S)
+                wait_s = scale_period_s(FEED_WAIT_S, self.nodes, LONGEST_FEED_WAIT_S)
+                query = FeedQuery(self._table, self._version, wait_s)
                 page = await self._store.feed(query)
             except HistoryLost as error:
                 self._timeline.record("feed_reread", self._table, str(error))
