Write logs without waiting for their reader and serve metrics

Errors of tasks carry their fault and trace on one line. Metrics are served on the address that the deployment names.

--- a/src/tamarackshelf/cli/node.py
+++ b/src/tamarackshelf/cli/node.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import time
+from dataclasses import replace
 from pathlib import Path
 
 from tamarackshelf.entry.forwarder import Forwarder
@@ -16,7 +17,7 @@
 from tamarackshelf.node.program import CallerHandler, NodeProgram, Servers
 from tamarackshelf.node.settings import NodeSettings
 from tamarackshelf.node.views import ConfigurationView
-from tamarackshelf.observe import Metrics, Timeline, set_up_logs
+from tamarackshelf.observe import Metrics, Timeline, set_up_bounded_logs
 from tamarackshelf.platform.caller_api import CallerApi
 from tamarackshelf.platform.directory import build_directory, build_ready
 from tamarackshelf.platform.rows import PlatformRowStore
@@ -32,6 +33,9 @@
 # goes to a cut or dark peer.
 CONNECT_TIMEOUT_S = 0.5
 
+# Without it no metrics are served.
+METRICS_PORT_VARIABLE = "TAMARACKSHELF_METRICS_PORT"
+
 log = logging.getLogger("tamarackshelf")
 
 
@@ -45,7 +49,9 @@
         raise SystemExit(2) from error
     # Until the loop takes the signal, it must not end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
-    set_up_logs("text", stream=sys.stdout)
+    set_up_bounded_logs()
+    metrics_port = int(os.environ.get(METRICS_PORT_VARIABLE, "0"))
+    settings = replace(settings, metrics_port=metrics_port)
     asyncio.run(_run(Path(path), settings))
 
 
@@ -67,7 +73,8 @@
 def _reload(path: Path, settings: NodeSettings) -> None:
     """Reads the settings again; addresses and bounds hold until the next start."""
     try:
-        changed = load_settings(path) != settings
+        loaded = load_settings(path)
+        changed = replace(loaded, metrics_port=settings.metrics_port) != settings
     except BadSettings as error:
         log.warning("settings_refused", extra={"event": {"reason": str(error)}})
         return
--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -407,6 +407,8 @@
             reason = str(error)
             self._terminate(job, state, reason)
         finally:
+            self._metrics.count("item_runs")
+            self._metrics.observe_s("item_run", _now_s() - started_s)
             self._timeline.record(
                 "item_run",
                 state.item.item_id,
@@ -513,6 +515,7 @@
                 took_ms=round((_now_s() - started_s) * 1000),
             )
             job.note_listed(count)
+            self._metrics.count("results_listed", count)
         if job.is_whole and job.is_open:
             self._timeline.record("job_whole", job.job_id, "every item is listed")
 
--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -157,6 +157,7 @@
         self._peers = HttpServer(
             self._answer_peer, ServerLimits(body_bytes=PEER_BODY_BYTES)
         )
+        self._metrics_page = HttpServer(self._answer_metrics)
         self._tasks: list[asyncio.Task[None]] = []
 
     def is_ready(self) -> bool:
@@ -175,6 +176,8 @@
         await self._directory.start(self._settings.directory_address)
         await self._ready.start(self._settings.ready_address)
         await self._peers.start(self._settings.peer_address)
+        if self._settings.metrics_address is not None:
+            await self._metrics_page.start(self._settings.metrics_address)
         for watch in self._watches.values():
             await watch.start()
         own = await self._register()
@@ -243,7 +246,8 @@
             await self.fleet.close()
         for watch in self._watches.values():
             await watch.close()
-        for server in (self._callers, self._directory, self._ready, self._peers):
+        servers = (self._callers, self._directory, self._ready, self._peers)
+        for server in (*servers, self._metrics_page):
             await server.abort()
         await self._http.close()
 
@@ -324,6 +328,9 @@
         )
         return choose_entries(live, caller, data_centre, self._valid_for_s())
 
+    async def _answer_metrics(self, request: Request) -> Response:
+        return Response(200, self._metrics.render(), content_type="text/plain")
+
     async def _answer_peer(self, request: Request) -> Response:
         if request.path == RELAY_PATH:
             return await answer_relay(self.link, request.body)
--- a/src/tamarackshelf/node/settings.py
+++ b/src/tamarackshelf/node/settings.py
@@ -36,11 +36,17 @@
     entries_valid_max_s: float
     targets_check_fencing: bool
     is_first_start: bool
+    metrics_port: int = 0
 
     @property
     def peer_address(self) -> Address:
         """Returns where other nodes reach this one, by HTTP and by gossip."""
         return Address(self.host, self.peer_ports[0])
 
+    @property
+    def metrics_address(self) -> Address | None:
+        """Returns where metrics are served, or None when they are not."""
+        return Address(self.host, self.metrics_port) if self.metrics_port else None
+
 
 __all__ = ["NodeSettings", "StoreBudget"]
--- /dev/null
+++ b/tests/observe/test_logs.py
@@ -0,0 +1,73 @@
+"""Logs that never wait for their reader and stay bounded."""
+
+from __future__ import annotations
+
+import logging
+import os
+
+import pytest
+
+from tamarackshelf.observe.logs import (
+    BUFFER_BYTES,
+    LINES_PER_S,
+    BoundedHandler,
+    _KeyValueFormatter,
+)
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    os.set_blocking(writer, False)
+    os.set_blocking(reader, False)
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def build_record(text, level=logging.INFO, exc_info=None):
+    return logging.LogRecord("t", level, "f.py", 1, text, (), exc_info)
+
+
+def test_writing_goes_on_while_nobody_reads(pipe):
+    reader, writer = pipe
+    handler = BoundedHandler(writer)
+    for _ in range(3 * BUFFER_BYTES // 1000):
+        handler.emit(build_record("x" * 1000, logging.WARNING))
+    assert handler.dropped > 0
+    assert len(handler._buffer) <= BUFFER_BYTES
+
+
+def test_dropped_lines_are_counted_once_there_is_room(pipe):
+    reader, writer = pipe
+    now_s = [0.0]
+    handler = BoundedHandler(writer, lambda: now_s[0])
+    for number in range(LINES_PER_S + 7):
+        handler.emit(build_record(f"line {number}"))
+    assert handler.dropped == 7
+    now_s[0] = 1.0
+    handler.emit(build_record("next second"))
+    assert handler.dropped == 0
+    assert b"event=log_lines_dropped count=7" in os.read(reader, 1 << 20)
+
+
+def test_warnings_pass_the_limit(pipe):
+    reader, writer = pipe
+    handler = BoundedHandler(writer, lambda: 0.0)
+    for number in range(LINES_PER_S + 1):
+        handler.emit(build_record(f"line {number}"))
+    handler.emit(build_record("a warning", logging.WARNING))
+    assert b"a warning" in os.read(reader, 1 << 20)
+
+
+def test_errors_name_the_fault_on_one_line():
+    try:
+        raise KeyError("missing")
+    except KeyError as error:
+        record = build_record(
+            "task_failed", logging.ERROR, (KeyError, error, error.__traceback__)
+        )
+    line = _KeyValueFormatter().format(record)
+    assert "KeyError" in line
+    assert "test_errors_name_the_fault_on_one_line" in line
+    assert "\n" not in line
