--- a/src/tamarackshelf/jobs/desk.py
+++ b/src/tamarackshelf/jobs/desk.py
@@ -48,6 +48,7 @@
 RANK_PAUSE_S = 1.5
 # A reader that waits looks at the store this often.
 READ_GAP_S = 0.12
+SHORTEST_WAIT_S = 0.001
 ACCEPT_TIMEOUT_S = 3.0
 RETRY_AFTER_S = 0.4
 PAGE_BYTES = 900_000
@@ -173,7 +174,7 @@
         owned = self._runner.jobs.get(job_id)
         while owned is not None and not owned.is_closed:
             left_s = deadline_s - _now_s()
-            if len(owned.listed) > after or left_s <= 0:
+            if len(owned.listed) > after or left_s <= SHORTEST_WAIT_S:
                 return _to_page(len(owned.items), after, owned.listed[after:])
             try:
                 async with asyncio.timeout(left_s):
--- /dev/null
+++ b/src/tamarackshelf/standin/row_store.py
@@ -0,0 +1,179 @@
+"""A row store in memory with faults, for tests."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tamarackshelf.contracts.rows import (
+    Commit,
+    FeedPage,
+    FeedQuery,
+    HistoryLost,
+    RowChange,
+    RowConflict,
+    RowKey,
+    RowPage,
+    RowQuery,
+    RowTransaction,
+    StoredRow,
+    StoreRefused,
+    StoreUncertain,
+)
+
+LONGEST_WAIT_S = 30.0
+# A shorter wait may not move the clock at all.
+SHORTEST_WAIT_S = 0.001
+
+
+class MemoryRowStore:
+    """Implements the RowStore port; clients are handles that may be cut off."""
+
+    def __init__(self) -> None:
+        self.rows: dict[RowKey, StoredRow] = {}
+        self.version = 0
+        self.is_down = False
+        self._changes: list[RowChange] = []
+        self._history_from = 0
+        self._changed = asyncio.Event()
+
+    def connect(self) -> StoreClient:
+        """Returns a client of its own."""
+        return StoreClient(self)
+
+    def forget_history(self) -> None:
+        """Drops the changes so far; feeds have to read anew."""
+        self._history_from = self.version
+        self._changes.clear()
+        self._wake()
+
+    def put(self, table: str, key: str, value: bytes | None, part: str = "") -> None:
+        """Writes as the operator or a worker does."""
+        at = RowKey(table, part, key)
+        self.version += 1
+        self._apply(at, value)
+        self._wake()
+
+    def commit_now(self, transaction: RowTransaction) -> Commit:
+        """Carries out a transaction."""
+        current = [self.rows.get(c.at) for c in transaction.conditions]
+        versions = [row.version if row else 0 for row in current]
+        if versions != [c.version for c in transaction.conditions]:
+            raise RowConflict(tuple(row for row in current if row is not None))
+        self.version += 1
+        for write in transaction.writes:
+            self._apply(write.at, write.value)
+        self._wake()
+        return Commit(self.version, self.now_ms())
+
+    def read_now(self, query: RowQuery) -> RowPage:
+        """Returns the rows of a query."""
+        found = sorted(
+            (
+                row
+                for at, row in self.rows.items()
+                if (at.table, at.part) == (query.table, query.part)
+                and at.key >= query.from_key
+            ),
+            key=lambda row: row.at.key,
+        )
+        page = tuple(found[: query.limit])
+        return RowPage(page, len(found) > len(page), self.version, self.now_ms())
+
+    async def feed_now(self, query: FeedQuery) -> FeedPage:
+        """Waits for changes of a table."""
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + min(LONGEST_WAIT_S, query.wait_s)
+        while True:
+            if query.after < self._history_from:
+                raise HistoryLost(f"no changes after {query.after}")
+            found = tuple(
+                change
+                for change in self._changes
+                if change.version > query.after and change.at.table == query.table
+            )
+            left_s = until_s - loop.time()
+            if found or left_s <= SHORTEST_WAIT_S:
+                return FeedPage(found, self.version, self.now_ms())
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    def now_ms(self) -> int:
+        """Returns the store's steady clock."""
+        return int(asyncio.get_running_loop().time() * 1000) + 1
+
+    def _apply(self, at: RowKey, value: bytes | None) -> None:
+        if value is None:
+            self.rows.pop(at, None)
+        else:
+            self.rows[at] = StoredRow(at, value, self.version)
+        self._changes.append(RowChange(at, value, self.version))
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+class StoreClient:
+    """One node's way to the store.
+
+    `is_refused` refuses all calls; `lose_answers` carries out that many commits and
+    loses their answers; `delay_late_s` carries a lost one out only later.
+    """
+
+    def __init__(self, store: MemoryRowStore) -> None:
+        self.is_refused = False
+        self.lose_answers = 0
+        self.delay_late_s = 0.0
+        self.calls = 0
+        self._store = store
+
+    async def commit(self, transaction: RowTransaction) -> Commit:
+        """Commits or raises RowConflict."""
+        await self._enter()
+        if self.lose_answers > 0:
+            self.lose_answers -= 1
+            self._carry_out_unseen(transaction)
+            raise StoreUncertain("the answer was lost")
+        return self._store.commit_now(transaction)
+
+    async def read(self, query: RowQuery) -> RowPage:
+        """Returns rows as of one moment."""
+        await self._enter()
+        return self._store.read_now(query)
+
+    async def list_parts(self, table: str) -> tuple[str, ...]:
+        """Returns the parts of a table that hold rows."""
+        await self._enter()
+        return tuple(sorted({at.part for at in self._store.rows if at.table == table}))
+
+    async def feed(self, query: FeedQuery) -> FeedPage:
+        """Returns changes as soon as there are some, or none after the wait."""
+        await self._enter()
+        page = await self._store.feed_now(query)
+        await self._enter()
+        return page
+
+    async def _enter(self) -> None:
+        self.calls += 1
+        await asyncio.sleep(0.004)
+        if self.is_refused or self._store.is_down:
+            raise StoreRefused("the store refuses this client")
+
+    def _carry_out_unseen(self, transaction: RowTransaction) -> None:
+        def carry_out() -> None:
+            try:
+                self._store.commit_now(transaction)
+            except RowConflict:
+                # Its conditions no longer hold; nobody waits for the answer.
+                return
+
+        if self.delay_late_s:
+            asyncio.get_running_loop().call_later(self.delay_late_s, carry_out)
+        else:
+            carry_out()
+
+
+__all__ = ["MemoryRowStore", "StoreClient"]
--- /dev/null
+++ b/tests/store/test_rows.py
@@ -0,0 +1,274 @@
+"""Faults of the row store against the link, the watch and the rows of jobs."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tamarackshelf.contracts.rows import (
+    RowConflict,
+    RowKey,
+    RowQuery,
+    RowTransaction,
+    RowWrite,
+    StoreRefused,
+    StoreUncertain,
+)
+from tamarackshelf.observe import Timeline
+from tamarackshelf.standin.row_store import MemoryRowStore
+from tamarackshelf.store.fleet_rows import (
+    NodeRecord,
+    read_lease,
+    register,
+    take_lease,
+    unregister,
+)
+from tamarackshelf.store.job_store import HeadChanged, JobStore
+from tamarackshelf.store.link import StoreLink
+from tamarackshelf.store.table_watch import TableWatch
+from tamarackshelf.world import Address
+from tamarackshelf.world.job import ItemResult, Job, JobHead, JobItem, JobState
+
+ROW_BYTES = 65536
+
+
+def build_timeline():
+    return Timeline("n", lambda: 0)
+
+
+def build_job(job_id="j1", items=3, body=b"x" * 600):
+    return Job(
+        job_id=job_id,
+        host="h",
+        path="/r/1",
+        model="m",
+        step=1,
+        min_version=1,
+        group_count=1,
+        items=tuple(
+            JobItem(f"{job_id}-{n}", "/r/1/a", {}, body, "g", 100) for n in range(items)
+        ),
+    )
+
+
+def build_head(owner="a", epoch=1):
+    return JobHead(owner, 1, epoch, JobState.OPEN, 3, 0, 1, "h", "/r/1", "m")
+
+
+def test_link_goes_over_a_peer_when_this_node_is_refused(run):
+    async def scenario():
+        store = MemoryRowStore()
+        own, peer = store.connect(), store.connect()
+        link = StoreLink(own, build_timeline())
+        link.set_peers(lambda: [peer])
+        own.is_refused = True
+        at = RowKey("t", "", "k")
+        await link.commit(RowTransaction((), (RowWrite(at, b"v"),)))
+        page = await link.read(RowQuery("t", ""))
+        assert [row.value for row in page.rows] == [b"v"]
+
+    run(scenario())
+
+
+def test_link_tells_refused_from_uncertain(run):
+    async def scenario():
+        store = MemoryRowStore()
+        own, peer = store.connect(), store.connect()
+        link = StoreLink(own, build_timeline())
+        link.set_peers(lambda: [peer])
+        at = RowKey("t", "", "k")
+        transaction = RowTransaction((), (RowWrite(at, b"v"),))
+        own.is_refused = peer.is_refused = True
+        with pytest.raises(StoreRefused):
+            await link.commit(transaction)
+        own.is_refused, own.lose_answers = False, 1
+        with pytest.raises(StoreUncertain):
+            await link.commit(transaction)
+
+    run(scenario())
+
+
+def test_link_says_when_the_store_is_lost_and_regained(run):
+    async def scenario():
+        store = MemoryRowStore()
+        timeline = build_timeline()
+        link = StoreLink(store.connect(), timeline)
+        store.is_down = True
+        for _ in range(4):
+            with pytest.raises(StoreRefused):
+                await link.read(RowQuery("t", ""))
+        assert not link.is_up
+        store.is_down = False
+        await asyncio.sleep(0.5)
+        await link.read(RowQuery("t", ""))
+        kinds = [event.kind for event in timeline.page().events]
+        assert kinds == ["dependency_lost", "dependency_regained"]
+        assert link.recovered_at_s > 0
+
+    run(scenario())
+
+
+def test_watch_reads_anew_after_lost_history(run):
+    async def scenario():
+        store = MemoryRowStore()
+        store.put("t", "gone", b"1")
+        store.put("t", "kept", b"1")
+        watch = TableWatch(store.connect(), "t", build_timeline(), has_parts=False)
+        seen = []
+        watch.on_change(lambda rows: seen.extend((r.at.key, r.value) for r in rows))
+        await watch.start()
+        await watch.loaded.wait()
+        store.put("t", "gone", None)
+        store.put("t", "new", b"2")
+        store.forget_history()
+        await asyncio.sleep(3)
+        await watch.close()
+        assert sorted(at.key for at in watch.rows) == ["kept", "new"]
+        assert ("gone", None) in seen
+
+    run(scenario())
+
+
+def test_watch_follows_parts_and_survives_an_outage(run):
+    async def scenario():
+        store = MemoryRowStore()
+        store.put("job", "head", b"1", part="a")
+        watch = TableWatch(store.connect(), "job", build_timeline(), has_parts=True)
+        await watch.start()
+        await watch.loaded.wait()
+        store.is_down = True
+        await asyncio.sleep(2)
+        store.put("job", "head", b"2", part="b")
+        store.is_down = False
+        await asyncio.sleep(1)
+        await watch.close()
+        assert {at.part for at in watch.rows} == {"a", "b"}
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("lost", [0, 1])
+def test_job_is_stored_once(run, lost):
+    async def scenario():
+        client = MemoryRowStore().connect()
+        jobs = JobStore(client, ROW_BYTES)
+        client.lose_answers = lost
+        if lost:
+            with pytest.raises(StoreUncertain):
+                await jobs.insert(build_job(), build_head())
+        stored = await jobs.insert(build_job(), build_head())
+        assert stored.head == build_head()
+        with pytest.raises(HeadChanged) as caught:
+            await jobs.insert(build_job(), build_head(owner="b"))
+        assert caught.value.current.head.owner == "a"
+        assert await jobs.read_job("j1") == build_job()
+
+    run(scenario())
+
+
+def test_job_larger_than_a_transaction_is_whole(run):
+    async def scenario():
+        jobs = JobStore(MemoryRowStore().connect(), ROW_BYTES)
+        job = build_job(items=40, body=b"y" * 40_000)
+        await jobs.insert(job, build_head())
+        assert await jobs.read_job("j1") == job
+
+    run(scenario())
+
+
+def test_results_keep_their_positions_when_an_answer_is_lost(run):
+    async def scenario():
+        client = MemoryRowStore().connect()
+        jobs = JobStore(client, ROW_BYTES)
+        stored = await jobs.insert(build_job(), build_head())
+        client.lose_answers = 1
+        results = [ItemResult(f"j1-{n}", True, "t" * 90_000) for n in range(3)]
+        first = 0
+        while first < len(results):
+            first += await jobs.append(stored, first, results[first:])
+        assert await jobs.read_all_results("j1") == results
+        assert (await jobs.read_results("j1", 2))[0] == results[2]
+
+    run(scenario())
+
+
+def test_owner_that_lost_a_job_lists_nothing_more(run):
+    async def scenario():
+        jobs = JobStore(MemoryRowStore().connect(), ROW_BYTES)
+        stored = await jobs.insert(build_job(), build_head())
+        await jobs.change_head(stored, build_head(owner="b", epoch=2))
+        with pytest.raises(HeadChanged) as caught:
+            await jobs.append(stored, 0, [ItemResult("j1-0", True, "t")])
+        assert caught.value.current.head.owner == "b"
+        assert await jobs.read_all_results("j1") == []
+
+    run(scenario())
+
+
+def test_late_write_of_an_old_owner_has_no_effect(run):
+    async def scenario():
+        store = MemoryRowStore()
+        old, new = store.connect(), store.connect()
+        jobs = JobStore(old, ROW_BYTES)
+        stored = await jobs.insert(build_job(), build_head())
+        old.lose_answers, old.delay_late_s = 1, 2.0
+        task = asyncio.create_task(
+            jobs.append(stored, 0, [ItemResult("j1-0", True, "old")])
+        )
+        await asyncio.sleep(0.01)
+        heir = JobStore(new, ROW_BYTES)
+        claimed = await heir.change_head(stored, build_head("b", 2))
+        await heir.append(claimed, 0, [ItemResult("j1-1", True, "new")])
+        with pytest.raises(HeadChanged):
+            await task
+        await asyncio.sleep(5)
+        assert [r.text for r in await heir.read_all_results("j1")] == ["new"]
+
+    run(scenario())
+
+
+def test_incarnations_only_grow(run):
+    async def scenario():
+        client = MemoryRowStore().connect()
+        address = Address("10.0.0.1", 1)
+        record = NodeRecord("n", 1 << 50, "dc", address, address)
+        first = await register(client, record)
+        client.lose_answers = 1
+        with pytest.raises(StoreUncertain):
+            await register(client, NodeRecord("n", 1, "dc", address, address))
+        second = await register(client, NodeRecord("n", 1, "dc", address, address))
+        assert second.incarnation > first.incarnation
+        await unregister(client, "n", version=1)
+        page = await client.read(RowQuery("node", ""))
+        assert len(page.rows) == 1
+
+    run(scenario())
+
+
+def test_lease_is_taken_by_one_of_two(run):
+    async def scenario():
+        client = MemoryRowStore().connect()
+        before = await read_lease(client, "w")
+        first = await take_lease(client, "w", before, "a", 1)
+        assert first.record.fencing_number == 1
+        assert await take_lease(client, "w", before, "b", 1) is None
+        again = await take_lease(client, "w", first, "b", 1)
+        assert again.record.fencing_number == 2
+
+    run(scenario())
+
+
+def test_conflict_names_the_stored_rows(run):
+    async def scenario():
+        store = MemoryRowStore()
+        link = StoreLink(store.connect(), build_timeline())
+        jobs = JobStore(link, ROW_BYTES)
+        stored = await jobs.insert(build_job(), build_head())
+        await jobs.change_head(stored, build_head("b", 2))
+        with pytest.raises(HeadChanged):
+            await jobs.change_head(stored, build_head("c", 2))
+        assert link.is_up
+        assert RowConflict(()).rows == ()
+
+    run(scenario())
