--- /dev/null
+++ b/tests/support/node.py
@@ -0,0 +1,255 @@
+"""Parts of the composed node on one row store in memory, without network."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import msgspec
+
+from tamarackshelf.contracts.targets import (
+    ItemEvent,
+    OutcomeUnknown,
+    TargetRecord,
+)
+from tamarackshelf.jobs.desk import JobDesk
+from tamarackshelf.jobs.runner import JobRunner
+from tamarackshelf.jobs.scorer import Scorer
+from tamarackshelf.net import Answer, ConnectFailed
+from tamarackshelf.node import peer_jobs
+from tamarackshelf.node.targets import TargetBoard
+from tamarackshelf.observe import Metrics, Timeline
+from tamarackshelf.policy.route_table import RouteTable
+from tamarackshelf.store.fleet_rows import NodeRecord
+from tamarackshelf.store.job_store import HEAD_TABLE, JobStore
+from tamarackshelf.store.link import StoreLink
+from tamarackshelf.store.table_watch import TableWatch
+from tamarackshelf.world import Address, Target, TargetKind
+from tamarackshelf.world.job import Job, JobItem, ScoreCall
+from tamarackshelf.world.route import (
+    Route,
+    RouteKind,
+    RoutingConfiguration,
+    Service,
+    ServiceShare,
+)
+
+HOST = "h.example"
+EVENT_S = 0.036
+
+
+def build_configuration(version=1, max_attempts=3):
+    def route(name, prefix, kind, service):
+        return Route(
+            name=name,
+            host=HOST,
+            path_prefix=prefix,
+            kind=kind,
+            shares=(ServiceShare(service, 1),),
+            timeout_s=2.0,
+            target_latency_s=0.2,
+            max_attempts=max_attempts,
+            job_due_s=7.5,
+        )
+
+    routes = (
+        route("jobs", "/jobs/", RouteKind.JOB, "models"),
+        route("score", "/score/", RouteKind.IDEMPOTENT, "app"),
+        route("once", "/once/", RouteKind.NON_IDEMPOTENT, "app"),
+    )
+    services = {"models": Service("models", 100, ("m",)), "app": Service("app", 100)}
+    return RoutingConfiguration(version, routes, services)
+
+
+def build_target(name, service, places=8, versions=None, incarnation=1):
+    kind = TargetKind.ENGINE if versions else TargetKind.PLAIN
+    address = Address("10.0.0.9", 1000 + int(name[1:]))
+    target = Target(name, service, kind, "dc", address, incarnation, places)
+    return TargetRecord(target, versions=versions or {})
+
+
+def build_job(job_id="j1", items=4, min_version=1):
+    return Job(
+        job_id=job_id,
+        host=HOST,
+        path="/jobs/1",
+        model="m",
+        step=1,
+        min_version=min_version,
+        group_count=1,
+        items=tuple(
+            JobItem(
+                f"{job_id}-{n}",
+                f"/jobs/{n}",
+                {},
+                b"body",
+                "g",
+                500,
+                ScoreCall(f"s{n}", HOST, "/score/x", b""),
+            )
+            for n in range(items)
+        ),
+    )
+
+
+class Engines:
+    """Implements TargetCalls; makes `pieces` events an item, 36 ms each."""
+
+    def __init__(self, pieces=10):
+        self.pieces = pieces
+        self.running = {}
+        self.runs = []
+        self.overlaps = []
+        self.score_faults = []
+        self.faults = {}
+        self.slowness = {}
+        self.version = 1
+
+    async def run_item(self, target, run):
+        item_id = run.item.item_id
+        self.runs.append((item_id, target.name, run.after_event_id))
+        fault = self.faults.pop(item_id, None)
+        if isinstance(fault, Exception):
+            raise fault
+        if self.running.get(item_id):
+            self.overlaps.append(item_id)
+        self.running[item_id] = True
+        try:
+            for number in range(run.after_event_id + 1, self.pieces):
+                await asyncio.sleep(EVENT_S * self.slowness.get(target.name, 1.0))
+                if fault is not None and number >= fault:
+                    raise OutcomeUnknown("the engine broke off")
+                yield ItemEvent(number, f"{item_id}:{number}", self.version)
+        finally:
+            self.running[item_id] = False
+
+    async def score(self, target, call, timeout_s):
+        await asyncio.sleep(0.08)
+        if self.score_faults:
+            raise self.score_faults.pop()
+        return f"score-{call.call_id}"
+
+
+class FleetOf:
+    """The fleet as one node sees it; `dead` is shared among all nodes."""
+
+    def __init__(self, name, records, dead):
+        self.own = records[name]
+        self.is_leaving = False
+        self._records = records
+        self._dead = dead
+
+    def living(self):
+        return [r for name, r in self._records.items() if name not in self._dead]
+
+    def peers(self):
+        return [r for r in self.living() if r.vm != self.own.vm]
+
+    def find(self, vm):
+        return self._records.get(vm)
+
+    def is_gone(self, vm, incarnation):
+        return vm in self._dead or self._records[vm].incarnation != incarnation
+
+
+class Node:
+    """The job parts of one node."""
+
+    def __init__(self, name, cluster):
+        self.client = cluster.store.connect()
+        self.timeline = Timeline(name, lambda: 0)
+        self.link = StoreLink(self.client, self.timeline)
+        self.board = TargetBoard(
+            self.timeline, lambda: self.link.recovered_at_s, random.Random(1)
+        )
+        table = RouteTable(build_configuration())
+        scorer = Scorer(self.board, cluster.engines, lambda: table, "dc", self.timeline)
+        store = JobStore(self.link, 65536)
+        self.runner = JobRunner(
+            store,
+            self.board,
+            cluster.engines,
+            scorer,
+            lambda: table,
+            self.timeline,
+            Metrics(),
+        )
+        self.watch = TableWatch(self.link, HEAD_TABLE, self.timeline, has_parts=True)
+        self.desk = JobDesk(
+            self.link,
+            store,
+            self.watch,
+            self.runner,
+            cluster,
+            lambda: table,
+            self.timeline,
+        )
+        self.fleet = FleetOf(name, cluster.records, cluster.dead)
+
+    async def start(self):
+        for record in (
+            build_target("e1", "models", versions={"m": 1}),
+            build_target("e2", "models", versions={"m": 1}),
+            build_target("a3", "app"),
+        ):
+            self.board.put(record)
+        await self.watch.start()
+        await self.runner.start()
+        await self.desk.start(self.fleet)
+
+    async def stop(self):
+        await self.desk.close()
+        await self.runner.close()
+        await self.watch.close()
+
+    def kinds(self):
+        return [event.kind for event in self.timeline.page().events]
+
+
+class Cluster:
+    """Nodes on one store; stands for the HTTP client between them too."""
+
+    def __init__(self, store, engines, names="abc"):
+        self.store = store
+        self.engines = engines
+        self.dead = set()
+        self.records = {
+            name: NodeRecord(
+                name, 1, "dc", Address("10.0.0.1", n), Address("10.0.0.2", n)
+            )
+            for n, name in enumerate(names, 1)
+        }
+        self.nodes = {name: Node(name, self) for name in names}
+
+    async def start(self):
+        for node in self.nodes.values():
+            await node.start()
+
+    async def kill(self, name):
+        self.dead.add(name)
+        await self.nodes[name].stop()
+
+    async def stop(self):
+        for name in self.nodes.keys() - self.dead:
+            await self.nodes[name].stop()
+
+    async def request(self, address, method, path, *, body, timeout_s):
+        name = next(n for n, r in self.records.items() if r.peers == address)
+        if name in self.dead:
+            raise ConnectFailed(f"{name} is dead")
+        desk = self.nodes[name].desk
+        if path == peer_jobs.TAKE_PATH:
+            handover = msgspec.msgpack.decode(body, type=peer_jobs.JobHandover)
+            return Answer(200 if desk.take_handover(handover) else 409, {}, b"")
+        read = msgspec.msgpack.decode(body, type=peer_jobs.JobRead)
+        return Answer(200, {}, msgspec.msgpack.encode(desk.read_owned(read)))
+
+
+__all__ = [
+    "Cluster",
+    "Engines",
+    "Node",
+    "build_configuration",
+    "build_job",
+    "build_target",
+]
