--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -55,9 +55,7 @@
     async with asyncio.timeout(within_s):
         while len(results) < len(job.items):
             try:
-                page = await cluster.nodes[name].desk.read(
-                    job.job_id, len(results), 1.0
-                )
+                page = await desk.read(job.job_id, len(results), 1.0)
             except StoreUnavailable:
                 await asyncio.sleep(0.2)
                 continue
--- /dev/null
+++ b/tests/platform/test_boundary.py
@@ -0,0 +1,31 @@
+"""Only the adapter knows the platform's names; the adapter imports no decisions."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import pytest
+
+SOURCE = Path(__file__).parents[2] / "src" / "tamarackshelf"
+ADAPTER = SOURCE / "platform"
+PLATFORM_NAMES = re.compile(
+    r"x-server-stamp|x-weight-versions|x-expect-instance|x-worker-load|x-not-run"
+    r"|rows-tx|rows-get|rows-feed|rows-parts|blob-put|scorerUrl|scorer_url"
+    r"|/v1/lots|/v1/order|/v1/resolve|recordTtl|expectedRev|pathPrefix|trafficSplit",
+    re.IGNORECASE,
+)
+OUTSIDE = [path for path in SOURCE.rglob("*.py") if ADAPTER not in path.parents]
+
+
+@pytest.mark.parametrize("path", OUTSIDE, ids=lambda p: str(p.relative_to(SOURCE)))
+def test_product_knows_no_name_of_the_platform(path):
+    # /v1/orders is the path of the product's own engine contract.
+    text = path.read_text().replace("/v1/orders", "")
+    assert not PLATFORM_NAMES.findall(text)
+
+
+@pytest.mark.parametrize("path", OUTSIDE, ids=lambda p: str(p.relative_to(SOURCE)))
+def test_only_the_command_line_imports_the_adapter(path):
+    is_command_line = path.parent.name == "cli"
+    assert is_command_line or "tamarackshelf.platform" not in path.read_text()
--- /dev/null
+++ b/tests/platform/test_records.py
@@ -0,0 +1,141 @@
+"""Rows that the operator and the workers write, good and bad."""
+
+from __future__ import annotations
+
+import random
+
+import msgspec
+import pytest
+
+from tamarackshelf.platform.records import (
+    UnreadableRecord,
+    decode_configuration,
+    decode_named_version,
+    decode_target,
+)
+from tamarackshelf.policy.route_table import RouteTable, pick_service
+from tamarackshelf.world.route import RouteKind
+
+WORKER = {
+    "upstream": "models",
+    "address": "10.128.0.9:8080",
+    "zone": "vestland-a",
+    "version": "v1",
+    "capacity": 8,
+    "state": "ready",
+    "coldLeftMs": 0,
+    "models": [{"name": "m", "version": 3, "adapters": []}],
+    "sequence": 4,
+    "born": 1700000000000,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r1",
+            "host": "A.example",
+            "pathPrefix": "/a/",
+            "routeType": "idempotent",
+            "timeoutMs": 1500,
+            "targetLatencyMs": 191,
+            "priority": 2,
+            "trafficSplit": [
+                {"upstream": "app", "weight": 90},
+                {"upstream": "old", "weight": 0},
+            ],
+            "maxAttempts": 2,
+        },
+        {
+            "name": "r2",
+            "host": "a.example",
+            "pathPrefix": "/a/b/",
+            "routeType": "rollout",
+            "upstream": "models",
+            "dueMs": 7500,
+            "maxWaitS": 20,
+            "newField": [1, 2],
+        },
+        {
+            "name": "r3",
+            "host": "a.example",
+            "pathPrefix": "/c/",
+            "routeType": "not-known-yet",
+            "upstream": "app",
+        },
+    ],
+    "upstreams": [
+        {"name": "app", "maxConnections": 110},
+        {"name": "models", "backend": {"models": [{"name": "m"}]}},
+    ],
+    "limits": {"maxHeaderBytes": 16384, "idleTimeoutMs": 9000},
+}
+
+
+def decode_worker(**changes):
+    row = {**WORKER, **changes}
+    return decode_target("i-1", msgspec.json.encode(row), checks_fencing=True)
+
+
+def test_worker_row_is_decoded():
+    record = decode_worker()
+    assert record.target.service == "models"
+    assert record.target.incarnation == 1700000000000
+    assert record.versions == {"m": 3}
+    assert not record.is_leaving
+    assert decode_worker(state="draining").is_leaving
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"state": "resting"},
+        {"capacity": "eight"},
+        {"capacity": 0},
+        {"address": "nowhere"},
+        {"address": "10.0.0.1:99999"},
+        {"models": 5},
+        {"born": 1.5},
+        {"upstream": None},
+    ],
+)
+def test_bad_worker_row_is_left_out(changes):
+    with pytest.raises(UnreadableRecord):
+        decode_worker(**changes)
+
+
+@pytest.mark.parametrize("value", [b"", b"\xff\xfe", b"[]", b"{", b"null"])
+def test_bytes_that_are_no_row_are_left_out(value):
+    with pytest.raises(UnreadableRecord):
+        decode_target("i-1", value, checks_fencing=True)
+    with pytest.raises(UnreadableRecord):
+        decode_configuration(value)
+    with pytest.raises(UnreadableRecord):
+        decode_named_version(value)
+
+
+def test_configuration_is_decoded_and_routes_are_found_by_the_longest_prefix():
+    configuration = decode_configuration(msgspec.json.encode(CONFIGURATION))
+    table = RouteTable(configuration)
+    assert configuration.version == 7
+    assert table.find("a.example", "/a/x").name == "r1"
+    assert table.find("A.EXAMPLE", "/a/b/x").name == "r2"
+    assert table.find("a.example", "/ab/x") is None
+    assert table.find("b.example", "/a/x") is None
+    job = table.find("a.example", "/a/b/x")
+    assert job.kind is RouteKind.JOB
+    assert job.job_due_s == 7.5
+    assert configuration.services["models"].models == ("m",)
+    assert configuration.limits.idle_timeout_s == 9.0
+
+
+def test_route_of_an_unknown_kind_is_never_repeated():
+    configuration = decode_configuration(msgspec.json.encode(CONFIGURATION))
+    found = RouteTable(configuration).find("a.example", "/c/x")
+    assert found.kind is RouteKind.NON_IDEMPOTENT
+
+
+def test_split_follows_the_weights():
+    configuration = decode_configuration(msgspec.json.encode(CONFIGURATION))
+    shares = configuration.routes[0].shares
+    drawn = {pick_service(shares, random.Random(n)) for n in range(50)}
+    assert drawn == {"app"}
--- /dev/null
+++ b/tests/platform/test_target_calls.py
@@ -0,0 +1,164 @@
+"""Answers of workers on real sockets: whole, cut, crossed, refused and streamed."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from tamarackshelf.contracts.targets import (
+    ItemFailed,
+    ItemImpossible,
+    ItemRun,
+    OrderRefused,
+    OutcomeUnknown,
+    PlainRequest,
+    TargetChanged,
+    TargetFull,
+    VersionOrder,
+)
+from tamarackshelf.net import HttpClient, Request
+from tamarackshelf.platform.target_calls import PlatformTargetCalls
+from tamarackshelf.world import Target, TargetKind
+from tamarackshelf.world.job import JobItem
+from tests.conftest import find_free_address
+
+SIGNED = b"X-Request-Id: r1\r\nX-Server-Stamp: s.1\r\n"
+EVENTS = b"id: 0\ndata: a\n\nid: 1\ndata: b\n\nx-weight-versions: 6\nid: 2\ndata: c\n\n"
+
+
+def answer(status, headers, body, length=None):
+    size = len(body) if length is None else length
+    head = f"HTTP/1.1 {status} X\r\ncontent-length: {size}\r\n".encode()
+    return head + headers + b"\r\n" + body
+
+
+async def call(raw, use):
+    """Calls a worker that answers each request with the bytes and then closes."""
+    seen = []
+
+    async def serve(reader, writer):
+        seen.append(await reader.readuntil(b"\r\n\r\n"))
+        writer.write(raw)
+        await writer.drain()
+        writer.close()
+
+    address = find_free_address()
+    server = await asyncio.start_server(serve, address.host, address.port)
+    target = Target("i-1", "app", TargetKind.PLAIN, "dc", address, 1, 8)
+    http = HttpClient()
+    try:
+        return await use(PlatformTargetCalls(http), target), seen
+    finally:
+        await http.close()
+        server.close()
+
+
+def forward(raw):
+    request = Request("POST", "/a/b", "q=1", {"x-request-id": "r1", "x-own": "1"}, b"z")
+
+    async def use(calls, target):
+        plain = PlainRequest("r1", "h.example", request)
+        return await calls.forward(target, plain, 2.0, once=False)
+
+    return asyncio.run(call(raw, use))
+
+
+def run_item(raw, after=-1):
+    item = JobItem("r1", "/i/1", {"X-Model": "m"}, b"body", "g", 100)
+
+    async def use(calls, target):
+        run = ItemRun(item, "h.example", after, 2, 2.0, 1.0)
+        return [event async for event in calls.run_item(target, run)]
+
+    return asyncio.run(call(raw, use))
+
+
+def test_request_is_passed_on_unchanged_with_what_the_worker_needs():
+    got, seen = forward(answer(200, SIGNED + b"X-Worker-Load: 3,1,8\r\n", b"ok"))
+    head = seen[0].decode().lower()
+    assert head.startswith("post /a/b?q=1 http/1.1")
+    for line in (
+        "host: h.example",
+        "x-request-id: r1",
+        "x-own: 1",
+        "x-expect-instance: i-1",
+        "x-deadline-ms: 2000",
+    ):
+        assert line in head
+    assert got.is_signed
+    assert got.answer.body == b"ok"
+    assert (got.load.running, got.load.waiting, got.load.slots) == (3, 1, 8)
+
+
+@pytest.mark.parametrize(
+    ("raw", "error"),
+    [
+        (answer(200, SIGNED, b"ok", length=9), OutcomeUnknown),
+        (b"", OutcomeUnknown),
+        (b"nonsense\r\n\r\n", OutcomeUnknown),
+        (answer(200, b"X-Request-Id: other\r\nX-Server-Stamp: s\r\n", b"ok"), None),
+        (answer(503, b"X-Not-Run: 1\r\n", b""), TargetFull),
+        (answer(421, b"X-Instance-Id: i-2\r\n", b""), TargetChanged),
+    ],
+    ids=["short", "empty", "nonsense", "crossed", "full", "another worker"],
+)
+def test_answer_that_is_not_whole_or_not_its_own_is_no_answer(raw, error):
+    with pytest.raises(error or OutcomeUnknown):
+        forward(raw)
+
+
+def test_text_carries_the_version_that_made_each_event():
+    raw = answer(200, SIGNED + b"X-Weight-Versions: 5\r\n", EVENTS)
+    events, seen = run_item(raw, after=-1)
+    assert [(e.event_id, e.data, e.version) for e in events] == [
+        (0, "a", 5),
+        (1, "b", 5),
+        (2, "c", 6),
+    ]
+    assert b"last-event-id" not in seen[0].lower()
+
+
+def test_text_is_resumed_after_its_last_event():
+    _, seen = run_item(answer(200, SIGNED, EVENTS), after=7)
+    assert b"last-event-id: 7" in seen[0].lower()
+
+
+@pytest.mark.parametrize(
+    ("raw", "error"),
+    [
+        (answer(200, SIGNED, EVENTS[:-4], length=len(EVENTS)), OutcomeUnknown),
+        (answer(200, SIGNED, EVENTS[:-2]), OutcomeUnknown),
+        (answer(500, SIGNED, b""), ItemFailed),
+        (answer(422, SIGNED, b""), ItemImpossible),
+        (answer(503, SIGNED + b"X-Not-Run: 1\r\n", b""), TargetFull),
+    ],
+    ids=["cut", "ends in an event", "failed", "impossible", "full"],
+)
+def test_run_that_did_not_end_well_says_how(raw, error):
+    with pytest.raises(error):
+        run_item(raw)
+
+
+@pytest.mark.parametrize(
+    ("status", "is_fenced"), [(409, False), (412, True), (400, False)]
+)
+def test_refused_order_tells_whether_it_is_fenced(status, is_fenced):
+    async def use(calls, target):
+        order = VersionOrder("m", 2, "n", 1, 0)
+        return await calls.order_version(target, order, 1.0)
+
+    with pytest.raises(OrderRefused) as caught:
+        asyncio.run(call(answer(status, b"", b""), use))
+    assert caught.value.is_fenced is is_fenced
+
+
+@pytest.mark.parametrize(("status", "carried_out"), [(202, True), (200, False)])
+def test_order_tells_whether_it_is_carried_out(status, carried_out):
+    async def use(calls, target):
+        order = VersionOrder("m", 2, "n", 1, 0)
+        return await calls.order_version(target, order, 1.0)
+
+    got, seen = asyncio.run(call(answer(status, b"", b""), use))
+    assert got is carried_out
+    assert b"x-expect-instance: i-1" in seen[0].lower()
