--- a/src/tamarackshelf/cli/node.py
+++ b/src/tamarackshelf/cli/node.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 from tamarackshelf.entry.forwarder import Forwarder
+from tamarackshelf.entry.streamer import Streamer
 from tamarackshelf.jobs.desk import JobDesk
 from tamarackshelf.net import HttpClient
 from tamarackshelf.node.program import CallerHandler, NodeProgram, Servers
@@ -99,9 +100,9 @@
 
 
 def _build_callers(
-    view: ConfigurationView, forwarder: Forwarder, desk: JobDesk
+    view: ConfigurationView, forwarder: Forwarder, streamer: Streamer, desk: JobDesk
 ) -> CallerHandler:
-    return CallerApi(view.get_table, forwarder, desk).handle
+    return CallerApi(view.get_table, forwarder, streamer, desk).handle
 
 
 if __name__ == "__main__":
--- a/src/tamarackshelf/contracts/targets.py
+++ b/src/tamarackshelf/contracts/targets.py
@@ -84,6 +84,23 @@
     http: Request
 
 
+@dataclass(frozen=True, slots=True)
+class StreamHead:
+    """The head of a streamed answer."""
+
+    status: int
+    headers: dict[str, str]
+    is_signed: bool
+
+
+@dataclass(frozen=True, slots=True)
+class StreamPiece:
+    """One whole event as the target sent it, or the body of a failure."""
+
+    event_id: int
+    data: bytes
+
+
 @dataclass(frozen=True, slots=True)
 class ItemEvent:
     """A piece of text and the weight version that made it."""
@@ -133,6 +150,20 @@
     ) -> TargetAnswer:
         """Returns the whole answer; raises NotRun or OutcomeUnknown."""
 
+    def stream(
+        self,
+        target: Target,
+        request: PlainRequest,
+        timeout_s: float,
+        *,
+        after_event_id: int | None,
+        once: bool,
+    ) -> AsyncGenerator[StreamHead | StreamPiece, None]:
+        """Yields the head and then whole events; ends normally only at the end.
+
+        Raises NotRun before the head, OutcomeUnknown at any point.
+        """
+
     def run_item(self, target: Target, run: ItemRun) -> AsyncGenerator[ItemEvent, None]:
         """Yields the text; ends normally only when the text is whole.
 
@@ -164,6 +195,8 @@
     "OrderRefused",
     "OutcomeUnknown",
     "PlainRequest",
+    "StreamHead",
+    "StreamPiece",
     "TargetAnswer",
     "TargetCalls",
     "TargetChanged",
--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -13,6 +13,7 @@
 from tamarackshelf.contracts.rows import RowChange, RowStore, RowStoreError
 from tamarackshelf.contracts.targets import TargetCalls
 from tamarackshelf.entry.forwarder import Forwarder
+from tamarackshelf.entry.streamer import Streamer
 from tamarackshelf.jobs.desk import JobDesk
 from tamarackshelf.jobs.runner import JobRunner
 from tamarackshelf.jobs.scorer import Scorer
@@ -84,7 +85,7 @@
 class Servers:
     """Builds the handlers that speak the platform's protocol."""
 
-    callers: Callable[[ConfigurationView, Forwarder, JobDesk], CallerHandler]
+    callers: Callable[[ConfigurationView, Forwarder, Streamer, JobDesk], CallerHandler]
     directory: Callable[[Callable[[str, str], EntryAnswer]], SyncHandler]
     ready: Callable[[Callable[[], bool]], SyncHandler]
 
@@ -147,8 +148,9 @@
         forwarder = Forwarder(
             self.board, calls, settings.data_centre, timeline, metrics
         )
+        streamer = Streamer(self.board, calls, settings.data_centre, timeline, metrics)
         self._callers = HttpServer(
-            servers.callers(self.view, forwarder, self.desk),
+            servers.callers(self.view, forwarder, streamer, self.desk),
             self.view.limits,
             cancels_abandoned=True,
         )
--- a/src/tamarackshelf/platform/caller_api.py
+++ b/src/tamarackshelf/platform/caller_api.py
@@ -5,13 +5,14 @@
 import asyncio
 import base64
 import math
-from collections.abc import Callable
+from collections.abc import AsyncGenerator, Callable
 from urllib.parse import unquote
 
 import msgspec
 
-from tamarackshelf.contracts.targets import PlainRequest, TargetAnswer
+from tamarackshelf.contracts.targets import PlainRequest, StreamHead, TargetAnswer
 from tamarackshelf.entry.forwarder import Forwarder
+from tamarackshelf.entry.streamer import Streamer
 from tamarackshelf.errors import BadRequest, NotFound, NotReady, ShelfError
 from tamarackshelf.jobs.desk import JobDesk, ResultPage
 from tamarackshelf.net import Request, Response
@@ -62,10 +63,12 @@
         self,
         table: Callable[[], RouteTable | None],
         forwarder: Forwarder,
+        streamer: Streamer,
         desk: JobDesk,
     ) -> None:
         self._table = table
         self._forwarder = forwarder
+        self._streamer = streamer
         self._desk = desk
 
     async def handle(self, request: Request) -> Response:
@@ -102,6 +105,9 @@
         request_id = request.headers.get("x-request-id", "")
         plain = PlainRequest(request_id, host, request)
         timeout_s = min(found.timeout_s, _parse_deadline_s(request))
+        if found.kind is RouteKind.STREAMING:
+            head, pieces = await self._streamer.open(plain, found, timeout_s)
+            return _to_stream(head, pieces)
         answer = await self._forwarder.forward(plain, found, timeout_s)
         return _to_response(answer)
 
@@ -205,6 +211,11 @@
     return Response(raw.status, raw.body, content_type="", headers=headers)
 
 
+def _to_stream(head: StreamHead, pieces: AsyncGenerator[bytes, None]) -> Response:
+    headers = {n: v for n, v in head.headers.items() if n not in OWN_HEADERS}
+    return Response(head.status, pieces, content_type="", headers=headers)
+
+
 def _parse_deadline_s(request: Request) -> float:
     return _parse_ms(request, "x-deadline-ms", math.inf)
 
--- a/src/tamarackshelf/platform/target_calls.py
+++ b/src/tamarackshelf/platform/target_calls.py
@@ -18,6 +18,8 @@
     OrderRefused,
     OutcomeUnknown,
     PlainRequest,
+    StreamHead,
+    StreamPiece,
     TargetAnswer,
     TargetChanged,
     TargetFull,
@@ -89,15 +91,52 @@
     ) -> TargetAnswer:
         """Returns the whole answer; raises NotRun or OutcomeUnknown."""
         http = request.http
-        headers = {n: v for n, v in http.headers.items() if n not in OWN_HEADERS}
-        headers["host"] = request.host
-        headers["x-deadline-ms"] = str(max(1, int(timeout_s * 1000)))
-        headers["x-expect-instance"] = target.name
-        path = f"{http.path}?{http.query}" if http.query else http.path
+        path, headers = _build_request(target, request, timeout_s)
         return await self._send(
             target, http.method, path, headers, http.body, timeout_s, once
         )
 
+    async def stream(
+        self,
+        target: Target,
+        request: PlainRequest,
+        timeout_s: float,
+        *,
+        after_event_id: int | None,
+        once: bool,
+    ) -> AsyncGenerator[StreamHead | StreamPiece, None]:
+        """Yields the head and then whole events; ends normally only at the end."""
+        path, headers = _build_request(target, request, timeout_s)
+        if after_event_id is not None:
+            headers["last-event-id"] = str(after_event_id)
+        try:
+            async with self._http.stream(
+                target.address,
+                request.http.method,
+                path,
+                headers=headers,
+                body=request.http.body,
+                timeout_s=timeout_s,
+                fresh=once,
+                resend=not once,
+            ) as answer:
+                _check_echo(target, request.request_id, answer)
+                _raise_if_not_run(target, answer.status, answer.headers)
+                is_signed = STAMP in answer.headers
+                yield StreamHead(answer.status, answer.headers, is_signed)
+                if answer.status != 200:
+                    body = b"".join([chunk async for chunk in answer.chunks()])
+                    yield StreamPiece(-1, body)
+                    return
+                async for block in _read_blocks(answer):
+                    event = _parse_event(block)
+                    event_id = -1 if event is None else event.event_id
+                    yield StreamPiece(event_id, block + b"\n\n")
+        except ConnectFailed as error:
+            raise NotRun(str(error)) from error
+        except ConnectionLost as error:
+            raise OutcomeUnknown(f"{target.name}: {error}") from error
+
     async def score(self, target: Target, call: ScoreCall, timeout_s: float) -> str:
         """Returns the score; raises NotRun, OutcomeUnknown or ItemFailed."""
         headers = {
@@ -271,7 +310,26 @@
         raise TargetFull(f"{target.name} answered {status} and did not run it")
 
 
+def _build_request(
+    target: Target, request: PlainRequest, timeout_s: float
+) -> tuple[str, dict[str, str]]:
+    http = request.http
+    headers = {n: v for n, v in http.headers.items() if n not in OWN_HEADERS}
+    headers["host"] = request.host
+    headers["x-deadline-ms"] = str(max(1, int(timeout_s * 1000)))
+    headers["x-expect-instance"] = target.name
+    path = f"{http.path}?{http.query}" if http.query else http.path
+    return path, headers
+
+
 async def _read_events(answer: StreamedAnswer) -> AsyncIterator[_RawEvent]:
+    async for block in _read_blocks(answer):
+        event = _parse_event(block)
+        if event is not None:
+            yield event
+
+
+async def _read_blocks(answer: StreamedAnswer) -> AsyncIterator[bytes]:
     buffer = b""
     async for chunk in answer.chunks():
         buffer += chunk.replace(b"\r\n", b"\n")
@@ -279,9 +337,7 @@
         if len(buffer) > MAX_EVENT_BYTES:
             raise ConnectionLost("an event is too large")
         for block in blocks:
-            event = _parse_event(block)
-            if event is not None:
-                yield event
+            yield block
     if buffer.strip():
         raise ConnectionLost("the stream ended in the middle of an event")
 
