List results at once when the store is back; close whole jobs in the same transaction

Ruled out: the hand-over; its claim went through at the same moment. The head turns whole with the last results, so nobody takes a finished job over.

--- a/src/tamarackshelf/jobs/desk.py
+++ b/src/tamarackshelf/jobs/desk.py
@@ -44,6 +44,7 @@
 from tamarackshelf.world.job import ItemResult, Job, JobHead, JobState
 
 TICK_S = 0.2
+CLAIM_GAP_S = 0.08
 # The first in rank takes an orphaned job at once; others wait in case it cannot.
 RANK_PAUSE_S = 1.5
 # A reader that waits looks at the store this often.
@@ -326,7 +327,7 @@
                 return
             except RowStoreError as error:
                 self._timeline.record("job_unclaimed", owned.job_id, str(error))
-                await asyncio.sleep(TICK_S)
+                await asyncio.sleep(CLAIM_GAP_S)
                 continue
             owned.note_claimed(stored)
             self._note_known(stored)
--- a/src/tamarackshelf/jobs/owned_job.py
+++ b/src/tamarackshelf/jobs/owned_job.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from dataclasses import replace
 
 from tamarackshelf.jobs.item_state import ItemStage, ItemState
 from tamarackshelf.store.job_store import StoredHead
@@ -64,6 +65,14 @@
         """Tells whether every item is listed."""
         return len(self.listed) == len(self.items)
 
+    def to_whole_head(self, more: int) -> JobHead | None:
+        """Returns the head for when `more` results make the job whole, or None."""
+        head = self.stored.head
+        is_last = len(self.listed) + more == len(self.items)
+        if not is_last or head.state is not JobState.OPEN:
+            return None
+        return replace(head, state=JobState.WHOLE)
+
     def waiting(self) -> list[ItemState]:
         """Returns the items that are at no engine."""
         return [s for s in self.items.values() if s.stage is ItemStage.WAITING]
--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -499,7 +499,9 @@
             first, batch = len(job.listed), list(job.unlisted)
             started_s = _now_s()
             try:
-                count = await self._store.append(job.stored, first, batch)
+                count, job.stored = await self._store.append(
+                    job.stored, first, batch, job.to_whole_head(len(batch))
+                )
             except HeadChanged as error:
                 if not await self._take_change(job, error.current):
                     return
@@ -516,7 +518,7 @@
             )
             job.note_listed(count)
             self._metrics.count("results_listed", count)
-        if job.is_whole and job.is_open:
+        if job.is_whole:
             self._timeline.record("job_whole", job.job_id, "every item is listed")
 
     async def _take_change(self, job: OwnedJob, current: StoredHead | None) -> bool:
--- a/src/tamarackshelf/platform/caller_api.py
+++ b/src/tamarackshelf/platform/caller_api.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import logging
 import math
 from collections.abc import AsyncGenerator, Callable
 from urllib.parse import unquote
@@ -21,6 +22,8 @@
 from tamarackshelf.world.job import ItemResult, Job, JobItem, ScoreCall
 from tamarackshelf.world.route import Route, RouteKind
 
+log = logging.getLogger("tamarackshelf")
+
 RESULTS_PATH = "/v1/lots/"
 BODIES_PATH = "/v1/items/"
 # The platform's longest wait for a page of results.
@@ -76,6 +79,7 @@
         try:
             return await self._dispatch(request)
         except ShelfError as error:
+            _log_refusal(request, error)
             return to_refusal(error)
 
     async def _dispatch(self, request: Request) -> Response:
@@ -129,6 +133,19 @@
         return Response(200, msgspec.json.encode(_encode_page(page)))
 
 
+def _log_refusal(request: Request, error: ShelfError) -> None:
+    event = {
+        "request": request.headers.get("x-request-id", ""),
+        "method": request.method,
+        "path": request.path,
+        "status": error.status,
+        "outcome": error.kind,
+        "reason": error.message,
+        "retry_after_s": error.retry_after_s or "",
+    }
+    log.info("caller_refused", extra={"event": event})
+
+
 def decode_job(request: Request, host: str) -> Job:
     """Returns the submitted job; raises BadRequest."""
     job_id = request.headers.get("x-request-id", "")
--- a/src/tamarackshelf/store/job_store.py
+++ b/src/tamarackshelf/store/job_store.py
@@ -37,8 +37,8 @@
 # Leaves room for the row's other fields in a transaction of one megabyte.
 TRANSACTION_BYTES = 600_000
 TRANSACTION_ROWS = 90
-RETRY_GAP_S = 0.1
-LONGEST_RETRY_GAP_S = 0.5
+# Results are due soon after the store's return, so the pause does not grow.
+RETRY_GAP_S = 0.08
 
 T = TypeVar("T")
 
@@ -121,12 +121,17 @@
         return msgspec.msgpack.decode(body, type=Job)
 
     async def append(
-        self, stored: StoredHead, first: int, results: Sequence[ItemResult]
-    ) -> int:
-        """Lists results from position `first` on; returns how many were written.
-
-        Repeats until the store has answered. Raises HeadChanged when this node no
-        longer owns the job; what was not written is then not listed.
+        self,
+        stored: StoredHead,
+        first: int,
+        results: Sequence[ItemResult],
+        whole: JobHead | None = None,
+    ) -> tuple[int, StoredHead]:
+        """Lists results from position `first` on; returns how many, and the head.
+
+        `whole` replaces the head in the same transaction when it holds the last
+        results. Repeats until the store has answered. Raises HeadChanged when this
+        node no longer owns the job; what was not written is then not listed.
         """
         writes: list[RowWrite] = []
         count = 0
@@ -138,22 +143,29 @@
             count += 1
         conditions = [RowCondition(_head_key(stored.job_id), stored.version)]
         conditions += [RowCondition(w.at, ABSENT_VERSION) for w in writes]
+        if whole is not None and count == len(results):
+            value = msgspec.msgpack.encode(whole)
+            writes.append(RowWrite(_head_key(stored.job_id), value))
+        else:
+            whole = None
         if len(conditions) + len(writes) > TRANSACTION_ROWS:
             # The head's version alone keeps other owners out.
             conditions = conditions[:1]
         transaction = RowTransaction(tuple(conditions), tuple(writes))
-        gap_s = RETRY_GAP_S
         while True:
             try:
-                await self._store.commit(transaction)
-                return count
+                done = await self._store.commit(transaction)
             except RowConflict as conflict:
-                if _holds_all(writes, conflict.rows):
-                    return count
-                raise HeadChanged(_find_head(stored.job_id, conflict.rows)) from None
+                current = _find_head(stored.job_id, conflict.rows)
+                if current is not None and _holds_all(writes, conflict.rows):
+                    return count, current
+                raise HeadChanged(current) from None
             except (StoreRefused, StoreUncertain):
-                await asyncio.sleep(gap_s)
-                gap_s = min(LONGEST_RETRY_GAP_S, gap_s * 1.5)
+                await asyncio.sleep(RETRY_GAP_S)
+            else:
+                if whole is None:
+                    return count, stored
+                return count, StoredHead(stored.job_id, whole, done.version)
 
     async def read_results(self, job_id: str, first: int) -> list[ItemResult]:
         """Returns the listed results from a position on, those of one read."""
--- a/src/tamarackshelf/store/link.py
+++ b/src/tamarackshelf/store/link.py
@@ -25,9 +25,9 @@
 
 # Peers asked in turn for one call; a third would only repeat an outage.
 PEERS_PER_CALL = 2
-# The store itself is tried again as often while it does not answer. What leaves
-# while this node is cut off has to be known well before it counts as reachable.
-LONGEST_PAUSE_S = 0.4
+# The store itself is tried again as often while it does not answer: results that
+# wait for it are due soon after its return, and what left meanwhile has to be known.
+LONGEST_PAUSE_S = 0.12
 
 T = TypeVar("T")
 Call = Callable[[RowStore], Awaitable[T]]
--- a/tests/store/test_rows.py
+++ b/tests/store/test_rows.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -185,8 +186,12 @@
         client.lose_answers = 1
         results = [ItemResult(f"j1-{n}", True, "t" * 90_000) for n in range(3)]
         first = 0
+        whole = replace(stored.head, state=JobState.WHOLE)
         while first < len(results):
-            first += await jobs.append(stored, first, results[first:])
+            count, stored = await jobs.append(stored, first, results[first:], whole)
+            first += count
+        assert stored == await jobs.read_head("j1")
+        assert stored.head.state is JobState.WHOLE
         assert await jobs.read_all_results("j1") == results
         assert (await jobs.read_results("j1", 2))[0] == results[2]
 
