Leave dark targets after 0.2 s and a lease whose holder answers

Causes: a caller's request waited 0.4 s for a connection to a dark target, eight times a quarter of its route's aim; gossip alone decided that the holder of the orders is gone. A moved run was logged as whole; it says that it was stopped here.

--- a/src/tamarackshelf/cli/node.py
+++ b/src/tamarackshelf/cli/node.py
@@ -33,6 +33,9 @@
 # Connections within a region take a few milliseconds; one that is not there by then
 # goes to a cut or dark peer.
 CONNECT_TIMEOUT_S = 0.5
+# A request that meets a dark target has to reach another one within the time in which
+# its answer is worth most; a target's handshake takes a millisecond.
+TARGET_CONNECT_TIMEOUT_S = 0.2
 
 # Without it no metrics are served.
 METRICS_PORT_VARIABLE = "TAMARACKSHELF_METRICS_PORT"
@@ -87,13 +90,14 @@
     """Returns the node with the platform's adapter in place."""
     timeline = Timeline(settings.vm, lambda: int(time.time() * 1000))
     http = HttpClient(connect_timeout_s=CONNECT_TIMEOUT_S)
+    targets_http = HttpClient(connect_timeout_s=TARGET_CONNECT_TIMEOUT_S)
     return NodeProgram(
         settings,
         PlatformRowStore(http, settings.store_address),
-        PlatformTargetCalls(http),
+        PlatformTargetCalls(targets_http),
         build_tables(checks_fencing=settings.targets_check_fencing),
         Servers(_build_callers, build_directory, build_ready),
-        http,
+        (http, targets_http),
         timeline,
         Metrics(),
     )
--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -384,9 +384,10 @@
         name = target.target.name
         first_piece = len(state.pieces)
         started_s = _now_s()
-        reason = "whole"
+        reason = "it was stopped here"
         try:
             await self._gather(job, state, target.target, found)
+            reason = "whole"
             return True
         except NotRun as error:
             pause_s = GONE_PAUSE_S if _is_gone(error) else FULL_PAUSE_S
--- a/src/tamarackshelf/node/fleet.py
+++ b/src/tamarackshelf/node/fleet.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import random
 from collections.abc import Callable
 
@@ -11,7 +10,7 @@
 from tamarackshelf.contracts.rows import RowChange, RowKey
 from tamarackshelf.gossip.link import GossipLink
 from tamarackshelf.gossip.task import GossipSettings, GossipTask
-from tamarackshelf.net import HttpClient
+from tamarackshelf.net import ConnectFailed, ConnectionLost, HttpClient
 from tamarackshelf.node.peer_store import PeerStore
 from tamarackshelf.node.settings import NodeSettings
 from tamarackshelf.observe import Timeline
@@ -20,6 +19,9 @@
 from tamarackshelf.store.table_watch import TableWatch
 from tamarackshelf.world import EntryVm
 
+ALIVE_PATH = "/alive"
+# A living node answers its peers within milliseconds, a busy one within a tick.
+ALIVE_TIMEOUT_S = 0.5
 # Keeps datagrams of another system on the same network out; it is no secret.
 GOSSIP_KEY = b"tamarackshelf-gossip"
 
@@ -98,6 +100,19 @@
             return True
         return self._status(vm) is MemberStatus.DEAD
 
+    async def does_answer(self, vm: str) -> bool:
+        """Asks a node that gossip may wrongly hold for dead."""
+        record = self._records.get(vm)
+        if record is None:
+            return False
+        try:
+            answer = await self._http.request(
+                record.peers, "GET", ALIVE_PATH, timeout_s=ALIVE_TIMEOUT_S, fresh=True
+            )
+        except (ConnectFailed, ConnectionLost):
+            return False
+        return answer.status == 200 and not self.gossip.membership.has_left(vm)
+
     def _status(self, vm: str) -> MemberStatus:
         return self.gossip.membership.status(vm)
 
@@ -149,9 +164,4 @@
     )
 
 
-def now_s() -> float:
-    """Returns the loop's clock."""
-    return asyncio.get_running_loop().time()
-
-
-__all__ = ["Fleet", "now_s"]
+__all__ = ["ALIVE_PATH", "Fleet"]
--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -24,7 +24,7 @@
     Response,
     ServerLimits,
 )
-from tamarackshelf.node.fleet import Fleet
+from tamarackshelf.node.fleet import ALIVE_PATH, Fleet
 from tamarackshelf.node.freeze import watch_for_freezes
 from tamarackshelf.node.peer_jobs import (
     READ_PATH,
@@ -103,13 +103,15 @@
         calls: TargetCalls,
         tables: PlatformTables,
         servers: Servers,
-        http: HttpClient,
+        clients: tuple[HttpClient, ...],
         timeline: Timeline,
         metrics: Metrics,
     ) -> None:
+        """Takes the HTTP clients to close at the end; the first one is for peers."""
         self._settings = settings
         self._tables = tables
-        self._http = http
+        self._clients = clients
+        self._http = clients[0]
         self._timeline = timeline
         self._metrics = metrics
         self._calls = calls
@@ -141,7 +143,7 @@
             store,
             self._watches[HEAD_TABLE],
             self.runner,
-            http,
+            self._http,
             self.view.get_table,
             timeline,
         )
@@ -251,7 +253,8 @@
         servers = (self._callers, self._directory, self._ready, self._peers)
         for server in (*servers, self._metrics_page):
             await server.abort()
-        await self._http.close()
+        for client in self._clients:
+            await client.close()
 
     def _connect_wishes(self, fleet: Fleet, weights: WeightKeeper) -> None:
         """Spreads wishes for engines by gossip to whoever gives the orders."""
@@ -334,6 +337,8 @@
         return Response(200, self._metrics.render(), content_type="text/plain")
 
     async def _answer_peer(self, request: Request) -> Response:
+        if request.path == ALIVE_PATH:
+            return Response(200)
         if request.path == RELAY_PATH:
             return await answer_relay(self.link, request.body)
         if request.path == READ_PATH:
--- a/src/tamarackshelf/node/weights.py
+++ b/src/tamarackshelf/node/weights.py
@@ -182,6 +182,11 @@
             holder.holder, holder.holder_incarnation
         ):
             return False
+        if holder.holder != own.vm and await self._fleet.does_answer(holder.holder):
+            self._timeline.record(
+                "lease_left", LEASE_NAME, f"{holder.holder} answers, so it keeps it"
+            )
+            return False
         taken = await take_lease(
             self._link, LEASE_NAME, before, own.vm, own.incarnation
         )
--- a/tests/node/test_weights.py
+++ b/tests/node/test_weights.py
@@ -165,6 +165,23 @@
     play(scenario)
 
 
+def test_lease_of_a_holder_that_answers_is_left_alone(play):
+    """Pattern: gossip holds the holder for dead while it lives."""
+
+    async def scenario(scene, keepers):
+        name_everywhere(keepers, "m", 2)
+        await asyncio.sleep(5)
+        holder = scene.engines.orders[0][2].holder
+        scene.dead.add(holder)
+        for keeper in keepers.values():
+            keeper._fleet.answering.add(holder)
+        name_everywhere(keepers, "m", 3)
+        await asyncio.sleep(6)
+        assert {order.holder for _, _, order in scene.engines.orders} == {holder}
+
+    play(scenario)
+
+
 def test_vm_that_started_again_goes_on_without_waiting(play):
     async def scenario(scene, keepers):
         client = scene.store.connect()
--- a/tests/support/node.py
+++ b/tests/support/node.py
@@ -136,6 +136,7 @@
     def __init__(self, name, records, dead):
         self.own = records[name]
         self.is_leaving = False
+        self.answering = set()
         self._records = records
         self._dead = dead
 
@@ -145,6 +146,10 @@
     def peers(self):
         return [r for r in self.living() if r.vm != self.own.vm]
 
+    async def does_answer(self, vm):
+        await asyncio.sleep(0.001)
+        return vm in self.answering
+
     def find(self, vm):
         return self._records.get(vm)
 
