Give a target that vanished no work while others of its service are listed

The node kept it in use for 2.2 s, as entries that lapsed with the store may return; it had left, and a score call reached it 2,041 ms after (DRAIN, bound 2,000 ms). Ruled out: a silent feed; the log shows target_missing at 25.412 s, 5 ms after the row went. Now a missing target is used only while all of its service are missing, and for 1.4 s.

--- a/src/tamarackshelf/node/targets.py
+++ b/src/tamarackshelf/node/targets.py
@@ -27,6 +27,10 @@
 SLOWEST = 8.0
 # An entry that vanished while the store was away may be back this long after.
 RETURN_GRACE_S = 2.2
+# Until then it gets work only when all others of its service are missing too, and no
+# longer than this: it may also have left, and then new work may reach it for two
+# seconds at most.
+MISSING_USE_S = 1.4
 
 
 @dataclass(slots=True)
@@ -126,11 +130,21 @@
 
     def of_service(self, service: str) -> list[TargetState]:
         """Returns the targets of a service that may get new work."""
-        return [
+        staying = [
             state
             for state in self._states.values()
             if state.target.service == service and not state.record.is_leaving
         ]
+        listed = [state for state in staying if state.missing_since_s is None]
+        if listed:
+            return listed
+        # All entries of a service vanish together when they lapse with the store.
+        soon_s = _now_s() - MISSING_USE_S
+        return [
+            state
+            for state in staying
+            if state.missing_since_s is not None and state.missing_since_s > soon_s
+        ]
 
     def all_of(self, services: Iterable[str]) -> list[TargetState]:
         """Returns the listed targets of some services, leaving ones too."""
