Split the desk and the runner; one copy of choosing a target; forget settled jobs

The desk held reading beside ownership and the runner held straggler policy: jobs/reader and jobs/stragglers now have one job each. Forwarder, streamer and scorer chose targets in three copies; the board does it. Jobs that are whole or ended leave the owner's memory after 20 s and are read from the store, with a test.

--- a/src/tamarackshelf/entry/forwarder.py
+++ b/src/tamarackshelf/entry/forwarder.py
@@ -18,7 +18,6 @@
 from tamarackshelf.node.targets import AVOID_S, TargetBoard, TargetState
 from tamarackshelf.observe import Metrics, Timeline
 from tamarackshelf.policy.route_table import pick_service
-from tamarackshelf.policy.routing import Need, route
 from tamarackshelf.world.route import Route, RouteKind
 
 # A target that changed its address or refuses connections is left out as long.
@@ -121,19 +120,12 @@
 
     def _choose(self, found: Route, tries: _Tries) -> TargetState | None:
         service = pick_service(found.shares, self._board.rng)
-        candidates = self._board.candidates(service, frozenset(tries.tried))
-        need = Need(service, data_centre=self._data_centre)
-        choice = route(candidates, need, self._board.rng)
-        if choice.target is not None:
-            return self._board.get(choice.target.name)
-        if choice.is_full:
-            # Targets queue a few requests themselves.
-            least = min(
-                (c for c in candidates if not c.ruled_out), key=lambda c: c.load
-            )
-            return self._board.get(least.target.name)
-        tries.last_reason = choice.reason
-        return None
+        state, reason = self._board.choose(
+            service, self._data_centre, frozenset(tries.tried)
+        )
+        if state is None:
+            tries.last_reason = reason
+        return state
 
     async def _try_one(
         self, request: PlainRequest, found: Route, state: TargetState, tries: _Tries
--- a/src/tamarackshelf/entry/streamer.py
+++ b/src/tamarackshelf/entry/streamer.py
@@ -20,7 +20,6 @@
 from tamarackshelf.node.targets import AVOID_S, TargetBoard, TargetState
 from tamarackshelf.observe import Metrics, Timeline
 from tamarackshelf.policy.route_table import pick_service
-from tamarackshelf.policy.routing import Need, route
 from tamarackshelf.world.route import Route
 
 Parts = AsyncGenerator[StreamHead | StreamPiece, None]
@@ -149,16 +148,8 @@
 
     def _choose(self, stream: _Stream) -> TargetState | None:
         service = pick_service(stream.found.shares, self._board.rng)
-        candidates = self._board.candidates(service, frozenset(stream.tried))
-        need = Need(service, data_centre=self._data_centre)
-        choice = route(candidates, need, self._board.rng)
-        if choice.target is None and not choice.is_full:
-            return None
-        target = choice.target
-        if target is None:
-            allowed = [c for c in candidates if not c.ruled_out]
-            target = min(allowed, key=lambda c: c.load).target
-        return self._board.get(target.name)
+        tried = frozenset(stream.tried)
+        return self._board.choose(service, self._data_centre, tried)[0]
 
     def _note_failure(
         self, stream: _Stream, state: TargetState, error: Exception
--- a/src/tamarackshelf/jobs/desk.py
+++ b/src/tamarackshelf/jobs/desk.py
@@ -1,10 +1,9 @@
-"""Accepts, adopts, ends and reads jobs, whoever owns them."""
+"""Accepts, adopts, hands over and ends jobs, whoever owns them."""
 
 from __future__ import annotations
 
 import asyncio
-from collections import OrderedDict
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from functools import partial
 
 import msgspec
@@ -15,8 +14,9 @@
     StoreRefused,
     StoreUncertain,
 )
-from tamarackshelf.errors import NotFound, OutcomeUnknown, StoreUnavailable
+from tamarackshelf.errors import OutcomeUnknown, StoreUnavailable
 from tamarackshelf.jobs.owned_job import OwnedJob
+from tamarackshelf.jobs.reader import RETRY_AFTER_S, JobReader, to_unavailable
 from tamarackshelf.jobs.runner import JobRunner
 from tamarackshelf.jobs.scorer import TableSource
 from tamarackshelf.net import HttpClient
@@ -24,7 +24,6 @@
 from tamarackshelf.node.peer_jobs import (
     JobHandover,
     JobRead,
-    JobReadAnswer,
     ask_owner,
     hand_over_to,
 )
@@ -41,35 +40,20 @@
 from tamarackshelf.store.link import StoreLink
 from tamarackshelf.store.table_watch import TableWatch
 from tamarackshelf.tasks import start_task, stop_tasks
-from tamarackshelf.world.job import ItemResult, Job, JobHead, JobState
+from tamarackshelf.world.job import Job, JobHead, JobState
 
 TICK_S = 0.2
 CLAIM_GAP_S = 0.08
 # The first in rank takes an orphaned job at once; others wait in case it cannot.
 RANK_PAUSE_S = 1.5
-# A reader that waits looks at the store this often.
-READ_GAP_S = 0.12
-SHORTEST_WAIT_S = 0.001
 ACCEPT_TIMEOUT_S = 3.0
-RETRY_AFTER_S = 0.4
-PAGE_BYTES = 900_000
-CACHED_JOBS = 24
 CHANGE_TRIES = 8
 # Peers that are asked in turn to take a job of a node that stops.
 HEIRS_TRIED = 3
 
 
-@dataclass(frozen=True, slots=True)
-class ResultPage:
-    """Results from a position on; `following` is the next position."""
-
-    total: int
-    following: int
-    results: tuple[ItemResult, ...]
-
-
 class JobDesk:
-    """Answers callers about jobs and decides which jobs this node runs."""
+    """Takes jobs in and decides which of them this node runs."""
 
     def __init__(
         self,
@@ -90,16 +74,16 @@
         self._timeline = timeline
         self._table = table
         self._heads: dict[str, StoredHead] = {}
+        self.reader = JobReader(store, runner, self._heads, http)
         self._orphaned_s: dict[str, float] = {}
         self._accepting: set[str] = set()
         self._taking: dict[str, asyncio.Task[None]] = {}
-        self._jobs: OrderedDict[str, Job] = OrderedDict()
         self._task: asyncio.Task[None] | None = None
         watch.on_change(self._take_rows)
 
     async def start(self, fleet: Fleet) -> None:
         """Starts to look for jobs that this node has to run."""
-        self.fleet = fleet
+        self.fleet = self.reader.fleet = fleet
         self._task = start_task("job_desk", self._run)
 
     async def close(self) -> None:
@@ -151,7 +135,7 @@
     async def end(self, job_id: str) -> None:
         """Ends a job; raises NotFound or StoreUnavailable."""
         for _ in range(CHANGE_TRIES):
-            stored = await self._read_head(job_id)
+            stored = await self.reader.read_head(job_id)
             if stored.head.state is JobState.ENDED:
                 return
             ended = replace(stored.head, state=JobState.ENDED)
@@ -160,7 +144,7 @@
             except HeadChanged:
                 continue
             except RowStoreError as error:
-                raise _unavailable(error) from error
+                raise to_unavailable(error) from error
             self._timeline.record("job_end_stored", job_id, "its caller ended it")
             await self._note_head(changed)
             return
@@ -169,38 +153,6 @@
             retry_after_s=RETRY_AFTER_S,
         )
 
-    async def read(self, job_id: str, after: int, wait_s: float) -> ResultPage:
-        """Returns stored results; raises NotFound or StoreUnavailable."""
-        deadline_s = _now_s() + wait_s
-        owned = self._runner.jobs.get(job_id)
-        while owned is not None and not owned.is_closed:
-            left_s = deadline_s - _now_s()
-            if len(owned.listed) > after or left_s <= SHORTEST_WAIT_S:
-                return _to_page(len(owned.items), after, owned.listed[after:])
-            try:
-                async with asyncio.timeout(left_s):
-                    await owned.changed.wait()
-            except TimeoutError:
-                continue
-        return await self._read_stored(job_id, after, deadline_s)
-
-    async def read_body(self, job_id: str, item_id: str) -> bytes:
-        """Returns an item's body; raises NotFound or StoreUnavailable."""
-        job = await self._find_job(job_id)
-        for item in job.items:
-            if item.item_id == item_id:
-                return item.body
-        raise NotFound(f"job {job_id} has no item {item_id}; check the id")
-
-    def read_owned(self, request: JobRead) -> JobReadAnswer:
-        """Answers a peer that cannot reach the store."""
-        owned = self._runner.jobs.get(request.job_id)
-        if owned is None:
-            return JobReadAnswer(is_owner=False)
-        page = _to_page(len(owned.items), request.after, owned.listed[request.after :])
-        job = owned.job if request.with_job else None
-        return JobReadAnswer(True, page.total, page.results, job)
-
     async def hand_over(self) -> None:
         """Gives every open job of this node to another one."""
         owned = list(self._runner.jobs.values())
@@ -356,70 +308,6 @@
             epoch=head.epoch + 1,
         )
 
-    async def _read_stored(
-        self, job_id: str, after: int, deadline_s: float
-    ) -> ResultPage:
-        total: int | None = None
-        while True:
-            try:
-                known = self._heads.get(job_id)
-                if total is None:
-                    stored = known or await self._store.read_head(job_id)
-                    if stored is None:
-                        raise NotFound(f"there is no job {job_id}; check the id")
-                    total = stored.head.total
-                results = await self._store.read_results(job_id, after)
-            except RowStoreError as error:
-                answer = await self._ask_owner(JobRead(job_id, after, False))
-                if answer is None:
-                    raise _unavailable(error) from error
-                total, results = answer.total, list(answer.results)
-            if results or after >= total or _now_s() + READ_GAP_S >= deadline_s:
-                return _to_page(total, after, results)
-            await asyncio.sleep(READ_GAP_S)
-
-    async def _ask_owner(self, request: JobRead) -> JobReadAnswer | None:
-        assert self.fleet is not None
-        known = self._heads.get(request.job_id)
-        record = self.fleet.find(known.head.owner) if known else None
-        if record is None:
-            return None
-        if record.vm == self._own.vm:
-            answer = self.read_owned(request)
-        else:
-            answer = await ask_owner(self._http, record.peers, request)
-        return answer if answer.is_owner else None
-
-    async def _find_job(self, job_id: str) -> Job:
-        owned = self._runner.jobs.get(job_id)
-        job = owned.job if owned is not None else self._jobs.get(job_id)
-        if job is not None:
-            return job
-        try:
-            if job_id not in self._heads:
-                await self._read_head(job_id)
-            job = await self._store.read_job(job_id)
-        except RowStoreError as error:
-            answer = await self._ask_owner(JobRead(job_id, 0, True))
-            if answer is None or answer.job is None:
-                raise _unavailable(error) from error
-            job = answer.job
-        if job is None:
-            raise NotFound(f"there is no job {job_id}; check the id")
-        self._jobs[job_id] = job
-        while len(self._jobs) > CACHED_JOBS:
-            self._jobs.popitem(last=False)
-        return job
-
-    async def _read_head(self, job_id: str) -> StoredHead:
-        try:
-            stored = await self._store.read_head(job_id)
-        except RowStoreError as error:
-            raise _unavailable(error) from error
-        if stored is None:
-            raise NotFound(f"there is no job {job_id}; check the id")
-        return stored
-
     async def _note_head(self, stored: StoredHead) -> None:
         self._note_known(stored)
         await self._runner.note_head(stored)
@@ -564,24 +452,8 @@
         return _now_s() - age_s + due_after_s
 
 
-def _to_page(total: int, after: int, results: list[ItemResult]) -> ResultPage:
-    taken: list[ItemResult] = []
-    size = 0
-    for result in results:
-        size += len(result.text) + 200
-        if taken and size > PAGE_BYTES:
-            break
-        taken.append(result)
-    return ResultPage(total, after + len(taken), tuple(taken))
-
-
-def _unavailable(error: Exception) -> StoreUnavailable:
-    text = f"the store does not answer: {error}; send the request again"
-    return StoreUnavailable(text, retry_after_s=RETRY_AFTER_S)
-
-
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
 
 
-__all__ = ["JobDesk", "ResultPage"]
+__all__ = ["JobDesk"]
--- a/src/tamarackshelf/jobs/owned_job.py
+++ b/src/tamarackshelf/jobs/owned_job.py
@@ -35,6 +35,7 @@
         self.changed = asyncio.Event()
         self.is_closed = False
         self.short_since_s: float | None = None
+        self.settled_since_s = float("-inf")
         # A job that was handed over runs at once, but lists nothing before the
         # store has this head.
         self.claim: JobHead | None = None
--- /dev/null
+++ b/src/tamarackshelf/jobs/reader.py
@@ -0,0 +1,175 @@
+"""Reads jobs for callers: from the owner's memory, the store or the owner."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from tamarackshelf.contracts.rows import RowStoreError
+from tamarackshelf.errors import NotFound, StoreUnavailable
+from tamarackshelf.jobs.runner import JobRunner
+from tamarackshelf.net import HttpClient
+from tamarackshelf.node.fleet import Fleet
+from tamarackshelf.node.peer_jobs import JobRead, JobReadAnswer, ask_owner
+from tamarackshelf.store.job_store import JobStore, StoredHead
+from tamarackshelf.world.job import ItemResult, Job
+
+# A reader that waits looks at the store this often.
+READ_GAP_S = 0.12
+# A shorter wait may not move the clock at all.
+SHORTEST_WAIT_S = 0.001
+RETRY_AFTER_S = 0.4
+PAGE_BYTES = 900_000
+# Fields of a result beside its text.
+RESULT_OVERHEAD_BYTES = 200
+CACHED_JOBS = 24
+
+
+@dataclass(frozen=True, slots=True)
+class ResultPage:
+    """Results from a position on; `following` is the next position."""
+
+    total: int
+    following: int
+    results: tuple[ItemResult, ...]
+
+
+class JobReader:
+    """Answers reads of any job; `heads` are the heads that this node knows."""
+
+    def __init__(
+        self,
+        store: JobStore,
+        runner: JobRunner,
+        heads: Mapping[str, StoredHead],
+        http: HttpClient,
+    ) -> None:
+        self.fleet: Fleet | None = None
+        self._store = store
+        self._runner = runner
+        self._heads = heads
+        self._http = http
+        self._jobs: OrderedDict[str, Job] = OrderedDict()
+
+    async def read(self, job_id: str, after: int, wait_s: float) -> ResultPage:
+        """Returns stored results; raises NotFound or StoreUnavailable."""
+        deadline_s = _now_s() + wait_s
+        owned = self._runner.jobs.get(job_id)
+        while owned is not None and not owned.is_closed:
+            left_s = deadline_s - _now_s()
+            if len(owned.listed) > after or left_s <= SHORTEST_WAIT_S:
+                return _to_page(len(owned.items), after, owned.listed[after:])
+            try:
+                async with asyncio.timeout(left_s):
+                    await owned.changed.wait()
+            except TimeoutError:
+                continue
+        return await self._read_stored(job_id, after, deadline_s)
+
+    async def read_body(self, job_id: str, item_id: str) -> bytes:
+        """Returns an item's body; raises NotFound or StoreUnavailable."""
+        job = await self._find_job(job_id)
+        for item in job.items:
+            if item.item_id == item_id:
+                return item.body
+        raise NotFound(f"job {job_id} has no item {item_id}; check the id")
+
+    def read_owned(self, request: JobRead) -> JobReadAnswer:
+        """Answers a peer that cannot reach the store."""
+        owned = self._runner.jobs.get(request.job_id)
+        if owned is None:
+            return JobReadAnswer(is_owner=False)
+        page = _to_page(len(owned.items), request.after, owned.listed[request.after :])
+        job = owned.job if request.with_job else None
+        return JobReadAnswer(True, page.total, page.results, job)
+
+    async def read_head(self, job_id: str) -> StoredHead:
+        """Returns the head as stored now; raises NotFound or StoreUnavailable."""
+        try:
+            stored = await self._store.read_head(job_id)
+        except RowStoreError as error:
+            raise to_unavailable(error) from error
+        if stored is None:
+            raise NotFound(f"there is no job {job_id}; check the id")
+        return stored
+
+    async def _read_stored(
+        self, job_id: str, after: int, deadline_s: float
+    ) -> ResultPage:
+        total: int | None = None
+        while True:
+            try:
+                known = self._heads.get(job_id)
+                if total is None:
+                    stored = known or await self._store.read_head(job_id)
+                    if stored is None:
+                        raise NotFound(f"there is no job {job_id}; check the id")
+                    total = stored.head.total
+                results = await self._store.read_results(job_id, after)
+            except RowStoreError as error:
+                answer = await self._ask_owner(JobRead(job_id, after, False))
+                if answer is None:
+                    raise to_unavailable(error) from error
+                total, results = answer.total, list(answer.results)
+            if results or after >= total or _now_s() + READ_GAP_S >= deadline_s:
+                return _to_page(total, after, results)
+            await asyncio.sleep(READ_GAP_S)
+
+    async def _ask_owner(self, request: JobRead) -> JobReadAnswer | None:
+        assert self.fleet is not None
+        known = self._heads.get(request.job_id)
+        record = self.fleet.find(known.head.owner) if known else None
+        if record is None:
+            return None
+        if record.vm == self.fleet.own.vm:
+            answer = self.read_owned(request)
+        else:
+            answer = await ask_owner(self._http, record.peers, request)
+        return answer if answer.is_owner else None
+
+    async def _find_job(self, job_id: str) -> Job:
+        owned = self._runner.jobs.get(job_id)
+        job = owned.job if owned is not None else self._jobs.get(job_id)
+        if job is not None:
+            return job
+        try:
+            if job_id not in self._heads:
+                await self.read_head(job_id)
+            job = await self._store.read_job(job_id)
+        except RowStoreError as error:
+            answer = await self._ask_owner(JobRead(job_id, 0, True))
+            if answer is None or answer.job is None:
+                raise to_unavailable(error) from error
+            job = answer.job
+        if job is None:
+            raise NotFound(f"there is no job {job_id}; check the id")
+        self._jobs[job_id] = job
+        while len(self._jobs) > CACHED_JOBS:
+            self._jobs.popitem(last=False)
+        return job
+
+
+def _to_page(total: int, after: int, results: list[ItemResult]) -> ResultPage:
+    taken: list[ItemResult] = []
+    size = 0
+    for result in results:
+        size += len(result.text) + RESULT_OVERHEAD_BYTES
+        if taken and size > PAGE_BYTES:
+            break
+        taken.append(result)
+    return ResultPage(total, after + len(taken), tuple(taken))
+
+
+def to_unavailable(error: Exception) -> StoreUnavailable:
+    """Returns the refusal of a caller whose job cannot be read or changed now."""
+    text = f"the store does not answer: {error}; send the request again"
+    return StoreUnavailable(text, retry_after_s=RETRY_AFTER_S)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+__all__ = ["RETRY_AFTER_S", "JobReader", "ResultPage", "to_unavailable"]
--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -4,8 +4,7 @@
 
 import asyncio
 import contextlib
-import math
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from dataclasses import replace
 from functools import partial
 
@@ -28,14 +27,12 @@
 )
 from tamarackshelf.jobs.owned_job import OwnedJob
 from tamarackshelf.jobs.scorer import ScoreImpossible, Scorer, TableSource
+from tamarackshelf.jobs.stragglers import Stragglers
 from tamarackshelf.node.targets import TargetBoard, TargetState
 from tamarackshelf.observe import Metrics, Timeline
-from tamarackshelf.policy.engine_wish import choose_wish
 from tamarackshelf.policy.item_placement import (
     EnginePlace,
-    RunningItem,
     WaitingItem,
-    choose_moves,
     order_items,
     place_item,
 )
@@ -59,14 +56,8 @@
 # Texts of running items are stored this often, for whoever takes a job over.
 SAVE_EVERY_S = 1.5
 SAVE_MIN_PIECES = 8
-# A run stays on its engine at least as long, so that moves cannot chase each other.
-STAY_S = 0.4
-# About as many tokens come in one event; only used to order runs by what is left.
-TOKENS_PER_PIECE = 50
-# The time of an event before any was measured.
-USUAL_EVENT_S = 0.04
-# A job must be short of engines as long before it asks for one more, and again.
-WISH_AFTER_S = 0.5
+# A job that has nothing left to run is read for about as long by its trainer.
+SETTLED_KEPT_S = 20.0
 
 
 class OldVersion(Exception):
@@ -98,8 +89,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._due_s: dict[str, float] = {}
         self.is_paused = False
-        # Takes a model and the engine that should load its weights.
-        self.on_wish: Callable[[str, str], None] = lambda model, engine: None
+        self.stragglers = Stragglers(board, table, timeline)
         board.on_change(self._wake.set)
 
     async def start(self) -> None:
@@ -118,6 +108,7 @@
     def add(self, job: OwnedJob, due_s: float) -> None:
         """Takes a job; `due_s` is when its results are due on the loop's clock."""
         self.jobs[job.job_id] = job
+        job.settled_since_s = _now_s()
         self._due_s[job.job_id] = due_s
         self._start_listing(job)
         self._wake.set()
@@ -127,6 +118,7 @@
         job = self.jobs.pop(job_id, None)
         if job is None:
             return
+        del self._due_s[job_id]
         job.is_closed = True
         self._timeline.record("job_dropped", job_id, reason)
         await stop_tasks(*job.tasks.values(), job.listing)
@@ -198,9 +190,18 @@
                     await self._wake.wait()
             self._wake.clear()
             self._board.drop_missing()
+            self._forget_settled(_now_s())
             if not self.is_paused:
                 self._place_all()
 
+    def _forget_settled(self, now_s: float) -> None:
+        """Drops jobs from memory that are whole or ended; the store keeps them."""
+        for job_id, job in list(self.jobs.items()):
+            if job.is_open or job.unlisted or job.tasks:
+                job.settled_since_s = now_s
+            elif now_s - job.settled_since_s >= SETTLED_KEPT_S:
+                del self.jobs[job_id], self._due_s[job_id]
+
     def _place_all(self) -> None:
         now_s = _now_s()
         self._score_waiting()
@@ -221,80 +222,7 @@
                 continue
             self._start(job, state, target, found)
             engines[key] = [_take_place(e, target) for e in engines[key]]
-        self._move_stragglers(now_s)
-        self._wish_for_engines(now_s)
-
-    def _wish_for_engines(self, now_s: float) -> None:
-        """Asks for the weights on one more engine when a job will be late."""
-        for job in self.jobs.values():
-            wished = self._choose_wish(job, now_s) if job.is_open else None
-            if wished is None:
-                job.short_since_s = None
-                continue
-            if job.short_since_s is None:
-                job.short_since_s = now_s
-            if now_s - job.short_since_s < WISH_AFTER_S:
-                continue
-            job.short_since_s = now_s
-            self._timeline.record(
-                "engine_wished",
-                job.job_id,
-                "its own engines will not end it in time",
-                target=wished,
-                model=job.job.model,
-            )
-            self.on_wish(job.job.model, wished)
-
-    def _choose_wish(self, job: OwnedJob, now_s: float) -> str | None:
-        open_items = [
-            state
-            for state in job.items.values()
-            if state.stage in (ItemStage.WAITING, ItemStage.RUNNING)
-            and not state.is_whole
-        ]
-        table = self._table()
-        found = None if table is None else table.find(job.job.host, job.job.path)
-        if not open_items or found is None:
-            return None
-        service = found.shares[0].service
-        remaining = [
-            max(1.0, state.item.expected_tokens / TOKENS_PER_PIECE - len(state.pieces))
-            for state in open_items
-        ]
-        return choose_wish(
-            remaining,
-            self._board.engines(service, job.job.model),
-            job.job.min_version,
-            self._board.fastest_s(service) or USUAL_EVENT_S,
-            self._due_s[job.job_id] - now_s,
-        )
-
-    def _move_stragglers(self, now_s: float) -> None:
-        """Stops runs on slow engines when a much faster one has a free place."""
-        running: dict[tuple[str, str], list[RunningItem]] = {}
-        for job in self.jobs.values():
-            if not job.is_open:
-                continue
-            for state in job.items.values():
-                run = state.run
-                if run is None or now_s - run.started_s < STAY_S:
-                    continue
-                done = len(state.pieces) * TOKENS_PER_PIECE
-                item = RunningItem(
-                    job_id=job.job_id,
-                    item_id=state.item.item_id,
-                    engine=run.engine,
-                    min_version=job.job.min_version,
-                    remaining_tokens=max(0, state.item.expected_tokens - done),
-                )
-                running.setdefault((run.service, job.job.model), []).append(item)
-        for key, items in running.items():
-            for item in choose_moves(items, self._board.engines(*key)):
-                job = self.jobs[item.job_id]
-                self._timeline.record(
-                    "item_moved", item.item_id, "its engine is slow", target=item.engine
-                )
-                job.stop_run(item.item_id)
+        self.stragglers.look(self.jobs.values(), self._due_s, now_s)
 
     def _list_waiting(self, now_s: float) -> list[WaitingItem]:
         found = []
@@ -312,7 +240,7 @@
                         item_id=item.item_id,
                         group=item.group,
                         rank=0,
-                        due_s=self._due_s.get(job.job_id, math.inf),
+                        due_s=self._due_s[job.job_id],
                         expected_tokens=item.expected_tokens,
                         group_missing=missing[item.group],
                         is_begun=state.is_begun,
--- a/src/tamarackshelf/jobs/scorer.py
+++ b/src/tamarackshelf/jobs/scorer.py
@@ -14,7 +14,6 @@
 from tamarackshelf.node.targets import AVOID_S, TargetBoard
 from tamarackshelf.observe import Timeline
 from tamarackshelf.policy.route_table import RouteTable, pick_service
-from tamarackshelf.policy.routing import Need, route
 from tamarackshelf.world.job import ScoreCall
 
 # A scorer that takes longer than its route's time-out is asked elsewhere.
@@ -58,17 +57,13 @@
                 await asyncio.sleep(LONGEST_RETRY_GAP_S)
                 continue
             service = pick_service(found.shares, self._board.rng)
-            candidates = self._board.candidates(service, tried)
-            need = Need(service, data_centre=self._data_centre)
-            choice = route(candidates, need, self._board.rng)
-            if choice.target is None:
+            state, _ = self._board.choose(service, self._data_centre, tried)
+            if state is None:
                 tried = frozenset()
                 await asyncio.sleep(gap_s)
                 gap_s = min(LONGEST_RETRY_GAP_S, gap_s * 2)
                 continue
-            target = choice.target
-            state = self._board.get(target.name)
-            assert state is not None
+            target = state.target
             state.in_flight += 1
             try:
                 timeout_s = max(SHORTEST_TIMEOUT_S, found.timeout_s / 2)
--- /dev/null
+++ b/src/tamarackshelf/jobs/stragglers.py
@@ -0,0 +1,117 @@
+"""Keeps a job's last items from coming late: moves runs, asks for engines."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+
+from tamarackshelf.jobs.item_state import ItemStage
+from tamarackshelf.jobs.owned_job import OwnedJob
+from tamarackshelf.jobs.scorer import TableSource
+from tamarackshelf.node.targets import TargetBoard
+from tamarackshelf.observe import Timeline
+from tamarackshelf.policy.engine_wish import choose_wish
+from tamarackshelf.policy.item_placement import RunningItem, choose_moves
+
+# A run stays on its engine at least as long, so that moves cannot chase each other.
+STAY_S = 0.4
+# About as many tokens come in one event; only used to order runs by what is left.
+TOKENS_PER_PIECE = 50
+# The time of an event before any was measured.
+USUAL_EVENT_S = 0.04
+# A job must be short of engines as long before it asks for one more, and again.
+WISH_AFTER_S = 0.5
+
+
+class Stragglers:
+    """Looks at all jobs of this node at each tick of its runner."""
+
+    def __init__(
+        self, board: TargetBoard, table: TableSource, timeline: Timeline
+    ) -> None:
+        # Takes a model and the engine that should load its weights.
+        self.on_wish: Callable[[str, str], None] = lambda model, engine: None
+        self._board = board
+        self._table = table
+        self._timeline = timeline
+
+    def look(
+        self, jobs: Iterable[OwnedJob], due_s: Mapping[str, float], now_s: float
+    ) -> None:
+        """Moves runs off slow engines and wishes for engines; clocks of the loop."""
+        open_jobs = [job for job in jobs if job.is_open]
+        self._move(open_jobs, now_s)
+        for job in open_jobs:
+            self._wish(job, due_s[job.job_id] - now_s, now_s)
+
+    def _move(self, jobs: list[OwnedJob], now_s: float) -> None:
+        """Stops runs on slow engines when a much faster one has a free place."""
+        running: dict[tuple[str, str], list[RunningItem]] = {}
+        by_id = {job.job_id: job for job in jobs}
+        for job in jobs:
+            for state in job.items.values():
+                run = state.run
+                if run is None or now_s - run.started_s < STAY_S:
+                    continue
+                done = len(state.pieces) * TOKENS_PER_PIECE
+                item = RunningItem(
+                    job_id=job.job_id,
+                    item_id=state.item.item_id,
+                    engine=run.engine,
+                    min_version=job.job.min_version,
+                    remaining_tokens=max(0, state.item.expected_tokens - done),
+                )
+                running.setdefault((run.service, job.job.model), []).append(item)
+        for key, items in running.items():
+            for item in choose_moves(items, self._board.engines(*key)):
+                job = by_id[item.job_id]
+                self._timeline.record(
+                    "item_moved", item.item_id, "its engine is slow", target=item.engine
+                )
+                job.stop_run(item.item_id)
+
+    def _wish(self, job: OwnedJob, left_s: float, now_s: float) -> None:
+        """Asks for the weights on one more engine when a job will be late."""
+        wished = self._choose_wish(job, left_s)
+        if wished is None:
+            job.short_since_s = None
+            return
+        if job.short_since_s is None:
+            job.short_since_s = now_s
+        if now_s - job.short_since_s < WISH_AFTER_S:
+            return
+        job.short_since_s = now_s
+        self._timeline.record(
+            "engine_wished",
+            job.job_id,
+            "its own engines will not end it in time",
+            target=wished,
+            model=job.job.model,
+        )
+        self.on_wish(job.job.model, wished)
+
+    def _choose_wish(self, job: OwnedJob, left_s: float) -> str | None:
+        open_items = [
+            state
+            for state in job.items.values()
+            if state.stage in (ItemStage.WAITING, ItemStage.RUNNING)
+            and not state.is_whole
+        ]
+        table = self._table()
+        found = None if table is None else table.find(job.job.host, job.job.path)
+        if not open_items or found is None:
+            return None
+        service = found.shares[0].service
+        remaining = [
+            max(1.0, state.item.expected_tokens / TOKENS_PER_PIECE - len(state.pieces))
+            for state in open_items
+        ]
+        return choose_wish(
+            remaining,
+            self._board.engines(service, job.job.model),
+            job.job.min_version,
+            self._board.fastest_s(service) or USUAL_EVENT_S,
+            left_s,
+        )
+
+
+__all__ = ["Stragglers"]
--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -266,7 +266,7 @@
             if _wall_ms() - rumour.version < WISH_OLD_MS:
                 weights.wish(rumour.subject.removeprefix(WISH), rumour.value)
 
-        self.runner.on_wish = spread
+        self.runner.stragglers.on_wish = spread
         fleet.gossip.on_rumour(WISH, take)
 
     def _follow(self, weights: WeightKeeper) -> None:
@@ -343,7 +343,9 @@
             return await answer_relay(self.link, request.body)
         if request.path == READ_PATH:
             read = msgspec.msgpack.decode(request.body, type=JobRead)
-            return Response(200, msgspec.msgpack.encode(self.desk.read_owned(read)))
+            return Response(
+                200, msgspec.msgpack.encode(self.desk.reader.read_owned(read))
+            )
         if request.path == TAKE_PATH:
             handover = msgspec.msgpack.decode(request.body, type=JobHandover)
             return Response(200 if self.desk.take_handover(handover) else 409)
--- a/src/tamarackshelf/node/targets.py
+++ b/src/tamarackshelf/node/targets.py
@@ -12,7 +12,7 @@
 from tamarackshelf.contracts.targets import TargetLoad, TargetRecord
 from tamarackshelf.observe import Timeline
 from tamarackshelf.policy.item_placement import EnginePlace
-from tamarackshelf.policy.routing import Candidate
+from tamarackshelf.policy.routing import Candidate, Need, route
 from tamarackshelf.world import Target
 
 # A target that refused or failed gets no new work for as long.
@@ -197,6 +197,24 @@
             if state.target.name not in excluded
         ]
 
+    def choose(
+        self, service: str, data_centre: str, tried: frozenset[str]
+    ) -> tuple[TargetState | None, str]:
+        """Returns a target for a plain request, or None, and the reason.
+
+        When all are full the least loaded one is taken: targets queue a few
+        requests themselves.
+        """
+        candidates = self.candidates(service, tried)
+        choice = route(candidates, Need(service, data_centre=data_centre), self.rng)
+        if choice.target is not None:
+            return self._states.get(choice.target.name), choice.reason
+        if not choice.is_full:
+            return None, choice.reason
+        allowed = [c for c in candidates if not c.ruled_out]
+        least = min(allowed, key=lambda c: c.load)
+        return self._states.get(least.target.name), choice.reason
+
     def engines(self, service: str, model: str) -> list[EnginePlace]:
         """Returns the engines of a service that may take an item now."""
         states = self.of_service(service)
--- a/src/tamarackshelf/platform/caller_api.py
+++ b/src/tamarackshelf/platform/caller_api.py
@@ -15,7 +15,8 @@
 from tamarackshelf.entry.forwarder import Forwarder
 from tamarackshelf.entry.streamer import Streamer
 from tamarackshelf.errors import BadRequest, NotFound, NotReady, ShelfError
-from tamarackshelf.jobs.desk import JobDesk, ResultPage
+from tamarackshelf.jobs.desk import JobDesk
+from tamarackshelf.jobs.reader import ResultPage
 from tamarackshelf.net import Request, Response
 from tamarackshelf.platform.target_calls import OWN_HEADERS
 from tamarackshelf.policy.route_table import RouteTable
@@ -93,7 +94,7 @@
             return await self._handle_results(request)
         if request.path.startswith(BODIES_PATH):
             job_id = unquote(request.path.removeprefix(BODIES_PATH))
-            body = await self._desk.read_body(job_id, request.parameter("id"))
+            body = await self._desk.reader.read_body(job_id, request.parameter("id"))
             return Response(200, body, content_type="application/octet-stream")
         host = request.headers.get("host", "")
         found = table.find(host, request.path)
@@ -129,7 +130,7 @@
             return Response(200)
         wait_s = min(LONGEST_WAIT_S, _parse_ms(request, "x-wait-ms", 0.0))
         after = _parse_after(request)
-        page = await self._desk.read(job_id, after, wait_s)
+        page = await self._desk.reader.read(job_id, after, wait_s)
         return Response(200, msgspec.json.encode(_encode_page(page)))
 
 
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -55,7 +55,7 @@
     async with asyncio.timeout(within_s):
         while len(results) < len(job.items):
             try:
-                page = await desk.read(job.job_id, len(results), 1.0)
+                page = await desk.reader.read(job.job_id, len(results), 1.0)
             except StoreUnavailable:
                 await asyncio.sleep(0.2)
                 continue
@@ -123,7 +123,7 @@
 def test_unknown_job_is_not_found(play):
     async def scenario(cluster):
         with pytest.raises(NotFound):
-            await cluster.nodes["b"].desk.read("nothing", 0, 0.0)
+            await cluster.nodes["b"].desk.reader.read("nothing", 0, 0.0)
 
     play(scenario)
 
@@ -133,7 +133,7 @@
         job = await submit(cluster)
         cluster.store.is_down = True
         await asyncio.sleep(5)
-        page = await cluster.nodes["a"].desk.read(job.job_id, 0, 0.0)
+        page = await cluster.nodes["a"].desk.reader.read(job.job_id, 0, 0.0)
         assert page.results == ()
         cluster.store.is_down = False
         check_whole(await read_whole(cluster, "a", job, within_s=2.0), job)
@@ -275,20 +275,34 @@
         assert not any(cluster.engines.running.values())
         await asyncio.sleep(3)
         assert len(cluster.engines.runs) == runs
-        page = await cluster.nodes["b"].desk.read(job.job_id, 0, 0.0)
+        page = await cluster.nodes["b"].desk.reader.read(job.job_id, 0, 0.0)
         assert page.total == len(job.items)
 
     play(scenario)
 
 
+def test_settled_job_leaves_memory_and_stays_readable(play):
+    async def scenario(cluster):
+        job = await submit(cluster)
+        results = await read_whole(cluster, "a", job)
+        await asyncio.sleep(30)
+        assert cluster.nodes["a"].runner.jobs == {}
+        assert await read_whole(cluster, "a", job) == results
+        runs = len(cluster.engines.runs)
+        await asyncio.sleep(10)
+        assert len(cluster.engines.runs) == runs
+
+    play(scenario)
+
+
 def test_node_that_the_store_refuses_reads_from_the_owner(play):
     async def scenario(cluster):
         job = await submit(cluster)
         expected = await read_whole(cluster, "a", job)
         cluster.nodes["b"].client.is_refused = True
-        page = await cluster.nodes["b"].desk.read(job.job_id, 0, 0.0)
+        page = await cluster.nodes["b"].desk.reader.read(job.job_id, 0, 0.0)
         assert list(page.results) == expected
-        body = await cluster.nodes["b"].desk.read_body(job.job_id, "j1-0")
+        body = await cluster.nodes["b"].desk.reader.read_body(job.job_id, "j1-0")
         assert body == b"body"
 
     play(scenario)
--- a/tests/support/node.py
+++ b/tests/support/node.py
@@ -247,7 +247,7 @@
             handover = msgspec.msgpack.decode(body, type=peer_jobs.JobHandover)
             return Answer(200 if desk.take_handover(handover) else 409, {}, b"")
         read = msgspec.msgpack.decode(body, type=peer_jobs.JobRead)
-        return Answer(200, {}, msgspec.msgpack.encode(desk.read_owned(read)))
+        return Answer(200, {}, msgspec.msgpack.encode(desk.reader.read_owned(read)))
 
 
 __all__ = [
