Hand a job over to one peer only when no answer came

Cause, found while reading the change: a peer that took a job but whose answer was lost counted as a refusal, so a second peer got the job too; with the store away both would run its items until a claim told them apart. The new test failed before (two heirs).

--- a/src/tamarackshelf/jobs/desk.py
+++ b/src/tamarackshelf/jobs/desk.py
@@ -22,6 +22,7 @@
 from tamarackshelf.net import HttpClient
 from tamarackshelf.node.fleet import Fleet
 from tamarackshelf.node.peer_jobs import (
+    HandoverOutcome,
     JobHandover,
     JobRead,
     ask_owner,
@@ -225,16 +226,20 @@
             job.job, job.stored, tuple(job.listed), tuple(job.unlisted), job.texts()
         )
         for name in ranked[:HEIRS_TRIED]:
-            if await hand_over_to(self._http, names[name].peers, handover):
-                self._timeline.record(
-                    "job_handed_over",
-                    job.job_id,
-                    "this node stops",
-                    to=name,
-                    unlisted=len(job.unlisted),
-                    texts=len(handover.texts),
-                )
-                return
+            outcome = await hand_over_to(self._http, names[name].peers, handover)
+            if outcome is HandoverOutcome.REFUSED:
+                continue
+            # A peer that gave no answer may run the job; a second one must not.
+            self._timeline.record(
+                "job_handed_over",
+                job.job_id,
+                "this node stops",
+                to=name,
+                outcome=outcome.value,
+                unlisted=len(job.unlisted),
+                texts=len(handover.texts),
+            )
+            return
         try:
             await self._runner.save_progress(job)
         except (HeadChanged, RowStoreError) as error:
--- a/src/tamarackshelf/node/peer_jobs.py
+++ b/src/tamarackshelf/node/peer_jobs.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from dataclasses import dataclass
 
 import msgspec
@@ -49,10 +50,18 @@
     texts: tuple[ItemProgress, ...]
 
 
+class HandoverOutcome(enum.Enum):
+    """What is known of a hand-over; only after REFUSED may another peer be asked."""
+
+    TAKEN = "taken"
+    REFUSED = "refused"
+    UNCERTAIN = "uncertain"
+
+
 async def hand_over_to(
     http: HttpClient, address: Address, handover: JobHandover
-) -> bool:
-    """Returns whether the peer took the job."""
+) -> HandoverOutcome:
+    """Returns whether the peer took the job, as far as that is known."""
     try:
         answer = await http.request(
             address,
@@ -61,9 +70,12 @@
             body=msgspec.msgpack.encode(handover),
             timeout_s=TAKE_TIMEOUT_S,
         )
-    except (ConnectFailed, ConnectionLost):
-        return False
-    return answer.status == 200
+    except ConnectFailed:
+        return HandoverOutcome.REFUSED
+    except ConnectionLost:
+        return HandoverOutcome.UNCERTAIN
+    is_taken = answer.status == 200
+    return HandoverOutcome.TAKEN if is_taken else HandoverOutcome.REFUSED
 
 
 async def ask_owner(
@@ -88,6 +100,7 @@
 __all__ = [
     "READ_PATH",
     "TAKE_PATH",
+    "HandoverOutcome",
     "JobHandover",
     "JobRead",
     "JobReadAnswer",
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -231,6 +231,27 @@
     play(scenario)
 
 
+def test_hand_over_without_an_answer_is_not_made_twice(play):
+    """Pattern: the store is away, so no claim would tell two heirs apart."""
+
+    async def scenario(cluster):
+        job = await submit(cluster)
+        await asyncio.sleep(0.2)
+        cluster.store.is_down = True
+        cluster.lose_take_answers = 1
+        cluster.nodes["a"].fleet.is_leaving = True
+        await cluster.nodes["a"].desk.hand_over()
+        await cluster.kill("a")
+        holders = [n for n in "bc" if job.job_id in cluster.nodes[n].runner.jobs]
+        assert len(holders) == 1
+        await asyncio.sleep(2)
+        cluster.store.is_down = False
+        results = await read_whole(cluster, "b", job, within_s=3.0)
+        check_whole(results, job, pieces=60)
+
+    play(scenario, pieces=60)
+
+
 def test_results_that_wait_for_the_store_survive_a_planned_stop(play):
     async def scenario(cluster):
         job = await submit(cluster)
--- a/tests/support/node.py
+++ b/tests/support/node.py
@@ -15,7 +15,7 @@
 from tamarackshelf.jobs.desk import JobDesk
 from tamarackshelf.jobs.runner import JobRunner
 from tamarackshelf.jobs.scorer import Scorer
-from tamarackshelf.net import Answer, ConnectFailed
+from tamarackshelf.net import Answer, ConnectFailed, ConnectionLost
 from tamarackshelf.node import peer_jobs
 from tamarackshelf.node.targets import TargetBoard
 from tamarackshelf.observe import Metrics, Timeline
@@ -218,6 +218,7 @@
         self.store = store
         self.engines = engines
         self.dead = set()
+        self.lose_take_answers = 0
         self.records = {
             name: NodeRecord(
                 name, 1, "dc", Address("10.0.0.1", n), Address("10.0.0.2", n)
@@ -245,7 +246,11 @@
         desk = self.nodes[name].desk
         if path == peer_jobs.TAKE_PATH:
             handover = msgspec.msgpack.decode(body, type=peer_jobs.JobHandover)
-            return Answer(200 if desk.take_handover(handover) else 409, {}, b"")
+            status = 200 if desk.take_handover(handover) else 409
+            if self.lose_take_answers:
+                self.lose_take_answers -= 1
+                raise ConnectionLost("the answer was lost")
+            return Answer(status, {}, b"")
         read = msgspec.msgpack.decode(body, type=peer_jobs.JobRead)
         return Answer(200, {}, msgspec.msgpack.encode(desk.reader.read_owned(read)))
 
