Take the lease of a holder whose VM started again

Cause: the question whether a holder still answers went to its VM, and a later incarnation answered; the lease then stayed with a process that was gone.

--- a/src/tamarackshelf/node/fleet.py
+++ b/src/tamarackshelf/node/fleet.py
@@ -100,10 +100,13 @@
             return True
         return self._status(vm) is MemberStatus.DEAD
 
-    async def does_answer(self, vm: str) -> bool:
-        """Asks a node that gossip may wrongly hold for dead."""
+    async def does_answer(self, vm: str, incarnation: int) -> bool:
+        """Asks a node that gossip may wrongly hold for dead.
+
+        A later incarnation of it is another process and answers for itself only.
+        """
         record = self._records.get(vm)
-        if record is None:
+        if record is None or record.incarnation != incarnation:
             return False
         try:
             answer = await self._http.request(
--- a/src/tamarackshelf/node/weights.py
+++ b/src/tamarackshelf/node/weights.py
@@ -182,7 +182,7 @@
             holder.holder, holder.holder_incarnation
         ):
             return False
-        if holder.holder != own.vm and await self._fleet.does_answer(holder.holder):
+        if await self._fleet.does_answer(holder.holder, holder.holder_incarnation):
             self._timeline.record(
                 "lease_left", LEASE_NAME, f"{holder.holder} answers, so it keeps it"
             )
--- a/tests/node/test_weights.py
+++ b/tests/node/test_weights.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 import pytest
 
@@ -182,6 +183,26 @@
     play(scenario)
 
 
+def test_lease_of_a_holder_that_started_again_is_taken(play):
+    """Pattern: kis-barge trouble-2, the holder's VM is restarted in a rolling stop."""
+
+    async def scenario(scene, keepers):
+        name_everywhere(keepers, "m", 2)
+        await asyncio.sleep(5)
+        holder = scene.engines.orders[0][2].holder
+        await keepers[holder].close()
+        scene.records[holder] = replace(scene.records[holder], incarnation=2)
+        for keeper in keepers.values():
+            keeper._fleet.answering.add(holder)
+        # The other keeper is the first in rank while the holder's VM is listed anew.
+        scene.dead.add(holder)
+        name_everywhere(keepers, "m", 3)
+        await asyncio.sleep(9)
+        assert any(order.version == 3 for _, _, order in scene.engines.orders)
+
+    play(scenario)
+
+
 def test_vm_that_started_again_goes_on_without_waiting(play):
     async def scenario(scene, keepers):
         client = scene.store.connect()
--- a/tests/support/node.py
+++ b/tests/support/node.py
@@ -146,9 +146,11 @@
     def peers(self):
         return [r for r in self.living() if r.vm != self.own.vm]
 
-    async def does_answer(self, vm):
+    async def does_answer(self, vm, incarnation):
         await asyncio.sleep(0.001)
-        return vm in self.answering
+        record = self._records.get(vm)
+        is_same = record is not None and record.incarnation == incarnation
+        return is_same and vm in self.answering
 
     def find(self, vm):
         return self._records.get(vm)
