--- a/src/tamarackshelf/contracts/targets.py
+++ b/src/tamarackshelf/contracts/targets.py
@@ -23,10 +23,6 @@
     """Another target, or none, answers at the address."""
 
 
-class VersionDiffers(NotRun):
-    """The target's weights have another version than the request expects."""
-
-
 class OutcomeUnknown(Exception):
     """Bytes left and no whole answer came; the target may have run it."""
 
@@ -203,6 +199,5 @@
     "TargetFull",
     "TargetLoad",
     "TargetRecord",
-    "VersionDiffers",
     "VersionOrder",
 ]
--- a/src/tamarackshelf/jobs/desk.py
+++ b/src/tamarackshelf/jobs/desk.py
@@ -191,7 +191,6 @@
             epoch=1,
             state=JobState.OPEN,
             total=len(job.items),
-            chunks=0,
             accepted_store_ms=self._link.now_store_ms() or 0,
             host=job.host,
             path=job.path,
--- a/src/tamarackshelf/jobs/owned_job.py
+++ b/src/tamarackshelf/jobs/owned_job.py
@@ -86,15 +86,6 @@
             if state.stage is not ItemStage.DONE and state.is_begun
         )
 
-    def count_missing(self) -> dict[str, int]:
-        """Returns how many items of each group are not done."""
-        missing: dict[str, int] = {}
-        for state in self.items.values():
-            if state.stage is not ItemStage.DONE:
-                group = state.item.group
-                missing[group] = missing.get(group, 0) + 1
-        return missing
-
     def finish(self, result: ItemResult) -> None:
         """Takes an item's result, which is to be listed next."""
         self.items[result.item_id].stage = ItemStage.DONE
--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -229,7 +229,6 @@
         for job in self.jobs.values():
             if not job.is_open:
                 continue
-            missing = job.count_missing()
             for state in job.waiting():
                 if state.is_whole or state.not_before_s > now_s:
                     continue
@@ -242,7 +241,6 @@
                         rank=0,
                         due_s=self._due_s[job.job_id],
                         expected_tokens=item.expected_tokens,
-                        group_missing=missing[item.group],
                         is_begun=state.is_begun,
                     )
                 )
--- a/src/tamarackshelf/policy/item_placement.py
+++ b/src/tamarackshelf/policy/item_placement.py
@@ -28,7 +28,6 @@
     rank: int
     due_s: float
     expected_tokens: int
-    group_missing: int
     is_begun: bool
 
 
--- a/src/tamarackshelf/world/job.py
+++ b/src/tamarackshelf/world/job.py
@@ -60,7 +60,6 @@
     epoch: int
     state: JobState
     total: int
-    chunks: int
     accepted_store_ms: int
     host: str
     path: str
--- a/tests/policy/test_item_placement.py
+++ b/tests/policy/test_item_placement.py
@@ -25,7 +25,6 @@
         rank=0,
         due_s=due_s,
         expected_tokens=tokens,
-        group_missing=4,
         is_begun=begun,
     )
 
--- /dev/null
+++ b/tests/soak/callers.py
@@ -0,0 +1,380 @@
+"""Callers of the nodes: plain clients, trainers and other readers of jobs."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import uuid
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from tamarackshelf.net import Answer, ConnectFailed, ConnectionLost, HttpClient
+from tamarackshelf.world import Address, parse_address
+from tests.soak.ledger import (
+    JobRead,
+    Ledger,
+    PlainCall,
+    SeenJob,
+    SeenResult,
+    now_s,
+)
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from tests.soak.store import StoreServer
+
+HOST = "soak.example"
+JOB_PATH = "/jobs/"
+SCORE_PATH = "/score/"
+ONCE_PATH = "/once/"
+REPEAT_PATH = "/repeat/"
+MODEL = "m"
+PLAIN_TIMEOUT_S = 2.0
+JOB_TIMEOUT_S = 2.5
+# A trainer gives a step this long, then ends its job.
+STEP_S = 8.0
+ENTRIES_KEPT_S = 2.0
+NOT_RUN = (429, 503, 408, 421)
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A node as callers reach it, through a proxy."""
+
+    name: str
+    through: Address
+    directory: Address
+
+
+class Entries:
+    """Which nodes callers use: they ask and keep the answer for a while."""
+
+    def __init__(self, entries: dict[Address, Entry], random: Random) -> None:
+        self._entries = entries
+        self._random = random
+        self._chosen: list[Entry] = []
+        self._asked_s = float("-inf")
+
+    async def pick(self, *, other_than: str = "") -> Entry:
+        """Returns a node to use."""
+        if now_s() - self._asked_s > ENTRIES_KEPT_S:
+            await self._ask()
+        usable = self._chosen or list(self._entries.values())
+        others = [entry for entry in usable if entry.name != other_than]
+        return self._random.choice(others or usable)
+
+    async def _ask(self) -> None:
+        http = HttpClient(connect_timeout_s=1.0)
+        for entry in self._random.sample(list(self._entries.values()), 3):
+            path = f"/v1/resolve?name={HOST}&region=r&zone=a"
+            try:
+                answer = await http.request(
+                    entry.directory, "GET", path, timeout_s=1.0, fresh=True
+                )
+            except (ConnectFailed, ConnectionLost):
+                continue
+            if answer.status == 200:
+                addresses = msgspec.json.decode(answer.body)["addresses"]
+                self._chosen = [self._entries[parse_address(a)] for a in addresses]
+                self._asked_s = now_s()
+                return
+
+
+class PlainClient:
+    """Sends requests on one kept connection and repeats what may be repeated."""
+
+    def __init__(self, ledger: Ledger, entries: Entries, random: Random) -> None:
+        self._ledger = ledger
+        self._entries = entries
+        self._random = random
+
+    async def run(self) -> None:
+        """Sends requests until it is cancelled."""
+        http = HttpClient(connect_timeout_s=1.0)
+        entry = await self._entries.pick()
+        kept_until_s = 0.0
+        try:
+            while True:
+                if now_s() > kept_until_s:
+                    entry = await self._entries.pick()
+                    kept_until_s = now_s() + self._random.uniform(1, 12)
+                if not await self._send(http, entry):
+                    await self._send(http, await self._entries.pick())
+                    kept_until_s = 0.0
+                await asyncio.sleep(self._random.uniform(0.05, 0.3))
+        finally:
+            await http.close()
+
+    async def _send(self, http: HttpClient, entry: Entry) -> bool:
+        is_idempotent = self._random.random() < 0.6
+        path = REPEAT_PATH if is_idempotent else ONCE_PATH
+        request_id = uuid.UUID(int=self._random.getrandbits(128)).hex
+        body = self._random.randbytes(self._random.randint(1, 3000))
+        sent_s = now_s()
+        status, answer, is_cut = 0, Answer(0, {}, b""), False
+        headers = {
+            "host": HOST,
+            "x-request-id": request_id,
+            "x-deadline-ms": str(int(PLAIN_TIMEOUT_S * 1000)),
+        }
+        try:
+            answer = await http.request(
+                entry.through,
+                "POST",
+                f"{path}x",
+                headers=headers,
+                body=body,
+                timeout_s=PLAIN_TIMEOUT_S + 0.5,
+                resend=False,
+            )
+            status = answer.status
+        except ConnectFailed:
+            # Nothing left; there is nothing to judge but that it was not served.
+            is_cut = False
+        except ConnectionLost:
+            is_cut = now_s() - sent_s < PLAIN_TIMEOUT_S
+        self._ledger.calls.append(
+            PlainCall(
+                request_id=request_id,
+                node=entry.name,
+                path=f"{path}x",
+                body=body,
+                is_idempotent=is_idempotent,
+                sent_s=sent_s,
+                ended_s=now_s(),
+                status=status,
+                answer=answer.body,
+                stamp=answer.headers.get("x-server-stamp", ""),
+                is_cut=is_cut,
+            )
+        )
+        return 200 <= status < 300
+
+
+class JobClient:
+    """Submits, reads and ends jobs, each call on a new connection."""
+
+    def __init__(self, ledger: Ledger, entries: Entries) -> None:
+        self._ledger = ledger
+        self._entries = entries
+        self._http = HttpClient(connect_timeout_s=1.0)
+
+    async def submit(self, job: SeenJob, body: bytes, attempts: int = 6) -> bool:
+        """Sends the job until a node accepts it; False when none did."""
+        last = ""
+        for _ in range(attempts):
+            entry = await self._entries.pick(other_than=last)
+            last = entry.name
+            headers = {"x-request-id": job.job_id, "content-type": "application/json"}
+            answer = await self._call(entry, "POST", f"{JOB_PATH}x", headers, body)
+            job.statuses.append(answer.status)
+            if answer.status == 202:
+                job.accepted_s = min(job.accepted_s, now_s())
+                return True
+            await asyncio.sleep(float(answer.headers.get("retry-after", "0.3")))
+        return False
+
+    async def read(self, job: SeenJob, after: int, wait_s: float = 1.0) -> JobRead:
+        """Reads a page and keeps it in the ledger."""
+        entry = await self._entries.pick()
+        path = f"/v1/lots/{job.job_id}?after={after}"
+        headers = {"x-wait-ms": str(int(wait_s * 1000))}
+        answer = await self._call(entry, "GET", path, headers)
+        read = _to_read(entry.name, after, answer)
+        job.reads.append(read)
+        return read
+
+    async def read_body(self, job: SeenJob, item_id: str) -> int:
+        """Reads the body of an item and keeps it in the ledger."""
+        entry = await self._entries.pick()
+        path = f"/v1/items/{job.job_id}?id={item_id}"
+        answer = await self._call(entry, "GET", path, {})
+        job.bodies.append((item_id, answer.status, answer.body))
+        return answer.status
+
+    async def end(self, job: SeenJob, attempts: int = 8) -> bool:
+        """Ends the job; False when no node confirmed it."""
+        for _ in range(attempts):
+            entry = await self._entries.pick()
+            answer = await self._call(entry, "DELETE", f"/v1/lots/{job.job_id}", {})
+            if answer.status == 200:
+                job.ended_s = now_s()
+                return True
+            await asyncio.sleep(0.3)
+        return False
+
+    async def _call(
+        self,
+        entry: Entry,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        body: bytes = b"",
+    ) -> Answer:
+        try:
+            return await self._http.request(
+                entry.through,
+                method,
+                path,
+                headers={"host": HOST, **headers},
+                body=body,
+                timeout_s=JOB_TIMEOUT_S,
+                fresh=True,
+            )
+        except (ConnectFailed, ConnectionLost):
+            return Answer(0, {}, b"")
+
+
+class Trainer:
+    """Asks for a step, reads its groups, ends it and names the next version."""
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        client: JobClient,
+        store: StoreServer,
+        random: Random,
+    ) -> None:
+        self._ledger = ledger
+        self._client = client
+        self._store = store
+        self._random = random
+        self._version = 1
+
+    async def run(self) -> None:
+        """Asks for steps until it is cancelled."""
+        step = 0
+        while True:
+            job, body = self._build_job(step)
+            self._ledger.jobs[job.job_id] = job
+            if await self._client.submit(job, body):
+                await self._read_step(job)
+                if self._random.random() < 0.8:
+                    await self._client.end(job)
+                await self._name_version()
+            step += 1
+            await asyncio.sleep(self._random.uniform(0.1, 0.6))
+
+    def _build_job(self, step: int) -> tuple[SeenJob, bytes]:
+        job_id = uuid.UUID(int=self._random.getrandbits(128)).hex
+        groups, size = self._random.randint(2, 4), 3
+        least = max(1, self._version - 1)
+        job = SeenJob(job_id, {}, least)
+        items = []
+        for group in range(groups):
+            for member in range(size):
+                item_id = f"{job_id[:12]}{group}{member}"
+                job.items[item_id] = self._random.randbytes(80)
+                items.append(self._build_item(job, item_id, f"g{group}"))
+        submission = {
+            "step": step,
+            "model": MODEL,
+            "minVersion": least,
+            "groupCount": groups,
+            "requests": items,
+        }
+        return job, msgspec.json.encode(submission)
+
+    def _build_item(self, job: SeenJob, item_id: str, group: str) -> dict[str, Any]:
+        score_id, score_body = f"{item_id}s", self._random.randbytes(20)
+        self._ledger.scores[score_id] = score_body
+        return {
+            "id": item_id,
+            "path": f"{JOB_PATH}{item_id}",
+            "headers": {"X-Model": MODEL, "X-Token-Count": "500,400"},
+            "body": base64.b64encode(job.items[item_id]).decode(),
+            "tokens": 900,
+            "group": group,
+            "scorerUrl": {
+                "id": score_id,
+                "host": HOST,
+                "path": f"{SCORE_PATH}x",
+                "body": base64.b64encode(score_body).decode(),
+            },
+        }
+
+    async def _read_step(self, job: SeenJob) -> None:
+        after, until_s = 0, now_s() + STEP_S
+        while now_s() < until_s and after < len(job.items):
+            read = await self._client.read(job, after)
+            after += len(read.results)
+            if self._random.random() < 0.2:
+                await self._client.read(job, self._random.randint(0, after), 0.0)
+            if self._random.random() < 0.1:
+                await self._client.read_body(job, next(iter(job.items)))
+            if read.status != 200:
+                await asyncio.sleep(0.3)
+        job.is_read_whole = after == len(job.items)
+
+    async def _name_version(self) -> None:
+        faults = self._store.faults
+        if faults.is_down or faults.is_silent:
+            return
+        self._version += 1
+        row = msgspec.json.encode({"model": MODEL, "version": self._version})
+        self._store.rows.put("op", f"version/{MODEL}", row)
+
+
+def build_configuration(version: int, timeout_ms: int = 2000) -> bytes:
+    """Returns the operator's configuration of the soak."""
+
+    def route(name: str, prefix: str, kind: str, service: str) -> dict[str, Any]:
+        return {
+            "name": name,
+            "host": HOST,
+            "pathPrefix": prefix,
+            "routeType": kind,
+            "timeoutMs": timeout_ms,
+            "targetLatencyMs": 400,
+            "upstream": service,
+            "maxAttempts": 3,
+            "dueMs": 7500,
+        }
+
+    return msgspec.json.encode(
+        {
+            "version": version,
+            "routes": [
+                route("jobs", JOB_PATH, "rollout", "models"),
+                route("score", SCORE_PATH, "idempotent", "desk"),
+                route("repeat", REPEAT_PATH, "idempotent", "desk"),
+                route("once", ONCE_PATH, "non_idempotent", "desk"),
+            ],
+            "upstreams": [
+                {"name": "models", "backend": {"models": [{"name": MODEL}]}},
+                {"name": "desk"},
+            ],
+            "limits": {},
+        }
+    )
+
+
+def _to_read(node: str, after: int, answer: Answer) -> JobRead:
+    if answer.status != 200:
+        return JobRead(node, now_s(), answer.status, after)
+    page = msgspec.json.decode(answer.body)
+    results = tuple(
+        SeenResult(
+            r["id"],
+            r["state"],
+            r.get("output", ""),
+            tuple(r.get("versions", ())),
+            r.get("score", ""),
+        )
+        for r in page["results"]
+    )
+    return JobRead(node, now_s(), 200, after, page["total"], results)
+
+
+__all__ = [
+    "Entries",
+    "Entry",
+    "JobClient",
+    "NOT_RUN",
+    "PlainClient",
+    "Trainer",
+    "build_configuration",
+]
--- /dev/null
+++ b/tests/soak/ledger.py
@@ -0,0 +1,146 @@
+"""What callers and workers saw on their sockets during one run."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+
+ENDLESS_S = float("inf")
+
+
+@dataclass(slots=True)
+class Run:
+    """A request at a worker; `ended_s` is endless while it runs.
+
+    It waits for a place from `reached_s` to `started_s`.
+    """
+
+    worker: str
+    request_id: str
+    path: str
+    body: bytes
+    reached_s: float
+    started_s: float
+    ended_s: float = ENDLESS_S
+    is_whole: bool = False
+    is_answered_500: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Order:
+    """A weight order that a worker accepted."""
+
+    worker: str
+    holder: str
+    fencing_number: int
+    at_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class PlainCall:
+    """One attempt of a caller; status 0 means that no answer came.
+
+    `is_cut` tells that the connection ended after the whole request was sent.
+    """
+
+    request_id: str
+    node: str
+    path: str
+    body: bytes
+    is_idempotent: bool
+    sent_s: float
+    ended_s: float
+    status: int
+    answer: bytes = b""
+    stamp: str = ""
+    is_cut: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class SeenResult:
+    """A result of an item as read by a caller."""
+
+    item_id: str
+    state: str
+    text: str
+    versions: tuple[int, ...]
+    score: str
+
+
+@dataclass(frozen=True, slots=True)
+class JobRead:
+    """One answer to a reader of a job."""
+
+    node: str
+    at_s: float
+    status: int
+    after: int = 0
+    total: int = 0
+    results: tuple[SeenResult, ...] = ()
+
+
+@dataclass(slots=True)
+class SeenJob:
+    """A job from its first attempt to the last time it was read."""
+
+    job_id: str
+    items: dict[str, bytes]
+    min_version: int
+    statuses: list[int] = field(default_factory=list)
+    reads: list[JobRead] = field(default_factory=list)
+    bodies: list[tuple[str, int, bytes]] = field(default_factory=list)
+    accepted_s: float = ENDLESS_S
+    ended_s: float = ENDLESS_S
+    is_read_whole: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Disruption:
+    """A fault or planned work as it was carried out."""
+
+    kind: str
+    on: str
+    from_s: float
+    until_s: float
+
+
+@dataclass(slots=True)
+class Ledger:
+    """Everything seen; the checkers read nothing else."""
+
+    runs: list[Run] = field(default_factory=list)
+    orders: list[Order] = field(default_factory=list)
+    calls: list[PlainCall] = field(default_factory=list)
+    jobs: dict[str, SeenJob] = field(default_factory=dict)
+    scores: dict[str, bytes] = field(default_factory=dict)
+    disruptions: list[Disruption] = field(default_factory=list)
+    left: dict[str, float] = field(default_factory=dict)
+    healed_s: float = ENDLESS_S
+    ended_by_themselves: list[str] = field(default_factory=list)
+    unserved_nodes: list[str] = field(default_factory=list)
+
+    def is_calm(self, from_s: float, until_s: float, window_s: float) -> bool:
+        """Tells whether no disruption touched the span or the window before it."""
+        return not any(
+            d.from_s <= until_s and d.until_s >= from_s - window_s
+            for d in self.disruptions
+        )
+
+
+def now_s() -> float:
+    """Returns the soak's steady clock in seconds."""
+    return asyncio.get_running_loop().time()
+
+
+__all__ = [
+    "ENDLESS_S",
+    "Disruption",
+    "JobRead",
+    "Ledger",
+    "Order",
+    "PlainCall",
+    "Run",
+    "SeenJob",
+    "SeenResult",
+    "now_s",
+]
--- /dev/null
+++ b/tests/soak/nodes.py
@@ -0,0 +1,94 @@
+"""The real node programs as processes that the soak starts and ends by id."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from typing import TYPE_CHECKING
+
+from tamarackshelf.world import Address
+
+if TYPE_CHECKING:
+    import signal
+    from pathlib import Path
+
+GRACE_S = 8
+DRAIN_MS = 2000
+LEASE_MS = 3000
+
+_FIELDS = """\
+nodeName={name}
+zone=a
+region=r
+ip={host}
+listen.front={host}:8144
+listen.ready={host}:8140
+listen.directory={host}:8143
+portRange=7660,7675
+bootstrap=true
+bounds.gracePeriodS={grace_s}
+bounds.drainMs={drain_ms}
+bounds.leaseTtlMs={lease_ms}
+bounds.ttl_max_s=5
+bounds.fencing=true
+provider.address={store}
+provider.writesPerS=800
+provider.readsPerS=2000
+provider.rowBytes=65536
+"""
+
+
+class NodeProcess:
+    """One node; its log goes on over all its lifetimes."""
+
+    def __init__(self, name: str, host: str, store: Address, folder: Path) -> None:
+        self.name = name
+        self.callers = Address(host, 8144)
+        self.ready = Address(host, 8140)
+        self.directory = Address(host, 8143)
+        self.is_meant_to_run = False
+        self._settings = folder / f"{name}.conf"
+        self._log = folder / f"{name}.log"
+        self._process: subprocess.Popen[bytes] | None = None
+        text = _FIELDS.format(
+            name=name,
+            host=host,
+            store=store,
+            grace_s=GRACE_S,
+            drain_ms=DRAIN_MS,
+            lease_ms=LEASE_MS,
+        )
+        self._settings.write_text(text)
+
+    def start(self) -> None:
+        """Begins a lifetime."""
+        environment = {**os.environ, "TAMARACKSHELF_CONFIG": str(self._settings)}
+        with self._log.open("ab") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "tamarackshelf.cli.node"],
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+        self.is_meant_to_run = True
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal to this process alone."""
+        if self.is_running():
+            assert self._process is not None
+            self._process.send_signal(number)
+
+    def is_running(self) -> bool:
+        """Tells whether the process has not ended."""
+        return self._process is not None and self._process.poll() is None
+
+    def kill(self) -> None:
+        """Ends the process at once and waits for its end."""
+        self.is_meant_to_run = False
+        if self._process is not None:
+            self._process.kill()
+            self._process.wait()
+
+
+__all__ = ["GRACE_S", "NodeProcess"]
--- /dev/null
+++ b/tests/soak/proxy.py
@@ -0,0 +1,151 @@
+"""A loopback proxy that harms the connections it carries."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from tamarackshelf.world import Address
+
+READ_BYTES = 64 * 1024
+CONNECT_S = 2.0
+POLL_S = 0.02
+EXTRA_BYTES = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nno"
+
+
+@dataclass(slots=True)
+class LinkFaults:
+    """What happens to a link.
+
+    A cut holds the bytes of one direction back, as resent segments arrive after it.
+    """
+
+    delay_s: float = 0.0
+    is_cut_up: bool = False
+    is_cut_down: bool = False
+    refuses: bool = False
+    adds_bytes: bool = False
+
+
+class Proxy:
+    """Carries connections from one address to another."""
+
+    def __init__(self, address: Address, server: Address) -> None:
+        self.address = address
+        self.faults = LinkFaults()
+        self._at_server = server
+        self._listener: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._writers: set[asyncio.StreamWriter] = set()
+        self._silenced: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Listens."""
+        self._listener = await asyncio.start_server(
+            self._accept, self.address.host, self.address.port
+        )
+
+    async def close(self) -> None:
+        """Stops listening and resets what is open."""
+        if self._listener is not None:
+            self._listener.close()
+        self.reset_all()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def reset_all(self) -> None:
+        """Resets every open connection."""
+        for writer in list(self._writers):
+            _reset(writer)
+
+    def silence_all(self) -> None:
+        """Lets open connections carry nothing any more, without an end."""
+        self._silenced |= self._writers
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        self._writers.add(writer)
+        try:
+            await self._carry(reader, writer)
+        except (OSError, TimeoutError, asyncio.CancelledError):
+            # Either side may end at any time; the other one learns it by a reset.
+            _reset(writer)
+        finally:
+            self._tasks.discard(task)
+            self._writers.discard(writer)
+            self._silenced.discard(writer)
+
+    async def _carry(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self.faults.refuses:
+            _reset(writer)
+            return
+        address = self._at_server
+        async with asyncio.timeout(CONNECT_S):
+            up_reader, up_writer = await asyncio.open_connection(
+                address.host, address.port
+            )
+        self._writers.add(up_writer)
+        up = asyncio.create_task(self._pump(reader, up_writer, writer, is_up=True))
+        down = asyncio.create_task(self._pump(up_reader, writer, writer, is_up=False))
+        try:
+            await asyncio.wait([up, down], return_when=asyncio.FIRST_COMPLETED)
+            # A half-closed connection still carries the other direction for a while.
+            await asyncio.wait([up, down], timeout=0.5)
+        finally:
+            for each in (up, down):
+                each.cancel()
+            await asyncio.gather(up, down, return_exceptions=True)
+            self._writers.discard(up_writer)
+            for each_writer in (up_writer, writer):
+                with contextlib.suppress(OSError, RuntimeError):
+                    each_writer.close()
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        accepted: asyncio.StreamWriter,
+        *,
+        is_up: bool,
+    ) -> None:
+        while True:
+            data = await reader.read(READ_BYTES)
+            if self.faults.delay_s:
+                await asyncio.sleep(self.faults.delay_s)
+            while accepted in self._silenced or self._is_cut(is_up):
+                await asyncio.sleep(POLL_S)
+            if not data:
+                if writer.can_write_eof():
+                    writer.write_eof()
+                return
+            if self.faults.adds_bytes and not is_up:
+                data += EXTRA_BYTES
+            writer.write(data)
+            await writer.drain()
+
+    def _is_cut(self, is_up: bool) -> bool:
+        return self.faults.is_cut_up if is_up else self.faults.is_cut_down
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    raw = writer.get_extra_info("socket")
+    if raw is not None:
+        with contextlib.suppress(OSError):
+            linger = struct.pack("ii", 1, 0)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
+__all__ = ["LinkFaults", "Proxy"]
--- /dev/null
+++ b/tests/soak/run.py
@@ -0,0 +1,129 @@
+"""Runs the soak over seeds and prints a line for each; `python -m tests.soak.run`."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import time
+import traceback
+from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+import fire
+
+from tests.soak.checkers import find_violations
+from tests.soak.faults import carry_out, draw_faults
+from tests.soak.site import Site
+
+# Loopback blocks 127.20 to 127.200; parallel runs must not share one.
+FIRST_BLOCK, BLOCKS = 20, 180
+QUIET_START_S = 1.5
+
+
+@dataclass(frozen=True, slots=True)
+class SoakSize:
+    """How large and how long a run is; times in seconds."""
+
+    nodes: int = 4
+    engines: int = 3
+    clients: int = 6
+    trainers: int = 2
+    faults: int = 8
+    window_s: float = 14.0
+
+
+@dataclass(frozen=True, slots=True)
+class SoakResult:
+    """What a run came to."""
+
+    seed: int
+    violations: list[str]
+    faults: list[str]
+    jobs_accepted: int
+    jobs_whole: int
+    calls: int
+    calls_served: int
+    took_s: float
+
+    def format(self) -> str:
+        """Returns the run's line."""
+        return (
+            f"seed={self.seed} violations={len(self.violations)} "
+            f"jobs={self.jobs_accepted} whole={self.jobs_whole} "
+            f"calls={self.calls} served={self.calls_served} "
+            f"took_s={self.took_s:.0f} faults={','.join(self.faults)}"
+        )
+
+
+async def soak(seed: int, folder: Path, size: SoakSize) -> SoakResult:
+    """Plays one seed with node logs in the folder."""
+    started_s = time.monotonic()
+    block = FIRST_BLOCK + seed % BLOCKS
+    site = Site(seed, folder, block, size.nodes, size.engines)
+    faults = draw_faults(seed, size.window_s, size.faults)
+    failure = ""
+    try:
+        await site.start()
+        site.start_callers(size.clients, size.trainers)
+        await asyncio.sleep(QUIET_START_S)
+        await carry_out(site, faults)
+        await site.finish()
+    except Exception:
+        # Other seeds go on; the trace stands in this seed's line.
+        failure = f"soak: {traceback.format_exc()}"
+    finally:
+        await site.close()
+    ledger = site.ledger
+    accepted = [job for job in ledger.jobs.values() if 202 in job.statuses]
+    return SoakResult(
+        seed=seed,
+        violations=[*find_violations(ledger), *([failure] if failure else [])],
+        faults=[fault.kind for fault in faults],
+        jobs_accepted=len(accepted),
+        jobs_whole=sum(job.is_read_whole for job in accepted),
+        calls=len(ledger.calls),
+        calls_served=sum(200 <= call.status < 300 for call in ledger.calls),
+        took_s=time.monotonic() - started_s,
+    )
+
+
+def play(seed: int, folder: str, size: SoakSize) -> SoakResult:
+    """Plays one seed in a loop of its own."""
+    place = Path(folder) / f"seed-{seed}"
+    place.mkdir(parents=True, exist_ok=True)
+    return asyncio.run(soak(seed, place, size))
+
+
+def main(
+    first: int = 1,
+    seeds: int = 50,
+    jobs: int = 3,
+    folder: str = "",
+    nodes: int = 4,
+    engines: int = 3,
+    faults: int = 8,
+    window_s: float = 14.0,
+) -> None:
+    """Plays seeds in parallel; exits with 1 when a promise was broken."""
+    folder = folder or tempfile.mkdtemp(prefix="soak-")
+    size = SoakSize(nodes=nodes, engines=engines, faults=faults, window_s=window_s)
+    broken: Counter[str] = Counter()
+    with ProcessPoolExecutor(jobs) as pool:
+        runs = [
+            pool.submit(play, seed, folder, size)
+            for seed in range(first, first + seeds)
+        ]
+        for run in runs:
+            result = run.result()
+            print(result.format(), flush=True)
+            for violation in result.violations:
+                broken[violation.partition(":")[0]] += 1
+                print(f"  {violation}", flush=True)
+    print(f"seeds={seeds} broken={dict(broken)} logs={folder}")
+    raise SystemExit(1 if broken else 0)
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/tests/soak/site.py
@@ -0,0 +1,231 @@
+"""A small deployment on loopback: store, workers, real nodes and their callers."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import signal
+import time
+from random import Random
+from typing import TYPE_CHECKING
+
+from tamarackshelf.net import ConnectFailed, ConnectionLost, HttpClient
+from tamarackshelf.world import Address
+from tests.soak.callers import (
+    MODEL,
+    Entries,
+    Entry,
+    JobClient,
+    PlainClient,
+    Trainer,
+    build_configuration,
+)
+from tests.soak.ledger import ENDLESS_S, Disruption, Ledger, SeenJob, now_s
+from tests.soak.nodes import NodeProcess
+from tests.soak.proxy import Proxy
+from tests.soak.store import StoreServer
+from tests.soak.workers import Worker
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+    from pathlib import Path
+
+# The platform's bounds: recoverS and finishS of the settings.
+RECOVER_S = 12.0
+FINISH_S = 10.0
+ENGINE_PLACES = 4
+PLAIN_PLACES = 6
+
+
+class Site:
+    """Everything of one run; each run has loopback addresses of its own."""
+
+    def __init__(
+        self, seed: int, folder: Path, block: int, nodes: int, engines: int = 3
+    ) -> None:
+        self.ledger = Ledger()
+        self.store = StoreServer()
+        self.stopping: set[str] = set()
+        self.ended_workers: set[str] = set()
+        self.configuration_version = 1
+        self._random = Random(seed)
+        self._host = f"127.{block}"
+        self._callers: list[asyncio.Task[None]] = []
+        self._guard: asyncio.Task[None] | None = None
+        store_address = Address(f"{self._host}.0.1", 9000)
+        self._store_address = store_address
+        self.store_links: dict[str, Proxy] = {}
+        self.caller_links: dict[str, Proxy] = {}
+        self.worker_links: dict[str, Proxy] = {}
+        self.nodes: list[NodeProcess] = []
+        for n in range(nodes):
+            self._add_node(f"n{n + 1}", f"{self._host}.1.{n + 1}", folder)
+        self.workers: list[Worker] = []
+        for n in range(engines):
+            self._add_worker(f"e{n + 1}", "models", ENGINE_PLACES)
+        for n in range(2):
+            self._add_worker(f"d{n + 1}", "desk", PLAIN_PLACES)
+        by_address = {
+            node.callers: Entry(
+                node.name, self.caller_links[node.name].address, node.directory
+            )
+            for node in self.nodes
+        }
+        self._entries = Entries(by_address, self._random)
+        self.jobs = JobClient(self.ledger, self._entries)
+
+    async def start(self) -> None:
+        """Starts all and waits until every node is ready."""
+        await self.store.start(self._store_address)
+        configuration = build_configuration(self.configuration_version)
+        self.store.rows.put("op", "config", configuration)
+        for proxy in self._proxies():
+            await proxy.start()
+        for worker in self.workers:
+            await worker.start(self._address_of(worker), _unix_ms(), _versions(worker))
+        for node in self.nodes:
+            self.start_node(node)
+        unready = await self._wait_ready()
+        if unready:
+            raise AssertionError(f"not ready after the start: {unready}")
+        self._guard = asyncio.create_task(self._watch_processes())
+
+    async def close(self) -> None:
+        """Ends everything that was started, the processes by their ids."""
+        await _cancel([*self._callers, *([self._guard] if self._guard else [])])
+        for node in self.nodes:
+            node.send(signal.SIGCONT)
+            node.kill()
+        for worker in self.workers:
+            await worker.crash()
+        for proxy in self._proxies():
+            await proxy.close()
+        await self.store.close()
+
+    def start_callers(self, clients: int, trainers: int) -> None:
+        """Lets callers begin."""
+        for _ in range(clients):
+            random = Random(self._random.getrandbits(32))
+            client = PlainClient(self.ledger, self._entries, random)
+            self._callers.append(asyncio.create_task(client.run()))
+        for _ in range(trainers):
+            random = Random(self._random.getrandbits(32))
+            trainer = Trainer(self.ledger, self.jobs, self.store, random)
+            self._callers.append(asyncio.create_task(trainer.run()))
+
+    async def finish(self) -> None:
+        """Waits until all is healed, stops the callers and reads every job."""
+        self.ledger.healed_s = now_s()
+        self.ledger.unserved_nodes = await self._wait_ready()
+        await _cancel(self._callers)
+        self._callers = []
+        until_s = now_s() + FINISH_S
+        jobs = [j for j in self.ledger.jobs.values() if j.accepted_s != ENDLESS_S]
+        await asyncio.gather(*(self._read_whole(job, until_s) for job in jobs))
+
+    def start_node(self, node: NodeProcess) -> None:
+        """Begins a lifetime of a node that has none."""
+        if not node.is_running():
+            node.start()
+
+    async def start_worker(self, worker: Worker) -> None:
+        """Begins another lifetime of a worker under its old name."""
+        versions = worker.state.versions
+        await worker.start(self._address_of(worker), _unix_ms(), versions)
+
+    @contextlib.contextmanager
+    def disrupted(self, kind: str, on: str, for_s: float) -> Iterator[None]:
+        """Notes a disruption; it counts as going on until the block ends."""
+        place = len(self.ledger.disruptions)
+        from_s = now_s()
+        self.ledger.disruptions.append(Disruption(kind, on, from_s, ENDLESS_S))
+        try:
+            yield
+        finally:
+            until_s = max(now_s(), from_s + for_s)
+            self.ledger.disruptions[place] = Disruption(kind, on, from_s, until_s)
+
+    def _add_node(self, name: str, host: str, folder: Path) -> None:
+        number = len(self.nodes) + 1
+        store_link = Address(f"{self._host}.2.{number}", 9000)
+        node = NodeProcess(name, host, store_link, folder)
+        self.nodes.append(node)
+        self.store_links[name] = Proxy(store_link, self._store_address)
+        callers = Address(f"{self._host}.3.{number}", 8144)
+        self.caller_links[name] = Proxy(callers, node.callers)
+
+    def _add_worker(self, name: str, service: str, places: int) -> None:
+        number = len(self.workers) + 1
+        listed = Address(f"{self._host}.4.{number}", 7000)
+        random = Random(self._random.getrandbits(32))
+        worker = Worker(name, service, places, listed, self.ledger, self.store, random)
+        self.workers.append(worker)
+        self.worker_links[name] = Proxy(listed, self._address_of(worker))
+
+    def _address_of(self, worker: Worker) -> Address:
+        host, port = worker.listed.host, worker.listed.port
+        return Address(host.replace(f"{self._host}.4.", f"{self._host}.5."), port)
+
+    def _proxies(self) -> list[Proxy]:
+        links = (self.store_links, self.caller_links, self.worker_links)
+        return [proxy for each in links for proxy in each.values()]
+
+    async def _wait_ready(self) -> list[str]:
+        until_s = now_s() + RECOVER_S
+        waiting = list(self.nodes)
+        while waiting and now_s() < until_s:
+            waiting = [node for node in waiting if not await _is_ready(node)]
+            await asyncio.sleep(0.1)
+        return [node.name for node in waiting]
+
+    async def _read_whole(self, job: SeenJob, until_s: float) -> None:
+        after = 0
+        while now_s() < until_s:
+            read = await self.jobs.read(job, after)
+            after += len(read.results)
+            if read.status == 200 and after == len(job.items):
+                job.is_read_whole = True
+                return
+            is_ended = job.ended_s != ENDLESS_S
+            if is_ended and read.status == 200 and not read.results:
+                return
+            await asyncio.sleep(0.2)
+
+    async def _watch_processes(self) -> None:
+        """Starts a node again that ended by itself, and notes that it did."""
+        while True:
+            for node in self.nodes:
+                if node.is_meant_to_run and not node.is_running():
+                    self.ledger.ended_by_themselves.append(node.name)
+                    node.start()
+            await asyncio.sleep(0.2)
+
+
+async def _is_ready(node: NodeProcess) -> bool:
+    http = HttpClient(connect_timeout_s=0.5)
+    try:
+        answer = await http.request(
+            node.ready, "GET", "/v1/ready", timeout_s=0.5, fresh=True
+        )
+    except (ConnectFailed, ConnectionLost):
+        return False
+    finally:
+        await http.close()
+    return answer.status == 200
+
+
+async def _cancel(tasks: list[asyncio.Task[None]]) -> None:
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def _versions(worker: Worker) -> dict[str, int]:
+    return {MODEL: 1} if worker.service == "models" else {}
+
+
+def _unix_ms() -> int:
+    return int(time.time() * 1000)
+
+
+__all__ = ["Site"]
--- /dev/null
+++ b/tests/soak/store.py
@@ -0,0 +1,202 @@
+"""Stand-in of the platform's row store over HTTP, with its faults."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+from tamarackshelf.contracts.rows import (
+    FeedQuery,
+    HistoryLost,
+    RowConflict,
+    RowKey,
+    RowQuery,
+    RowTransaction,
+    RowWrite,
+    StoredRow,
+)
+from tamarackshelf.contracts.rows import RowCondition as Condition
+from tamarackshelf.net import HttpServer, Request, Response, to_json_response
+from tamarackshelf.standin.row_store import MemoryRowStore
+
+if TYPE_CHECKING:
+    from tamarackshelf.world import Address
+
+ANSWER_S = 0.004
+ROW_BYTES = 65_536
+TRANSACTION_ENTRIES = 100
+# Longer than any client waits; the connection is of no more use then.
+SILENT_S = 60.0
+READ_ONLY_TABLES = ("op", "servers")
+
+
+@dataclass(slots=True)
+class StoreFaults:
+    """What the store does wrong at the moment."""
+
+    is_down: bool = False
+    is_silent: bool = False
+    extra_s: float = 0.0
+    loses_answers: bool = False
+    # A write whose answer is lost is carried out this much later.
+    late_s: float = 0.0
+
+
+class StoreServer:
+    """Serves the rows of one memory store."""
+
+    def __init__(self) -> None:
+        self.rows = MemoryRowStore()
+        self.faults = StoreFaults()
+        self._server = HttpServer(self._handle, cancels_abandoned=True)
+        self._late: set[asyncio.Task[None]] = set()
+
+    async def start(self, address: Address) -> None:
+        """Listens."""
+        await self._server.start(address)
+
+    async def close(self) -> None:
+        """Stops listening and forgets late writes."""
+        for task in self._late:
+            task.cancel()
+        await self._server.abort()
+
+    async def _handle(self, request: Request) -> Response:
+        await asyncio.sleep(ANSWER_S + self.faults.extra_s)
+        if self.faults.is_silent:
+            await asyncio.sleep(SILENT_S)
+        if self.faults.is_down:
+            return Response(503)
+        if request.path == "/v1/rows-tx":
+            return await self._transact(request)
+        if request.path == "/v1/rows-get":
+            return to_json_response(_to_page(self._read(request)))
+        if request.path == "/v1/rows-parts":
+            table, after = request.parameter("table"), request.parameter("after")
+            parts = {at.part for at in self.rows.rows if at.table == table}
+            return to_json_response({"parts": sorted(p for p in parts if p > after)})
+        if request.path == "/v1/rows-feed":
+            return await self._feed(request)
+        return Response(404)
+
+    async def _transact(self, request: Request) -> Response:
+        body = msgspec.json.decode(request.body)
+        refusal = _find_refusal(body)
+        if refusal:
+            return Response(refusal)
+        transaction = _to_transaction(body)
+        if self.faults.loses_answers:
+            await self._carry_out_unseen(transaction)
+        try:
+            commit = self.rows.commit_now(transaction)
+        except RowConflict as error:
+            return to_json_response(_to_answer(error.rows, 0), 412)
+        return to_json_response(
+            {"rowVersion": commit.version, "serverTimeMs": commit.store_ms}
+        )
+
+    async def _carry_out_unseen(self, transaction: RowTransaction) -> None:
+        task = asyncio.create_task(self._commit_late(transaction, self.faults.late_s))
+        self._late.add(task)
+        task.add_done_callback(self._late.discard)
+        await asyncio.sleep(SILENT_S)
+
+    async def _commit_late(self, transaction: RowTransaction, delay_s: float) -> None:
+        await asyncio.sleep(delay_s)
+        try:
+            self.rows.commit_now(transaction)
+        except RowConflict:
+            # Its conditions no longer hold; the real store drops it then, too.
+            return
+
+    def _read(self, request: Request) -> Any:
+        limit = int(request.parameter("limit", "500"))
+        table, part = request.parameter("table"), request.parameter("part")
+        return self.rows.read_now(
+            RowQuery(table, part, request.parameter("from"), limit)
+        )
+
+    async def _feed(self, request: Request) -> Response:
+        wait_s = int(request.parameter("waitMs", "0")) / 1000
+        after = int(request.parameter("after", "0"))
+        query = FeedQuery(request.parameter("table"), after, wait_s)
+        try:
+            page = await self.rows.feed_now(query)
+        except HistoryLost:
+            return Response(410)
+        if self.faults.is_down:
+            return Response(503)
+        records = [
+            _to_record(c.at, c.value or b"", c.version, is_deleted=c.value is None)
+            for c in page.changes
+        ]
+        return to_json_response(
+            {
+                "records": records,
+                "rowVersion": page.version,
+                "serverTimeMs": page.store_ms,
+            }
+        )
+
+
+def _find_refusal(body: dict[str, Any]) -> int:
+    entries = [*body["expectedRev"], *body["writes"], *body["remove"]]
+    changed = [*body["writes"], *body["remove"]]
+    if len(entries) > TRANSACTION_ENTRIES:
+        return 400
+    if len({entry["part"] for entry in entries}) > 1:
+        return 400
+    if any(entry["table"] in READ_ONLY_TABLES for entry in changed):
+        return 403
+    if any(len(base64.b64decode(w["value"])) > ROW_BYTES for w in body["writes"]):
+        return 400
+    return 0
+
+
+def _to_transaction(body: dict[str, Any]) -> RowTransaction:
+    conditions = tuple(
+        Condition(_to_key(entry), entry["rowVersion"]) for entry in body["expectedRev"]
+    )
+    writes = [
+        RowWrite(_to_key(entry), base64.b64decode(entry["value"]))
+        for entry in body["writes"]
+    ]
+    removed = [RowWrite(_to_key(entry), None) for entry in body["remove"]]
+    return RowTransaction(conditions, (*writes, *removed))
+
+
+def _to_key(entry: dict[str, Any]) -> RowKey:
+    return RowKey(entry["table"], entry["part"], entry["key"])
+
+
+def _to_page(page: Any) -> dict[str, Any]:
+    return {
+        **_to_answer(page.rows, page.version),
+        "hasMore": page.has_more,
+        "serverTimeMs": page.store_ms,
+    }
+
+
+def _to_answer(rows: tuple[StoredRow, ...], version: int) -> dict[str, Any]:
+    records = [_to_record(row.at, row.value, row.version) for row in rows]
+    return {"records": records, "rowVersion": version}
+
+
+def _to_record(
+    at: RowKey, value: bytes, version: int, *, is_deleted: bool = False
+) -> dict[str, Any]:
+    return {
+        "table": at.table,
+        "part": at.part,
+        "key": at.key,
+        "value": base64.b64encode(value).decode(),
+        "rowVersion": version,
+        "deleted": is_deleted,
+    }
+
+
+__all__ = ["StoreFaults", "StoreServer"]
--- /dev/null
+++ b/tests/soak/test_checkers.py
@@ -0,0 +1,210 @@
+"""Each checker stays silent on a good run and fails on its own kind of harm."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import pytest
+
+from tests.soak.checkers import CHECKERS, find_violations
+from tests.soak.ledger import (
+    Disruption,
+    JobRead,
+    Ledger,
+    Order,
+    PlainCall,
+    Run,
+    SeenJob,
+    SeenResult,
+)
+from tests.soak.texts import build_answer, build_event, build_stamp, count_events
+
+ITEM = "a1"
+TEXT = "\n".join(build_event(ITEM, n, 2) for n in range(count_events(ITEM)))
+GOOD_RESULT = SeenResult(
+    ITEM, "completed", TEXT, (2,), build_stamp(f"{ITEM}s", b"score")
+)
+CALL = PlainCall(
+    request_id="r1",
+    node="n1",
+    path="/once/x",
+    body=b"body",
+    is_idempotent=False,
+    sent_s=10.0,
+    ended_s=10.1,
+    status=200,
+    answer=build_answer("r1", b"body"),
+    stamp=build_stamp("r1", b"body"),
+)
+
+
+@pytest.fixture
+def ledger():
+    job = SeenJob("j1", {ITEM: b"item"}, 1, [202], accepted_s=1.0, is_read_whole=True)
+    job.reads.append(JobRead("n1", 5.0, 200, 0, 1, (GOOD_RESULT,)))
+    return Ledger(
+        runs=[
+            Run("e1", ITEM, f"/jobs/{ITEM}", b"item", 1.9, 2.0, 3.0, is_whole=True),
+            Run("d1", f"{ITEM}s", "/score/x", b"score", 3.1, 3.1, 3.2, is_whole=True),
+            Run("d1", "r1", "/once/x", b"body", 10.0, 10.0, 10.1, is_whole=True),
+        ],
+        orders=[Order("e1/1", "n1", 4, 1.0), Order("e1/1", "n2", 5, 2.0)],
+        calls=[CALL],
+        jobs={"j1": job},
+        scores={f"{ITEM}s": b"score"},
+    )
+
+
+def read_again(ledger, **changes):
+    result = replace(GOOD_RESULT, **changes)
+    ledger.jobs["j1"].reads[0] = JobRead("n1", 5.0, 200, 0, 1, (result,))
+
+
+def call_again(ledger, **changes):
+    ledger.calls[0] = replace(CALL, **changes)
+
+
+def change_answer(ledger):
+    call_again(ledger, answer=CALL.answer[:-1])
+
+
+def lose_stamp(ledger):
+    call_again(ledger, stamp="")
+
+
+def change_body(ledger):
+    ledger.runs[2].body = b"other"
+
+
+def run_twice(ledger):
+    ledger.runs.append(ledger.runs[2])
+
+
+def refuse_what_ran(ledger):
+    call_again(ledger, status=503)
+
+
+def refuse_job_that_ran(ledger):
+    ledger.jobs["j1"].statuses = [503, 503]
+
+
+def change_a_position(ledger):
+    other = replace(GOOD_RESULT, state="terminated")
+    ledger.jobs["j1"].reads.append(JobRead("n2", 6.0, 200, 0, 1, (other,)))
+
+
+def list_twice(ledger):
+    ledger.jobs["j1"].reads.append(JobRead("n2", 6.0, 200, 1, 1, (GOOD_RESULT,)))
+
+
+def tell_a_wrong_total(ledger):
+    ledger.jobs["j1"].reads.append(JobRead("n2", 6.0, 200, 1, 7, ()))
+
+
+def drop_an_event(ledger):
+    read_again(ledger, text=TEXT.partition("\n")[2])
+
+
+def tell_a_wrong_version(ledger):
+    read_again(ledger, versions=(3,))
+
+
+def use_an_old_version(ledger):
+    ledger.jobs["j1"].min_version = 3
+
+
+def tell_a_wrong_score(ledger):
+    read_again(ledger, score="x")
+
+
+def give_up(ledger):
+    read_again(ledger, state="terminated")
+
+
+def score_early(ledger):
+    ledger.runs[1].started_s = 2.5
+
+
+def forget_a_job(ledger):
+    ledger.jobs["j1"].reads.insert(0, JobRead("n2", 4.0, 404))
+
+
+def leave_a_job_unread(ledger):
+    ledger.jobs["j1"].is_read_whole = False
+
+
+def return_another_body(ledger):
+    ledger.jobs["j1"].bodies.append((ITEM, 200, b"other"))
+
+
+def run_after_the_end(ledger):
+    ledger.jobs["j1"].ended_s = -2.0
+
+
+def send_to_a_leaving_worker(ledger):
+    ledger.left["e1"] = -0.5
+
+
+def lower_a_fence(ledger):
+    ledger.orders.append(Order("e1/1", "n1", 4, 3.0))
+
+
+def share_a_fence(ledger):
+    ledger.orders.append(Order("e1/1", "n3", 5, 3.0))
+
+
+def cut_at_a_stop(ledger):
+    ledger.disruptions.append(Disruption("stop", "n1", 9.0, 18.0))
+    call_again(ledger, status=0, is_cut=True)
+
+
+def end_by_itself(ledger):
+    ledger.ended_by_themselves.append("n1")
+
+
+def stay_unready(ledger):
+    ledger.unserved_nodes.append("n1")
+
+
+HARM = {
+    change_answer: "check_answers_are_whole",
+    lose_stamp: "check_answers_are_whole",
+    change_body: "check_runs_are_asked",
+    run_twice: "check_runs_once",
+    refuse_what_ran: "check_refusals_are_true",
+    refuse_job_that_ran: "check_refusals_are_true",
+    change_a_position: "check_results_stay",
+    list_twice: "check_results_stay",
+    tell_a_wrong_total: "check_results_stay",
+    drop_an_event: "check_results_are_true",
+    tell_a_wrong_version: "check_results_are_true",
+    use_an_old_version: "check_results_are_true",
+    tell_a_wrong_score: "check_results_are_true",
+    give_up: "check_results_are_true",
+    score_early: "check_scores_come_last",
+    forget_a_job: "check_accepted_is_kept",
+    leave_a_job_unread: "check_accepted_is_kept",
+    return_another_body: "check_accepted_is_kept",
+    run_after_the_end: "check_ended_jobs_rest",
+    send_to_a_leaving_worker: "check_leaving_targets_rest",
+    lower_a_fence: "check_orders_are_fenced",
+    share_a_fence: "check_orders_are_fenced",
+    cut_at_a_stop: "check_planned_stops_cut_nothing",
+    end_by_itself: "check_processes_live",
+    stay_unready: "check_processes_live",
+}
+
+
+def test_a_good_run_has_no_violation(ledger):
+    assert find_violations(ledger) == []
+
+
+@pytest.mark.parametrize("harm", HARM, ids=lambda harm: harm.__name__)
+def test_harm_is_found(ledger, harm):
+    harm(ledger)
+    found = {violation.partition(":")[0] for violation in find_violations(ledger)}
+    assert HARM[harm] in found
+
+
+def test_every_checker_is_shown_to_fail():
+    assert {checker.__name__ for checker in CHECKERS} == set(HARM.values())
--- /dev/null
+++ b/tests/soak/workers.py
@@ -0,0 +1,250 @@
+"""Stand-in workers: engines that make texts and plain services that answer once."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import msgspec
+
+from tamarackshelf.net import HttpServer, Request, Response, to_json_response
+from tests.soak.ledger import Ledger, Order, Run, now_s
+from tests.soak.texts import build_answer, build_event, build_stamp, count_events
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+    from random import Random
+
+    from tamarackshelf.world import Address
+    from tests.soak.store import StoreServer
+
+EVENT_S = 0.03
+PLAIN_S = 0.02
+LOAD_S = 0.4
+QUEUE_PLACES = 4
+HEARTBEAT_S = 1.2
+# A worker that leaves serves this long after the store took its word.
+LEAVING_S = 2.0
+
+
+@dataclass(slots=True)
+class WorkerFaults:
+    """What a worker does wrong at the moment."""
+
+    slowness: float = 1.0
+    failing_share: float = 0.0
+    is_silent: bool = False
+
+
+@dataclass(slots=True)
+class WorkerState:
+    """What a worker loses when it starts again."""
+
+    born: int
+    versions: dict[str, int]
+    sequence: int = 0
+    highest_fence: int = 0
+    is_loading: bool = False
+    heartbeats: int = 0
+    running: int = 0
+    waiting: int = 0
+    runs: list[Run] = field(default_factory=list)
+
+
+class Worker:
+    """One worker, listed under its name at the address of its proxy."""
+
+    def __init__(
+        self,
+        name: str,
+        service: str,
+        places: int,
+        listed: Address,
+        ledger: Ledger,
+        store: StoreServer,
+        random: Random,
+    ) -> None:
+        self.name = name
+        self.service = service
+        self.faults = WorkerFaults()
+        self.listed = listed
+        self.state = WorkerState(0, {})
+        self._places = places
+        self._ledger = ledger
+        self._store = store
+        self._random = random
+        self._is_leaving = False
+        self._free = asyncio.Semaphore(places)
+        self._server: HttpServer | None = None
+        self._heartbeat: asyncio.Task[None] | None = None
+
+    async def start(
+        self, address: Address, born: int, versions: dict[str, int]
+    ) -> None:
+        """Begins a lifetime that knows nothing of the one before."""
+        self.state = WorkerState(born, dict(versions))
+        self._free = asyncio.Semaphore(self._places)
+        self._server = HttpServer(self._handle, cancels_abandoned=True)
+        await self._server.start(address)
+        self._heartbeat = asyncio.create_task(self._beat())
+
+    async def crash(self) -> None:
+        """Cuts everything and tells nobody."""
+        if self._heartbeat is not None:
+            self._heartbeat.cancel()
+        if self._server is not None:
+            await self._server.abort()
+        for run in self.state.runs:
+            run.ended_s = min(run.ended_s, now_s())
+
+    async def leave(self) -> None:
+        """Reports that it leaves, serves on for its time and ends."""
+        while self._store.faults.is_down or self._store.faults.is_silent:
+            await asyncio.sleep(HEARTBEAT_S)
+        self._is_leaving = True
+        self._write_row()
+        self._ledger.left[self.name] = now_s()
+        await asyncio.sleep(LEAVING_S * 2)
+        await self.crash()
+        self._store.rows.put("servers", self.name, None)
+
+    async def _beat(self) -> None:
+        while True:
+            if not (self._store.faults.is_down or self._store.faults.is_silent):
+                self._write_row()
+            await asyncio.sleep(HEARTBEAT_S)
+
+    def _write_row(self) -> None:
+        self.state.heartbeats += 1
+        row = {
+            "upstream": self.service,
+            "address": str(self.listed),
+            "zone": "a",
+            "state": "draining" if self._is_leaving else "ready",
+            "capacity": self._places,
+            "born": self.state.born,
+            "models": self._models(),
+            "sequence": self.state.heartbeats,
+        }
+        self._store.rows.put("servers", self.name, msgspec.json.encode(row))
+
+    def _models(self) -> list[dict[str, object]]:
+        versions = self.state.versions
+        return [{"name": name, "version": versions[name]} for name in versions]
+
+    async def _handle(self, request: Request) -> Response:
+        if self.faults.is_silent:
+            await asyncio.sleep(3600)
+        if request.path == "/v1/report":
+            return to_json_response(
+                {
+                    "models": self._models(),
+                    "busy": self.state.is_loading,
+                    "sequence": self.state.sequence,
+                    "born": self.state.born,
+                }
+            )
+        if request.headers.get("x-expect-instance", self.name) != self.name:
+            return Response(421, headers={"x-not-run": "1"})
+        if request.path == "/v1/order":
+            return self._take_order(msgspec.json.decode(request.body))
+        return await self._serve(request)
+
+    def _take_order(self, order: dict[str, object]) -> Response:
+        state = self.state
+        fence = int(str(order["fence"]))
+        if fence < state.highest_fence:
+            return Response(412)
+        state.highest_fence = fence
+        model, version = str(order["model"]), int(str(order["version"]))
+        if state.versions.get(model) == version:
+            return Response(200)
+        if state.is_loading or order.get("expectedRev", state.sequence) != (
+            state.sequence
+        ):
+            return Response(409)
+        state.sequence += 1
+        state.is_loading = True
+        holder = str(order["holder"])
+        self._ledger.orders.append(
+            Order(f"{self.name}/{state.born}", holder, fence, now_s())
+        )
+        loop = asyncio.get_running_loop()
+        loop.call_later(LOAD_S, self._finish_load, state, model, version)
+        return Response(202)
+
+    def _finish_load(self, state: WorkerState, model: str, version: int) -> None:
+        state.versions[model] = version
+        state.is_loading = False
+
+    async def _serve(self, request: Request) -> Response:
+        request_id = request.headers.get("x-request-id", "")
+        echo = {"x-request-id": request_id, "x-worker-load": self._load()}
+        if self._free.locked() and self.state.waiting >= QUEUE_PLACES:
+            return Response(503, headers={**echo, "x-not-run": "1"})
+        reached_s = now_s()
+        self.state.waiting += 1
+        try:
+            await self._free.acquire()
+        finally:
+            self.state.waiting -= 1
+        run = Run(self.name, request_id, request.path, request.body, reached_s, now_s())
+        self._ledger.runs.append(run)
+        self.state.runs.append(run)
+        self.state.running += 1
+        if self._random.random() < self.faults.failing_share:
+            run.is_answered_500 = True
+            self._end(run)
+            return Response(500, b"failed", headers=echo)
+        if self.state.versions:
+            return self._open_text(request, run, echo)
+        try:
+            await asyncio.sleep(PLAIN_S * self.faults.slowness)
+            run.is_whole = True
+            echo["x-server-stamp"] = build_stamp(request_id, request.body)
+            return Response(200, build_answer(request_id, request.body), "", echo)
+        finally:
+            self._end(run)
+
+    def _open_text(
+        self, request: Request, run: Run, headers: dict[str, str]
+    ) -> Response:
+        model = request.headers.get("x-model", "")
+        version = self.state.versions[model]
+        headers["x-weight-versions"] = str(version)
+        first = int(request.headers.get("last-event-id", "-1")) + 1
+        events = self._make_text(run, model, version, first)
+        return Response(200, events, "text/event-stream", headers)
+
+    async def _make_text(
+        self, run: Run, model: str, version: int, first: int
+    ) -> AsyncIterator[bytes]:
+        state = self.state
+        try:
+            for number in range(first, count_events(run.request_id)):
+                await asyncio.sleep(EVENT_S * self.faults.slowness)
+                while self.faults.is_silent:
+                    await asyncio.sleep(EVENT_S)
+                line = ""
+                if state.versions[model] != version:
+                    version = state.versions[model]
+                    line = f"x-weight-versions: {version}\n"
+                data = build_event(run.request_id, number, version)
+                yield f"{line}id: {number}\ndata: {data}\n\n".encode()
+            run.is_whole = True
+        finally:
+            self._end(run)
+
+    def _end(self, run: Run) -> None:
+        run.ended_s = min(run.ended_s, now_s())
+        if run in self.state.runs:
+            self.state.runs.remove(run)
+            self.state.running -= 1
+            self._free.release()
+
+    def _load(self) -> str:
+        return f"{self.state.running},{self.state.waiting},{self._places}"
+
+
+__all__ = ["Worker", "WorkerFaults"]
--- a/tests/store/test_rows.py
+++ b/tests/store/test_rows.py
@@ -54,7 +54,7 @@
 
 
 def build_head(owner="a", epoch=1):
-    return JobHead(owner, 1, epoch, JobState.OPEN, 3, 0, 1, "h", "/r/1", "m")
+    return JobHead(owner, 1, epoch, JobState.OPEN, 3, 1, "h", "/r/1", "m")
 
 
 def test_link_goes_over_a_peer_when_this_node_is_refused(run):
