--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -13,6 +13,8 @@
     import signal
     from pathlib import Path
 
+# The program that the platform starts, too.
+LAUNCHER = Path(__file__).parents[2] / "deploy" / "node.py"
 GRACE_S = 8
 DRAIN_MS = 2000
 LEASE_MS = 3000
@@ -25,6 +27,8 @@
 listen.front={host}:8144
 listen.ready={host}:8140
 listen.directory={host}:8143
+listen.control={host}:8146
+seedNodes={seeds}
 portRange=7660,7675
 bootstrap=true
 bounds.gracePeriodS={grace_s}
@@ -42,7 +46,9 @@
 class NodeProcess:
     """One node; its log goes on over all its lifetimes."""
 
-    def __init__(self, name: str, host: str, store: Address, folder: Path) -> None:
+    def __init__(
+        self, name: str, host: str, seeds: list[str], store: Address, folder: Path
+    ) -> None:
         self.name = name
         self.callers = Address(host, 8144)
         self.ready = Address(host, 8140)
@@ -54,6 +60,7 @@
         text = _FIELDS.format(
             name=name,
             host=host,
+            seeds=",".join(f"{seed}:8146" for seed in seeds),
             store=store,
             grace_s=GRACE_S,
             drain_ms=DRAIN_MS,
@@ -66,7 +73,7 @@
         environment = {**os.environ, "TAMARACKSHELF_CONFIG": str(self._settings)}
         with self._log.open("ab") as log:
             self._process = subprocess.Popen(
-                [sys.executable, "-m", "tamarackshelf.cli.node"],
+                [sys.executable, str(LAUNCHER)],
                 env=environment,
                 stdout=log,
                 stderr=log,
--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
-REGRESSIONS: dict[int, str] = {}
+REGRESSIONS = {
+    4: "a hang-up while a node's libraries loaded ended its process",
+}
 
 __all__ = ["REGRESSIONS"]
