Take changed settings without a signal, and reach the store over seeds

Cause: a settings file that changes without SIGHUP was never read again, and bounds that changed waited for the next start. A node that the store refuses at its start knew no peer to go through. Wrong bytes of a peer ended as an internal fault with a trace. Tests: silent change, wrong file told once, hang-up; wrong bytes on each peer path.

--- a/src/tamarackshelf/cli/node.py
+++ b/src/tamarackshelf/cli/node.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import os
 import signal
 import sys
@@ -16,18 +15,15 @@
 from tamarackshelf.jobs.desk import JobDesk
 from tamarackshelf.net import HttpClient
 from tamarackshelf.node.program import CallerHandler, NodeProgram, Servers
-from tamarackshelf.node.settings import NodeSettings
+from tamarackshelf.node.settings import BadSettings, NodeSettings
+from tamarackshelf.node.settings_watch import Load, SettingsWatch
 from tamarackshelf.node.views import ConfigurationView
 from tamarackshelf.observe import Metrics, Timeline, set_up_bounded_logs
 from tamarackshelf.platform.caller_api import CallerApi
 from tamarackshelf.platform.directory import build_directory, build_ready
 from tamarackshelf.platform.rows import PlatformRowStore
 from tamarackshelf.platform.rows_taken import build_tables
-from tamarackshelf.platform.settings import (
-    SETTINGS_VARIABLE,
-    BadSettings,
-    load_settings,
-)
+from tamarackshelf.platform.settings import SETTINGS_VARIABLE, load_settings
 from tamarackshelf.platform.target_calls import PlatformTargetCalls
 
 # Connections within a region take a few milliseconds; one that is not there by then
@@ -40,55 +36,47 @@
 # Without it no metrics are served.
 METRICS_PORT_VARIABLE = "TAMARACKSHELF_METRICS_PORT"
 
-log = logging.getLogger("tamarackshelf")
-
 
 def main() -> None:
     """Runs the node until SIGTERM; exits with 2 when its settings are wrong."""
-    path = os.environ.get(SETTINGS_VARIABLE, "")
+    path = Path(os.environ.get(SETTINGS_VARIABLE, ""))
+    metrics_port = int(os.environ.get(METRICS_PORT_VARIABLE, "0"))
+
+    def load() -> NodeSettings:
+        return replace(load_settings(path), metrics_port=metrics_port)
+
     try:
-        settings = load_settings(Path(path))
+        settings = load()
     except BadSettings as error:
         print(error, file=sys.stderr)
         raise SystemExit(2) from error
     # Until the loop takes the signal, it must not end the process.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     set_up_bounded_logs()
-    metrics_port = int(os.environ.get(METRICS_PORT_VARIABLE, "0"))
-    settings = replace(settings, metrics_port=metrics_port)
-    asyncio.run(_run(Path(path), settings))
+    asyncio.run(_run(load, settings))
 
 
-async def _run(path: Path, settings: NodeSettings) -> None:
-    program = build_program(settings)
+async def _run(load: Load, settings: NodeSettings) -> None:
+    timeline = Timeline(settings.vm, lambda: int(time.time() * 1000))
+    program = build_program(settings, timeline)
+    watch = SettingsWatch(load, settings, program.take_settings, timeline)
     told_to_stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, told_to_stop.set)
     loop.add_signal_handler(signal.SIGINT, told_to_stop.set)
-    loop.add_signal_handler(signal.SIGHUP, _reload, path, settings)
+    loop.add_signal_handler(signal.SIGHUP, watch.reload)
+    await watch.start()
     start = loop.create_task(program.start())
     await told_to_stop.wait()
     if not start.done():
         start.cancel()
         await asyncio.wait([start])
     await program.stop()
+    await watch.close()
 
 
-def _reload(path: Path, settings: NodeSettings) -> None:
-    """Reads the settings again; addresses and bounds hold until the next start."""
-    try:
-        loaded = load_settings(path)
-        changed = replace(loaded, metrics_port=settings.metrics_port) != settings
-    except BadSettings as error:
-        log.warning("settings_refused", extra={"event": {"reason": str(error)}})
-        return
-    reason = "they differ; the next start takes them" if changed else "unchanged"
-    log.info("settings_reloaded", extra={"event": {"reason": reason}})
-
-
-def build_program(settings: NodeSettings) -> NodeProgram:
+def build_program(settings: NodeSettings, timeline: Timeline) -> NodeProgram:
     """Returns the node with the platform's adapter in place."""
-    timeline = Timeline(settings.vm, lambda: int(time.time() * 1000))
     http = HttpClient(connect_timeout_s=CONNECT_TIMEOUT_S)
     targets_http = HttpClient(connect_timeout_s=TARGET_CONNECT_TIMEOUT_S)
     return NodeProgram(
--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -8,12 +8,11 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-import msgspec
-
 from tamarackshelf.contracts.rows import RowChange, RowStore, RowStoreError
 from tamarackshelf.contracts.targets import TargetCalls
 from tamarackshelf.entry.forwarder import Forwarder
 from tamarackshelf.entry.streamer import Streamer
+from tamarackshelf.gossip.task import GossipTask
 from tamarackshelf.jobs.desk import JobDesk
 from tamarackshelf.jobs.runner import JobRunner
 from tamarackshelf.jobs.scorer import Scorer
@@ -24,21 +23,17 @@
     Response,
     ServerLimits,
 )
-from tamarackshelf.node.fleet import ALIVE_PATH, Fleet
+from tamarackshelf.node.fleet import Fleet
 from tamarackshelf.node.freeze import watch_for_freezes
-from tamarackshelf.node.peer_jobs import (
-    READ_PATH,
-    TAKE_PATH,
-    JobHandover,
-    JobRead,
-)
-from tamarackshelf.node.peer_store import RELAY_PATH, answer_relay
+from tamarackshelf.node.peer_api import PeerApi
+from tamarackshelf.node.peer_store import PeerStore
 from tamarackshelf.node.settings import NodeSettings
 from tamarackshelf.node.targets import TargetBoard
 from tamarackshelf.node.views import ConfigurationView
 from tamarackshelf.node.weights import WeightKeeper
 from tamarackshelf.observe import Metrics, Timeline
 from tamarackshelf.policy.entries import EntryAnswer, choose_entries
+from tamarackshelf.policy.periods import fit_period_s
 from tamarackshelf.policy.rumours import Rumour
 from tamarackshelf.store.fleet_rows import (
     NODE_TABLE,
@@ -48,7 +43,11 @@
 )
 from tamarackshelf.store.job_store import HEAD_TABLE, JobStore
 from tamarackshelf.store.link import StoreLink
-from tamarackshelf.store.table_watch import TableWatch
+from tamarackshelf.store.table_watch import (
+    FEED_WAIT_S,
+    LONGEST_FEED_WAIT_S,
+    TableWatch,
+)
 from tamarackshelf.tasks import start_task, stop_tasks
 from tamarackshelf.world import EntryVm
 
@@ -61,6 +60,8 @@
 # of VMs differ by less.
 WISH_OLD_MS = 5_000
 FLEET_SIZE_EVERY_S = 1.0
+# Part of the store's reads a second that empty feeds may take; the rest is for jobs.
+FEED_SHARE = 0.25
 # Left of the grace time for closing connections at the end.
 CLOSING_S = 0.7
 
@@ -158,9 +159,10 @@
         )
         self._directory = HttpServer(_to_async(servers.directory(self._choose)))
         self._ready = HttpServer(_to_async(servers.ready(self.is_ready)))
-        self._peers = HttpServer(
-            self._answer_peer, ServerLimits(body_bytes=PEER_BODY_BYTES)
-        )
+        peer_limits = ServerLimits(body_bytes=PEER_BODY_BYTES)
+        peer_api = PeerApi(self.link, self.desk, self._find_gossip)
+        self._peers = HttpServer(peer_api.handle, peer_limits)
+        self._seed = HttpServer(peer_api.handle, peer_limits)
         self._metrics_page = HttpServer(self._answer_metrics)
         self._tasks: list[asyncio.Task[None]] = []
 
@@ -180,8 +182,11 @@
         await self._directory.start(self._settings.directory_address)
         await self._ready.start(self._settings.ready_address)
         await self._peers.start(self._settings.peer_address)
+        if self._settings.seed_address is not None:
+            await self._seed.start(self._settings.seed_address)
         if self._settings.metrics_address is not None:
             await self._metrics_page.start(self._settings.metrics_address)
+        self.link.set_peers(self._seed_stores)
         for watch in self._watches.values():
             await watch.start()
         own = await self._register()
@@ -213,9 +218,15 @@
         await self.weights.start()
         self._tasks = [
             start_task("freeze_watch", lambda: watch_for_freezes(self._thaw)),
-            start_task("fleet_size", self._tell_fleet_size),
+            start_task("feed_pace", self._pace_feeds),
         ]
 
+    def take_settings(self, settings: NodeSettings) -> None:
+        """Takes the bounds that may change while the node runs."""
+        self._settings = settings
+        if self.weights is not None:
+            self.weights.lease_s = settings.lease_s
+
     async def stop(self) -> None:
         """Stops as planned: tells everyone, serves on, hands over, closes."""
         started_s = _now_s()
@@ -251,7 +262,7 @@
         for watch in self._watches.values():
             await watch.close()
         servers = (self._callers, self._directory, self._ready, self._peers)
-        for server in (*servers, self._metrics_page):
+        for server in (*servers, self._seed, self._metrics_page):
             await server.abort()
         for client in self._clients:
             await client.close()
@@ -284,6 +295,15 @@
             watch.on_change(take)
             take(rows)
 
+    def _find_gossip(self) -> GossipTask | None:
+        return None if self.fleet is None else self.fleet.gossip
+
+    def _seed_stores(self) -> list[PeerStore]:
+        """Returns the store as reached through seeds, for a node without peers yet."""
+        own = self._settings.seed_address
+        others = [seed for seed in self._settings.seeds if seed != own]
+        return [PeerStore(self._http, seed) for seed in others]
+
     async def _register(self) -> NodeRecord:
         settings = self._settings
         record = NodeRecord(
@@ -300,13 +320,18 @@
                 self._timeline.record("not_registered", settings.vm, str(error))
                 await asyncio.sleep(RETRY_GAP_S)
 
-    async def _tell_fleet_size(self) -> None:
-        """Lets the feeds wait longer in a larger fleet."""
+    async def _pace_feeds(self) -> None:
+        """Keeps the reads of all nodes' feeds within their part of the store's rate."""
         while True:
             if self.fleet is not None:
-                nodes = len(self.fleet.living())
+                wait_s = fit_period_s(
+                    FEED_WAIT_S,
+                    callers=len(self.fleet.living()) * len(self._watches),
+                    calls_per_s=FEED_SHARE * self._settings.store_budget.reads_per_s,
+                    longest_s=LONGEST_FEED_WAIT_S,
+                )
                 for watch in self._watches.values():
-                    watch.nodes = nodes
+                    watch.wait_s = wait_s
             await asyncio.sleep(FLEET_SIZE_EVERY_S)
 
     async def _thaw(self, gap_s: float) -> None:
@@ -336,25 +361,6 @@
     async def _answer_metrics(self, request: Request) -> Response:
         return Response(200, self._metrics.render(), content_type="text/plain")
 
-    async def _answer_peer(self, request: Request) -> Response:
-        if request.path == ALIVE_PATH:
-            return Response(200)
-        if request.path == RELAY_PATH:
-            return await answer_relay(self.link, request.body)
-        if request.path == READ_PATH:
-            read = msgspec.msgpack.decode(request.body, type=JobRead)
-            return Response(
-                200, msgspec.msgpack.encode(self.desk.reader.read_owned(read))
-            )
-        if request.path == TAKE_PATH:
-            handover = msgspec.msgpack.decode(request.body, type=JobHandover)
-            return Response(200 if self.desk.take_handover(handover) else 409)
-        if request.path == "/v1/sync" and self.fleet is not None:
-            gossip = self.fleet.gossip
-            gossip.take_all(request.decode(tuple[Rumour, ...]))
-            return Response(200, msgspec.json.encode(gossip.membership.rumours.all()))
-        return Response(404)
-
 
 def _to_async(handler: SyncHandler) -> CallerHandler:
     async def answer(request: Request) -> Response:
--- a/src/tamarackshelf/node/settings.py
+++ b/src/tamarackshelf/node/settings.py
@@ -6,6 +6,13 @@
 
 from tamarackshelf.world import Address
 
+# Fields that a running node takes over; the others hold until its next start.
+LIVE_FIELDS = frozenset({"grace_s", "lease_s", "entries_valid_max_s", "store_budget"})
+
+
+class BadSettings(Exception):
+    """The settings miss a field or hold a wrong one; mend them."""
+
 
 @dataclass(frozen=True, slots=True)
 class StoreBudget:
@@ -27,15 +34,16 @@
     callers_address: Address
     ready_address: Address
     directory_address: Address
+    # Where nodes that know no peer yet reach this one, and a few that they may ask.
+    seed_address: Address | None
+    seeds: tuple[Address, ...]
     peer_ports: tuple[int, int]
     store_address: Address
     store_budget: StoreBudget
     grace_s: float
-    drain_s: float
     lease_s: float
     entries_valid_max_s: float
     targets_check_fencing: bool
-    is_first_start: bool
     metrics_port: int = 0
 
     @property
@@ -49,4 +57,4 @@
         return Address(self.host, self.metrics_port) if self.metrics_port else None
 
 
-__all__ = ["NodeSettings", "StoreBudget"]
+__all__ = ["LIVE_FIELDS", "BadSettings", "NodeSettings", "StoreBudget"]
--- a/src/tamarackshelf/node/weights.py
+++ b/src/tamarackshelf/node/weights.py
@@ -81,7 +81,7 @@
         self._fleet = fleet
         self._board = board
         self._calls = calls
-        self._lease_s = lease_s
+        self.lease_s = lease_s
         self._timeline = timeline
         self._lease: StoredLease | None = None
         self._not_before_s = 0.0
@@ -195,7 +195,7 @@
         self._lease = taken
         # A VM that started again is still the same holder to the engines.
         is_other = holder.holder not in ("", own.vm)
-        wait_s = self._lease_s + TURN_MARGIN_S if is_other else 0.0
+        wait_s = self.lease_s + TURN_MARGIN_S if is_other else 0.0
         self._not_before_s = _now_s() + wait_s
         self._timeline.record(
             "lease_taken",
--- a/src/tamarackshelf/platform/settings.py
+++ b/src/tamarackshelf/platform/settings.py
@@ -4,16 +4,12 @@
 
 from pathlib import Path
 
-from tamarackshelf.node.settings import NodeSettings, StoreBudget
-from tamarackshelf.world import parse_address
+from tamarackshelf.node.settings import BadSettings, NodeSettings, StoreBudget
+from tamarackshelf.world import Address, parse_address
 
 SETTINGS_VARIABLE = "TAMARACKSHELF_CONFIG"
 
 
-class BadSettings(Exception):
-    """The settings file misses a field or holds a wrong one; mend the file."""
-
-
 def load_settings(path: Path) -> NodeSettings:
     """Reads the file; unknown fields are ignored."""
     try:
@@ -41,6 +37,14 @@
         callers_address=parse_address(fields["listen.front"]),
         ready_address=parse_address(fields["listen.ready"]),
         directory_address=parse_address(fields["listen.directory"]),
+        # Named after a control plane, but only ever asked by other nodes.
+        seed_address=_parse_optional(fields.get("listen.control", "")),
+        # At most three; they may be down or long gone.
+        seeds=tuple(
+            parse_address(text)
+            for text in fields.get("seedNodes", "").split(",")
+            if text
+        ),
         # Ports for whatever the nodes say to each other.
         peer_ports=(first_port, last_port),
         store_address=parse_address(fields["provider.address"]),
@@ -50,12 +54,14 @@
             row_bytes=int(fields["provider.rowBytes"]),
         ),
         grace_s=float(fields["bounds.gracePeriodS"]),
-        drain_s=float(fields["bounds.drainMs"]) / 1000,
         lease_s=float(fields["bounds.leaseTtlMs"]) / 1000,
         entries_valid_max_s=float(fields["bounds.ttl_max_s"]),
         targets_check_fencing=fields["bounds.fencing"] == "true",
-        is_first_start=fields["bootstrap"] == "true",
     )
 
 
-__all__ = ["SETTINGS_VARIABLE", "BadSettings", "load_settings"]
+def _parse_optional(text: str) -> Address | None:
+    return parse_address(text) if text else None
+
+
+__all__ = ["SETTINGS_VARIABLE", "load_settings"]
--- a/src/tamarackshelf/store/table_watch.py
+++ b/src/tamarackshelf/store/table_watch.py
@@ -17,11 +17,10 @@
     StoredRow,
 )
 from tamarackshelf.observe import Timeline
-from tamarackshelf.policy.periods import scale_period_s
 from tamarackshelf.tasks import start_task, stop_tasks
 
-# Short enough to notice a silent connection soon; a larger fleet waits longer, so
-# that its reads stay within the store's rate.
+# Short enough to notice a silent connection soon; a fleet that would ask the store
+# too often so waits longer.
 FEED_WAIT_S = 0.8
 LONGEST_FEED_WAIT_S = 10.0
 RETRY_GAP_S = 0.1
@@ -38,7 +37,7 @@
         self.rows: dict[RowKey, StoredRow] = {}
         self.loaded = asyncio.Event()
         self.heard_at_s = float("-inf")
-        self.nodes = 1
+        self.wait_s = FEED_WAIT_S
         self._store = store
         self._table = table
         self._timeline = timeline
@@ -71,8 +70,7 @@
             try:
                 if not self.loaded.is_set():
                     await self._load()
-                wait_s = scale_period_s(FEED_WAIT_S, self.nodes, LONGEST_FEED_WAIT_S)
-                query = FeedQuery(self._table, self._version, wait_s)
+                query = FeedQuery(self._table, self._version, self.wait_s)
                 page = await self._store.feed(query)
             except HistoryLost as error:
                 self._timeline.record("feed_reread", self._table, str(error))
@@ -128,4 +126,4 @@
         return True
 
 
-__all__ = ["TableWatch"]
+__all__ = ["FEED_WAIT_S", "LONGEST_FEED_WAIT_S", "TableWatch"]
--- /dev/null
+++ b/tests/node/test_peer_api.py
@@ -0,0 +1,55 @@
+"""Bad input on the peers' address: a typed answer, and nothing else happens."""
+
+from __future__ import annotations
+
+import msgspec
+import pytest
+
+from tamarackshelf.errors import BadRequest
+from tamarackshelf.net import Request
+from tamarackshelf.node.peer_api import PeerApi
+from tamarackshelf.node.peer_jobs import READ_PATH, TAKE_PATH
+from tamarackshelf.node.peer_store import RELAY_PATH
+from tamarackshelf.standin.row_store import MemoryRowStore
+from tests.support.node import Cluster, Engines
+
+PATHS = (RELAY_PATH, READ_PATH, TAKE_PATH, "/v1/sync")
+BODIES = {
+    "empty": b"",
+    "no msgpack": b"\xc1\xff\x00",
+    "wrong type": msgspec.msgpack.encode({"job_id": 7, "job": [], "read": 1}),
+    "cut off": msgspec.msgpack.encode({"job_id": "j" * 40})[:-9],
+}
+
+
+class NoGossip:
+    """Fails the test when rumours get through."""
+
+    def take_all(self, rumours):
+        raise AssertionError("rumours were taken")
+
+
+def build_api(cluster):
+    node = cluster.nodes["a"]
+    return PeerApi(node.link, node.desk, NoGossip)
+
+
+@pytest.mark.parametrize("body", BODIES.values(), ids=BODIES)
+@pytest.mark.parametrize("path", PATHS)
+def test_wrong_bytes_are_refused_with_a_reason(run, path, body):
+    async def scenario():
+        cluster = Cluster(MemoryRowStore(), Engines())
+        with pytest.raises(BadRequest, match="cannot read|not valid"):
+            await build_api(cluster).handle(Request("POST", path, body=body))
+        assert cluster.store.rows == {}
+        assert cluster.nodes["a"].runner.jobs == {}
+
+    run(scenario())
+
+
+def test_unknown_path_is_not_found(run):
+    async def scenario():
+        api = build_api(Cluster(MemoryRowStore(), Engines()))
+        assert (await api.handle(Request("GET", "/nothing"))).status == 404
+
+    run(scenario())
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -3,14 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import os
 import signal
 
 import pytest
 
-from tamarackshelf.cli.node import _reload
-from tamarackshelf.platform.settings import BadSettings, load_settings
+from tamarackshelf.node.settings import BadSettings
+from tamarackshelf.node.settings_watch import CHECK_EVERY_S, SettingsWatch
+from tamarackshelf.observe import Timeline
+from tamarackshelf.platform.settings import load_settings
 from tamarackshelf.world import Address
 
 GOOD = """\
@@ -21,6 +22,8 @@
 listen.front=10.1.0.35:8144
 listen.ready=10.1.0.35:8140
 listen.directory=10.1.0.35:8143
+listen.control=10.1.0.35:8146
+seedNodes=10.1.0.35:8146,10.2.0.28:8146
 portRange=7660,7675
 bootstrap=true
 bounds.gracePeriodS=8
@@ -50,6 +53,13 @@
     assert settings.lease_s == 3.0
     assert settings.targets_check_fencing
     assert settings.metrics_address is None
+    assert settings.seed_address == Address("10.1.0.35", 8146)
+    assert settings.seeds == (settings.seed_address, Address("10.2.0.28", 8146))
+
+
+def test_node_without_a_seed_address_starts_too(path):
+    path.write_text(GOOD.replace("listen.control=10.1.0.35:8146\n", ""))
+    assert load_settings(path).seed_address is None
 
 
 @pytest.mark.parametrize(
@@ -72,36 +82,73 @@
         load_settings(tmp_path / "nothing.conf")
 
 
+class Watched:
+    """A settings watch on a file, with what it applied and told."""
+
+    def __init__(self, path):
+        settings = load_settings(path)
+        self.timeline = Timeline(settings.vm, lambda: 0)
+        self.applied = []
+        self.watch = SettingsWatch(
+            lambda: load_settings(path), settings, self.applied.append, self.timeline
+        )
+
+    def events(self):
+        return [(e.kind, e.reason) for e in self.timeline.page().events]
+
+
+UNCHANGED = ("settings_reloaded", "unchanged")
+LIVE = ("settings_reloaded", "in force: grace_s; at the next start: none")
+LATER = ("settings_reloaded", "in force: none; at the next start: data_centre")
+
+
 @pytest.mark.parametrize(
-    ("text", "event"),
+    ("text", "event", "applied"),
     [
-        (GOOD, "settings_reloaded"),
-        (GOOD.replace("65536", "x"), "settings_refused"),
-        (GOOD.replace("vestland-a\n", "vestland-b\n"), "settings_reloaded"),
+        (GOOD, UNCHANGED, 0),
+        (GOOD.replace("PeriodS=8", "PeriodS=9"), LIVE, 1),
+        (GOOD.replace("vestland-a\n", "vestland-b\n"), LATER, 1),
     ],
-    ids=["unchanged", "wrong", "changed"],
+    ids=["unchanged", "bound", "place"],
 )
-def test_hangup_reads_the_settings_again_and_the_process_goes_on(path, text, event):
-    settings = load_settings(path)
+def test_hangup_takes_the_bounds_that_changed(path, text, event, applied):
+    watched = Watched(path)
     path.write_text(text)
-    seen = []
-    handler = logging.Handler()
-    handler.emit = lambda record: seen.append(record.getMessage())
-    log = logging.getLogger("tamarackshelf")
-    level = log.level
-    log.addHandler(handler)
-    log.setLevel(logging.INFO)
 
     async def scenario():
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGHUP, _reload, path, settings)
+        loop.add_signal_handler(signal.SIGHUP, watched.watch.reload)
         os.kill(os.getpid(), signal.SIGHUP)
         await asyncio.sleep(0.05)
         loop.remove_signal_handler(signal.SIGHUP)
 
-    try:
-        asyncio.run(scenario())
-    finally:
-        log.removeHandler(handler)
-        log.setLevel(level)
-    assert seen == [event]
+    asyncio.run(scenario())
+    assert watched.events() == [event]
+    assert len(watched.applied) == applied
+
+
+def test_wrong_file_leaves_the_bounds_and_is_told(path):
+    watched = Watched(path)
+    path.write_text(GOOD.replace("65536", "x"))
+    watched.watch.reload()
+    [(kind, reason)] = watched.events()
+    assert kind == "settings_refused"
+    assert "mend it" in reason
+    assert watched.applied == []
+
+
+def test_silent_change_is_noticed_and_a_wrong_file_told_once(path, run):
+    watched = Watched(path)
+
+    async def scenario():
+        await watched.watch.start()
+        path.write_text(GOOD.replace("ttl_max_s=5", "ttl_max_s=3"))
+        await asyncio.sleep(3 * CHECK_EVERY_S)
+        path.write_text("zone=a")
+        await asyncio.sleep(3 * CHECK_EVERY_S)
+        await watched.watch.close()
+
+    run(scenario())
+    kinds = [kind for kind, _ in watched.events()]
+    assert kinds == ["settings_reloaded", "settings_refused"]
+    assert [settings.entries_valid_max_s for settings in watched.applied] == [3.0]
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -35,6 +35,8 @@
 FINISH_S = 10.0
 ENGINE_PLACES = 4
 PLAIN_PLACES = 6
+# The platform names at most three nodes to those that start.
+SEEDS = 3
 
 
 class Site:
@@ -148,7 +150,8 @@
     def _add_node(self, name: str, host: str, folder: Path) -> None:
         number = len(self.nodes) + 1
         store_link = Address(f"{self._host}.2.{number}", 9000)
-        node = NodeProcess(name, host, store_link, folder)
+        seeds = [f"{self._host}.1.{n}" for n in range(1, SEEDS + 1)]
+        node = NodeProcess(name, host, seeds, store_link, folder)
         self.nodes.append(node)
         self.store_links[name] = Proxy(store_link, self._store_address)
         callers = Address(f"{self._host}.3.{number}", 8144)
