Hedge requests that may repeat, and run all items at one priority

Cause of late plain requests: a request to a target that is slow or silent waited half of its time before a second one went out. Durations are kept in times of the route's aim, so that reward calls and short requests compare at one target. With one priority for all none is put back. Ruled out: the engines' memory (8 runs of the longest texts fit), loads of weights.

--- a/src/tamarackshelf/entry/forwarder.py
+++ b/src/tamarackshelf/entry/forwarder.py
@@ -13,6 +13,7 @@
     TargetCalls,
     TargetChanged,
 )
+from tamarackshelf.entry.hedge import HEDGE_AT_SHARE, Attempt, build_budget, race
 from tamarackshelf.errors import AnswerLost, NoTarget, ShelfError
 from tamarackshelf.errors import OutcomeUnknown as CallerOutcomeUnknown
 from tamarackshelf.node.targets import AVOID_S, TargetBoard, TargetState
@@ -35,7 +36,10 @@
 
 @dataclass(slots=True)
 class _Tries:
-    """What became of the attempts of one request."""
+    """What became of the attempts of one request.
+
+    `runs` counts those that ran, may have run or are still at a target.
+    """
 
     deadline_s: float
     refuse_at_s: float
@@ -62,6 +66,7 @@
         self._data_centre = data_centre
         self._timeline = timeline
         self._metrics = metrics
+        self._hedges = build_budget()
 
     async def forward(
         self, request: PlainRequest, found: Route, timeout_s: float
@@ -72,6 +77,7 @@
         AnswerLost when it may have.
         """
         started_s = _now_s()
+        self._hedges.note_request()
         refuse_at_s = started_s + REFUSE_AFTER_SHARE * found.target_latency_s
         tries = _Tries(started_s + timeout_s, refuse_at_s)
         outcome = "cancelled"
@@ -109,7 +115,7 @@
                 tries.tried.clear()
                 await asyncio.sleep(ROUND_GAP_S)
                 continue
-            answer = await self._try_one(request, found, target, tries)
+            answer = await self._try_hedged(request, found, target, tries)
             if answer is not None:
                 return answer
             if tries.may_have_run and not is_repeatable:
@@ -118,22 +124,51 @@
                 break
         return self._give_up(tries)
 
-    def _choose(self, found: Route, tries: _Tries) -> TargetState | None:
+    def _choose(
+        self, found: Route, tries: _Tries, *, needs_room: bool = False
+    ) -> TargetState | None:
         service = pick_service(found.shares, self._board.rng)
         state, reason = self._board.choose(
-            service, self._data_centre, frozenset(tries.tried)
+            service, self._data_centre, frozenset(tries.tried), needs_room=needs_room
         )
         if state is None:
             tries.last_reason = reason
         return state
 
+    async def _try_hedged(
+        self, request: PlainRequest, found: Route, target: TargetState, tries: _Tries
+    ) -> TargetAnswer | None:
+        """Asks one more target when this one takes long and the request may repeat."""
+        attempt = self._try_one(request, found, target, tries)
+        has_more = tries.runs + 1 < found.max_attempts
+        if found.kind is not RouteKind.IDEMPOTENT or not has_more:
+            return await attempt
+
+        def start_second() -> Attempt[TargetAnswer] | None:
+            second = self._choose(found, tries, needs_room=True)
+            if second is None or not self._hedges.take():
+                return None
+            self._metrics.count("request_hedges")
+            self._timeline.record(
+                "request_hedged",
+                request.request_id,
+                f"{target.target.name} takes long",
+                target=second.target.name,
+            )
+            return self._try_one(request, found, second, tries)
+
+        return await race(
+            attempt, start_second, HEDGE_AT_SHARE * found.target_latency_s
+        )
+
     async def _try_one(
         self, request: PlainRequest, found: Route, state: TargetState, tries: _Tries
     ) -> TargetAnswer | None:
         name = state.target.name
         is_repeatable = found.kind is RouteKind.IDEMPOTENT
         left_s = tries.deadline_s - _now_s()
-        has_more = is_repeatable and tries.runs + 1 < found.max_attempts
+        tries.runs += 1
+        has_more = is_repeatable and tries.runs < found.max_attempts
         timeout_s = left_s * ATTEMPT_SHARE if has_more else left_s
         tries.tried.add(name)
         state.in_flight += 1
@@ -146,21 +181,31 @@
             is_gone = isinstance(error, TargetChanged) or type(error) is NotRun
             self._board.avoid(name, str(error), GONE_PAUSE_S if is_gone else AVOID_S)
             tries.last_reason = str(error)
+            tries.runs -= 1
             return None
         except OutcomeUnknown as error:
             self._board.avoid(name, str(error), AVOID_S)
             tries.last_reason = str(error)
             tries.may_have_run = True
-            tries.runs += 1
             return None
+        except asyncio.CancelledError:
+            # Another target was faster or the caller left; it took this long at least.
+            self._board.note_at_least(name, self._compare(started_s, found))
+            raise
         finally:
             state.in_flight -= 1
-        tries.runs += 1
         tries.may_have_run = True
-        self._board.note_duration(name, _now_s() - started_s)
+        self._board.note_duration(name, self._compare(started_s, found))
         self._board.note_load(name, answer.load)
         return self._judge(answer, name, tries, has_more)
 
+    def _compare(self, started_s: float, found: Route) -> float:
+        """Returns the time since then in times of what the route aims at.
+
+        Only so can requests of several routes be compared at one target.
+        """
+        return (_now_s() - started_s) / found.target_latency_s
+
     def _judge(
         self, answer: TargetAnswer, name: str, tries: _Tries, has_more: bool
     ) -> TargetAnswer | None:
--- a/src/tamarackshelf/jobs/scorer.py
+++ b/src/tamarackshelf/jobs/scorer.py
@@ -11,10 +11,12 @@
     OutcomeUnknown,
     TargetCalls,
 )
-from tamarackshelf.node.targets import AVOID_S, TargetBoard
+from tamarackshelf.entry.hedge import HEDGE_AT_SHARE, Attempt, build_budget, race
+from tamarackshelf.node.targets import AVOID_S, TargetBoard, TargetState
 from tamarackshelf.observe import Timeline
 from tamarackshelf.policy.route_table import RouteTable, pick_service
 from tamarackshelf.world.job import ScoreCall
+from tamarackshelf.world.route import Route
 
 # A scorer that takes longer than its route's time-out is asked elsewhere.
 SHORTEST_TIMEOUT_S = 0.5
@@ -44,11 +46,13 @@
         self._table = table
         self._data_centre = data_centre
         self._timeline = timeline
+        self._hedges = build_budget()
 
     async def score(self, call: ScoreCall) -> str:
         """Returns the score; raises ScoreImpossible."""
         failures = 0
         gap_s = RETRY_GAP_S
+        self._hedges.note_request()
         tried: frozenset[str] = frozenset()
         while True:
             table = self._table()
@@ -63,11 +67,8 @@
                 await asyncio.sleep(gap_s)
                 gap_s = min(LONGEST_RETRY_GAP_S, gap_s * 2)
                 continue
-            target = state.target
-            state.in_flight += 1
             try:
-                timeout_s = max(SHORTEST_TIMEOUT_S, found.timeout_s / 2)
-                return await self._calls.score(target, call, timeout_s)
+                score, asked = await self._ask(call, found, state, tried)
             except ItemFailed as error:
                 failures += 1
                 self._timeline.record(
@@ -75,13 +76,64 @@
                 )
                 if failures >= found.max_attempts:
                     raise ScoreImpossible(str(error)) from error
-            except (NotRun, OutcomeUnknown) as error:
-                self._board.avoid(target.name, str(error), AVOID_S)
-                self._timeline.record("score_repeated", call.call_id, str(error))
-            finally:
-                state.in_flight -= 1
-            tried = tried | {target.name}
+                tried |= {state.target.name}
+            else:
+                if score is not None:
+                    return score
+                tried |= asked
             await asyncio.sleep(RETRY_GAP_S)
 
+    async def _ask(
+        self, call: ScoreCall, found: Route, first: TargetState, tried: frozenset[str]
+    ) -> tuple[str | None, frozenset[str]]:
+        """Returns the score, or None, and who was asked: one more when one is slow."""
+        asked = {first.target.name}
+        service = first.target.service
+
+        def start_second() -> Attempt[str] | None:
+            second, _ = self._board.choose(
+                service, self._data_centre, tried | asked, needs_room=True
+            )
+            if second is None or not self._hedges.take():
+                return None
+            asked.add(second.target.name)
+            reason = f"{first.target.name} takes long"
+            self._timeline.record("score_hedged", call.call_id, reason)
+            return self._ask_one(call, found, second)
+
+        score = await race(
+            self._ask_one(call, found, first),
+            start_second,
+            HEDGE_AT_SHARE * found.target_latency_s,
+        )
+        return score, frozenset(asked)
+
+    async def _ask_one(
+        self, call: ScoreCall, found: Route, state: TargetState
+    ) -> str | None:
+        name = state.target.name
+        timeout_s = max(SHORTEST_TIMEOUT_S, found.timeout_s / 2)
+        started_s = asyncio.get_running_loop().time()
+        state.in_flight += 1
+        try:
+            score = await self._calls.score(state.target, call, timeout_s)
+        except (NotRun, OutcomeUnknown) as error:
+            self._board.avoid(name, str(error), AVOID_S)
+            self._timeline.record("score_repeated", call.call_id, str(error))
+            return None
+        except asyncio.CancelledError:
+            # Another target was faster; this one took as long at least.
+            self._board.note_at_least(name, _compare(started_s, found))
+            raise
+        finally:
+            state.in_flight -= 1
+        self._board.note_duration(name, _compare(started_s, found))
+        return score
+
+
+def _compare(started_s: float, found: Route) -> float:
+    """Returns the time since then in times of what the route aims at."""
+    return (asyncio.get_running_loop().time() - started_s) / found.target_latency_s
+
 
 __all__ = ["ScoreImpossible", "Scorer", "TableSource"]
--- a/src/tamarackshelf/jobs/stragglers.py
+++ b/src/tamarackshelf/jobs/stragglers.py
@@ -109,7 +109,7 @@
             remaining,
             self._board.engines(service, job.job.model),
             job.job.min_version,
-            self._board.fastest_s(service) or USUAL_EVENT_S,
+            self._board.fastest_event_s(service) or USUAL_EVENT_S,
             left_s,
         )
 
--- a/src/tamarackshelf/node/targets.py
+++ b/src/tamarackshelf/node/targets.py
@@ -44,7 +44,7 @@
     avoid_until_s: float = float("-inf")
     avoid_reason: str = ""
     missing_since_s: float | None = None
-    durations_s: deque[float] = field(
+    durations: deque[float] = field(
         default_factory=lambda: deque(maxlen=DURATIONS_KEPT)
     )
     measured_at_s: float = float("-inf")
@@ -55,12 +55,12 @@
         """Returns the target itself."""
         return self.record.target
 
-    def usual_s(self) -> float | None:
+    def usual(self) -> float | None:
         """Returns the median of the last durations while they are recent."""
         is_old = _now_s() - self.measured_at_s > SPEED_FADES_S
-        if is_old or len(self.durations_s) < DURATIONS_NEEDED:
+        if is_old or len(self.durations) < DURATIONS_NEEDED:
             return None
-        return statistics.median(self.durations_s)
+        return statistics.median(self.durations)
 
     def version_of(self, model: str) -> int | None:
         """Returns the newest version of a model that was seen here."""
@@ -165,13 +165,23 @@
             state.others = max(0, load.running + load.waiting - state.in_flight)
             state.reported_at_s = _now_s()
 
-    def note_duration(self, name: str, duration_s: float) -> None:
-        """Takes how long a request or an event took at a target."""
+    def note_duration(self, name: str, duration: float) -> None:
+        """Takes how long a request or an event took at a target.
+
+        Engines are compared by the seconds of an event, other targets by the time of
+        a request in times of what its route aims at.
+        """
         state = self._states.get(name)
         if state is not None:
-            state.durations_s.append(duration_s)
+            state.durations.append(duration)
             state.measured_at_s = _now_s()
 
+    def note_at_least(self, name: str, duration: float) -> None:
+        """Takes that a request stopped early had already taken this long."""
+        state = self._states.get(name)
+        if state is not None and duration > (state.usual() or 0.0):
+            self.note_duration(name, duration)
+
     def note_version(self, name: str, model: str, version: int) -> None:
         """Takes the version under which a target made an event."""
         state = self._states.get(name)
@@ -182,7 +192,7 @@
     def candidates(self, service: str, excluded: frozenset[str]) -> list[Candidate]:
         """Returns the targets of a service for the router."""
         states = self.of_service(service)
-        fastest_s = _find_fastest(states)
+        fastest = _find_fastest(states)
         now_s = _now_s()
         return [
             Candidate(
@@ -191,25 +201,30 @@
                 others_in_flight=round(_fade(state, now_s)),
                 share=state.target.concurrency,
                 ruled_out=state.avoid_reason if state.avoid_until_s > now_s else "",
-                slowness=_compare(state.usual_s(), fastest_s),
+                slowness=_compare(state.usual(), fastest),
             )
             for state in states
             if state.target.name not in excluded
         ]
 
     def choose(
-        self, service: str, data_centre: str, tried: frozenset[str]
+        self,
+        service: str,
+        data_centre: str,
+        tried: frozenset[str],
+        *,
+        needs_room: bool = False,
     ) -> tuple[TargetState | None, str]:
         """Returns a target for a plain request, or None, and the reason.
 
-        When all are full the least loaded one is taken: targets queue a few
-        requests themselves.
+        When all are full the least loaded one is taken, unless the request needs
+        room: targets queue a few requests themselves.
         """
         candidates = self.candidates(service, tried)
         choice = route(candidates, Need(service, data_centre=data_centre), self.rng)
         if choice.target is not None:
             return self._states.get(choice.target.name), choice.reason
-        if not choice.is_full:
+        if needs_room or not choice.is_full:
             return None, choice.reason
         allowed = [c for c in candidates if not c.ruled_out]
         least = min(allowed, key=lambda c: c.load)
@@ -218,7 +233,7 @@
     def engines(self, service: str, model: str) -> list[EnginePlace]:
         """Returns the engines of a service that may take an item now."""
         states = self.of_service(service)
-        fastest_s = _find_fastest(states)
+        fastest = _find_fastest(states)
         now_s = _now_s()
         return [
             EnginePlace(
@@ -226,14 +241,14 @@
                 places=state.target.concurrency,
                 in_use=state.in_flight + round(_fade(state, now_s)),
                 version=state.version_of(model),
-                slowness=_compare(state.usual_s(), fastest_s),
+                slowness=_compare(state.usual(), fastest),
             )
             for state in states
             if state.avoid_until_s <= now_s
         ]
 
-    def fastest_s(self, service: str) -> float | None:
-        """Returns the usual duration at the fastest target of a service."""
+    def fastest_event_s(self, service: str) -> float | None:
+        """Returns the usual time of an event at the fastest engine of a service."""
         return _find_fastest(self.of_service(service))
 
     def _drop(self, name: str) -> None:
@@ -252,14 +267,14 @@
 
 
 def _find_fastest(states: Iterable[TargetState]) -> float | None:
-    known = (state.usual_s() for state in states)
-    return min((usual_s for usual_s in known if usual_s is not None), default=None)
+    known = (state.usual() for state in states)
+    return min((usual for usual in known if usual is not None), default=None)
 
 
-def _compare(usual_s: float | None, fastest_s: float | None) -> float:
-    if usual_s is None or not fastest_s:
+def _compare(usual: float | None, fastest: float | None) -> float:
+    if usual is None or not fastest:
         return 1.0
-    return min(SLOWEST, max(1.0, usual_s / fastest_s))
+    return min(SLOWEST, max(1.0, usual / fastest))
 
 
 def _now_s() -> float:
--- a/src/tamarackshelf/platform/target_calls.py
+++ b/src/tamarackshelf/platform/target_calls.py
@@ -163,7 +163,7 @@
         headers["host"] = run.host
         headers[REQUEST_ID] = run.item.item_id
         headers["x-expect-instance"] = target.name
-        headers["x-request-priority"] = str(min(9, max(0, run.rank)))
+        headers["x-request-priority"] = "5"
         if run.after_event_id >= 0:
             headers["last-event-id"] = str(run.after_event_id)
         loop = asyncio.get_running_loop()
--- a/src/tamarackshelf/policy/retry.py
+++ b/src/tamarackshelf/policy/retry.py
@@ -11,14 +11,15 @@
 
 
 class RetryBudget:
-    """Lets retries be a bounded share of an organisation's requests."""
+    """Lets retries be a bounded share of requests."""
 
-    def __init__(self) -> None:
-        self._tokens = BUDGET_BURST
+    def __init__(self, burst: float = BUDGET_BURST) -> None:
+        self._burst = burst
+        self._tokens = burst
 
     def note_request(self) -> None:
         """Earns a part of a retry."""
-        self._tokens = min(BUDGET_BURST, self._tokens + BUDGET_PER_REQUEST)
+        self._tokens = min(self._burst, self._tokens + BUDGET_PER_REQUEST)
 
     def take(self) -> bool:
         """Takes one retry, or returns False when the budget is spent."""
