Share engines out by the work of each model

The shares now follow the expected tokens of each model's jobs of the last 20 s, at least 0.3 of the mean, and move only when two models are each 0.7 of an engine off. Items no longer carry a rank, as all run at one priority.

--- a/src/tamarackshelf/contracts/targets.py
+++ b/src/tamarackshelf/contracts/targets.py
@@ -114,7 +114,6 @@
     item: JobItem
     host: str
     after_event_id: int
-    rank: int
     first_event_s: float
     next_event_s: float
 
--- a/src/tamarackshelf/jobs/desk.py
+++ b/src/tamarackshelf/jobs/desk.py
@@ -50,6 +50,8 @@
 RANK_PAUSE_S = 1.5
 ACCEPT_TIMEOUT_S = 3.0
 CHANGE_TRIES = 8
+# Several steps of each trainer, so that their order does not matter.
+WORK_WINDOW_S = 20.0
 # Peers that are asked in turn to take a job of a node that stops.
 HEIRS_TRIED = 3
 
@@ -88,6 +90,16 @@
         """Returns the heads of all jobs that this node knows."""
         return self._heads
 
+    def measure_work(self) -> dict[str, float]:
+        """Returns the expected tokens of the jobs accepted lately, by model."""
+        now_ms = self._link.now_store_ms() or 0
+        work: dict[str, float] = {}
+        for stored in self._heads.values():
+            head = stored.head
+            if now_ms - head.accepted_store_ms <= WORK_WINDOW_S * 1000:
+                work[head.model] = work.get(head.model, 0.0) + head.expected_tokens
+        return work
+
     async def start(self, fleet: Fleet) -> None:
         """Starts to look for jobs that this node has to run."""
         self.fleet = self.reader.fleet = fleet
@@ -201,6 +213,7 @@
             host=job.host,
             path=job.path,
             model=job.model,
+            expected_tokens=sum(item.expected_tokens for item in job.items),
         )
 
     def _note_accepted(self, job: Job, stored: StoredHead | None, reason: str) -> None:
--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -355,7 +355,6 @@
             item=state.item,
             host=job.job.host,
             after_event_id=state.last_event_id,
-            rank=min(9, found.rank),
             first_event_s=FIRST_EVENT_S,
             next_event_s=NEXT_EVENT_S,
         )
--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -212,6 +212,7 @@
             self._timeline,
         )
         self.weights.configuration = lambda: self.view.configuration
+        self.weights.measure_work = self.desk.measure_work
         self._follow(self.weights)
         self._connect_wishes(fleet, self.weights)
         await self._watches[NODE_TABLE].loaded.wait()
--- a/src/tamarackshelf/node/weights.py
+++ b/src/tamarackshelf/node/weights.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -39,6 +39,8 @@
 # A load takes about as long; reports before that would only cost.
 LOAD_S = 0.95
 REPORT_GAP_S = 0.2
+# Work changes with each step, every few seconds; adding it up takes a look at all jobs.
+WORK_CHECK_S = 1.0
 # An accepted order without effect for as long counts as failed.
 GIVE_UP_S = 3.0
 # The engines of one model that load at once.
@@ -61,6 +63,8 @@
     sequences: dict[tuple[str, int], int] = field(default_factory=dict)
     wishes: dict[tuple[str, str], float] = field(default_factory=dict)
     roll: RollMemory = field(default_factory=RollMemory)
+    work: Mapping[str, float] = field(default_factory=dict)
+    work_at_s: float = float("-inf")
 
 
 class WeightKeeper:
@@ -77,6 +81,8 @@
     ) -> None:
         self.named: dict[str, int] = {}
         self.configuration: Callable[[], RoutingConfiguration | None] = lambda: None
+        # Returns what each model's jobs asked for lately.
+        self.measure_work: Callable[[], Mapping[str, float]] = dict
         self._link = link
         self._fleet = fleet
         self._board = board
@@ -146,7 +152,11 @@
             engines = {s.target.name: s for s in self._board.of_service(service.name)}
             versions = {n: dict(s.record.versions) for n, s in engines.items()}
             shares = share_engines(
-                list(engines), service.models, versions, self._memory.shares
+                list(engines),
+                service.models,
+                versions,
+                self._memory.shares,
+                self._recall_work(),
             )
             self._memory.shares.update(shares)
             for name, model in shares.items():
@@ -157,6 +167,13 @@
                     group.append(engines[name])
         return groups
 
+    def _recall_work(self) -> Mapping[str, float]:
+        now_s = _now_s()
+        memory = self._memory
+        if now_s - memory.work_at_s >= WORK_CHECK_S:
+            memory.work, memory.work_at_s = self.measure_work(), now_s
+        return memory.work
+
     def _list_wishes(self) -> list[tuple[str, str]]:
         now_s = _now_s()
         wishes = self._memory.wishes
--- a/src/tamarackshelf/platform/target_calls.py
+++ b/src/tamarackshelf/platform/target_calls.py
@@ -56,6 +56,8 @@
         "x-expect-instance",
     }
 )
+# One for all items: a more urgent one would stop texts of others midway.
+ITEM_PRIORITY = "5"
 MAX_EVENT_BYTES = 1024 * 1024
 
 
@@ -163,7 +165,7 @@
         headers["host"] = run.host
         headers[REQUEST_ID] = run.item.item_id
         headers["x-expect-instance"] = target.name
-        headers["x-request-priority"] = "5"
+        headers["x-request-priority"] = ITEM_PRIORITY
         if run.after_event_id >= 0:
             headers["last-event-id"] = str(run.after_event_id)
         loop = asyncio.get_running_loop()
--- a/src/tamarackshelf/policy/engine_share.py
+++ b/src/tamarackshelf/policy/engine_share.py
@@ -1,24 +1,32 @@
 """Which engines keep up with which model's newest weights.
 
 Loading every version on every engine costs loads that no trainer needs, so each
-model has engines of its own; they change hands only when the shares differ by two.
+model has engines of its own, as many as its share of the work asks for.
 """
 
 from __future__ import annotations
 
 from collections.abc import Mapping, Sequence
 
+# Counts as this part of the mean work at least: a trainer may be late, not gone.
+LEAST_SHARE = 0.3
+# An engine changes hands when its model has this much more than its part and another
+# as much less; below it rounding alone would move engines to and fro.
+MOVE_AT = 0.7
+
 
 def share_engines(
     engines: Sequence[str],
     models: Sequence[str],
     versions: Mapping[str, Mapping[str, int]],
     before: Mapping[str, str],
+    work: Mapping[str, float],
 ) -> dict[str, str]:
     """Returns the model of each engine.
 
-    `versions` holds each engine's loaded version by model, `before` the last shares.
-    An engine without an earlier share goes by the model that it has newest of.
+    `versions` holds each engine's loaded version by model, `before` the last shares,
+    `work` what each model's jobs asked for lately in any unit. An engine without an
+    earlier share goes by the model that it has newest of.
     """
     if not models:
         return {}
@@ -30,9 +38,11 @@
             kept[model].append(engine)
         else:
             free.append(engine)
+    parts = _divide(len(engines), models, work)
     for engine in free:
-        min(kept.values(), key=len).append(engine)
-    _even_out(kept)
+        lacking = max(kept, key=lambda model: parts[model] - len(kept[model]))
+        kept[lacking].append(engine)
+    _even_out(kept, parts)
     return {engine: model for model, names in kept.items() for engine in names}
 
 
@@ -45,11 +55,27 @@
     return ranked[0] if first > second else ""
 
 
-def _even_out(kept: dict[str, list[str]]) -> None:
+def _divide(
+    engines: int, models: Sequence[str], work: Mapping[str, float]
+) -> dict[str, float]:
+    """Returns each model's part of the engines, not rounded."""
+    known = [work.get(model, 0.0) for model in models]
+    mean = sum(known) / len(known) or 1.0
+    weights = [max(amount, LEAST_SHARE * mean) for amount in known]
+    return {
+        model: engines * weight / sum(weights)
+        for model, weight in zip(models, weights, strict=True)
+    }
+
+
+def _even_out(kept: dict[str, list[str]], parts: Mapping[str, float]) -> None:
     while True:
-        most = max(kept, key=lambda model: len(kept[model]))
-        least = min(kept, key=lambda model: len(kept[model]))
-        if len(kept[most]) - len(kept[least]) < 2:
+        surplus = {model: len(names) - parts[model] for model, names in kept.items()}
+        most = max(surplus, key=lambda model: surplus[model])
+        least = min(surplus, key=lambda model: surplus[model])
+        if surplus[most] < MOVE_AT or surplus[least] > -MOVE_AT:
+            return
+        if len(kept[most]) < 2:
             return
         kept[least].append(kept[most].pop())
 
--- a/src/tamarackshelf/world/job.py
+++ b/src/tamarackshelf/world/job.py
@@ -64,6 +64,8 @@
     host: str
     path: str
     model: str
+    # What its items are expected to make together, for sharing out engines.
+    expected_tokens: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/platform/test_target_calls.py
+++ b/tests/platform/test_target_calls.py
@@ -68,7 +68,7 @@
     item = JobItem("r1", "/i/1", {"X-Model": "m"}, b"body", "g", 100)
 
     async def use(calls, target):
-        run = ItemRun(item, "h.example", after, 2, 2.0, 1.0)
+        run = ItemRun(item, "h.example", after, 2.0, 1.0)
         return [event async for event in calls.run_item(target, run)]
 
     return asyncio.run(call(raw, use))
