Run the jobs of a model at one home and use open connections first

A job now goes to its model's home in its data centre, by weighted rendezvous hash over the VMs' cores, handed over in memory. Plain requests look at a target with an idle connection beside the two that are drawn. Ruled out: naming the home in the head at once (a home that has just died is found only when its death is known); one home for all models. The desk is split into acceptance, hand-over, adoption and the book that they share.

--- a/src/tamarackshelf/contracts/targets.py
+++ b/src/tamarackshelf/contracts/targets.py
@@ -140,6 +140,9 @@
 class TargetCalls(Protocol):
     """Calls to targets in their own protocol."""
 
+    def is_connected(self, target: Target) -> bool:
+        """Tells whether an idle connection to the target is there."""
+
     async def forward(
         self, target: Target, request: PlainRequest, timeout_s: float, *, once: bool
     ) -> TargetAnswer:
--- /dev/null
+++ b/src/tamarackshelf/jobs/adoption.py
@@ -0,0 +1,169 @@
+"""Takes over jobs that nobody runs any more, from what the store has of them."""
+
+from __future__ import annotations
+
+import asyncio
+
+from tamarackshelf.contracts.rows import RowStoreError
+from tamarackshelf.jobs.book import JobBook
+from tamarackshelf.jobs.owned_job import OwnedJob
+from tamarackshelf.jobs.runner import JobRunner
+from tamarackshelf.net import HttpClient
+from tamarackshelf.node.peer_jobs import JobRead, ask_owner
+from tamarackshelf.observe import Timeline
+from tamarackshelf.policy.ownership import rank_owners
+from tamarackshelf.store.job_store import HeadChanged, JobStore, StoredHead
+from tamarackshelf.store.link import StoreLink
+from tamarackshelf.world.job import JobState
+
+# The first in rank takes an orphaned job at once; others wait in case it cannot.
+RANK_PAUSE_S = 1.5
+
+
+class JobAdoption:
+    """Looks for jobs that are this node's by their head, and for orphaned ones."""
+
+    def __init__(
+        self,
+        book: JobBook,
+        link: StoreLink,
+        store: JobStore,
+        runner: JobRunner,
+        http: HttpClient,
+        timeline: Timeline,
+    ) -> None:
+        self._book = book
+        self._link = link
+        self._store = store
+        self._runner = runner
+        self._http = http
+        self._timeline = timeline
+        self._orphaned_s: dict[str, float] = {}
+
+    def look(self) -> None:
+        """Starts to run jobs that are this node's, and takes orphaned ones."""
+        fleet = self._book.fleet
+        if fleet is None or fleet.is_leaving or self._runner.is_paused:
+            return
+        for job_id, stored in self._book.heads.items():
+            if stored.head.state is not JobState.OPEN:
+                continue
+            if job_id in self._runner.jobs or self._book.is_taking(job_id):
+                continue
+            if self._should_take(stored):
+                self._book.take(job_id, self._adopt(stored))
+
+    def forget(self, job_id: str) -> None:
+        """Forgets a job that is no more."""
+        self._orphaned_s.pop(job_id, None)
+
+    def _should_take(self, stored: StoredHead) -> bool:
+        fleet, own, head = self._book.fleet, self._book.own, stored.head
+        assert fleet is not None
+        if (head.owner, head.owner_incarnation) == (own.vm, own.incarnation):
+            return True
+        if not fleet.is_gone(head.owner, head.owner_incarnation):
+            self._orphaned_s.pop(stored.job_id, None)
+            return False
+        since_s = self._orphaned_s.setdefault(stored.job_id, _now_s())
+        # Nobody can take a job while the store is away, so ranks count from then.
+        since_s = max(since_s, self._link.recovered_at_s)
+        names = [record.vm for record in fleet.living()]
+        rank = rank_owners(names, stored.job_id).index(own.vm)
+        return _now_s() - since_s >= rank * RANK_PAUSE_S
+
+    async def _adopt(self, stored: StoredHead) -> None:
+        """Goes on where a job's results and texts are."""
+        started_s = _now_s()
+        job_id, own = stored.job_id, self._book.own
+        try:
+            claimed = await self._claim(stored)
+            if claimed is None:
+                return
+            job, listed, progress = await asyncio.gather(
+                self._store.read_job(job_id),
+                self._store.read_all_results(job_id),
+                self._store.read_progress(job_id),
+            )
+        except HeadChanged as error:
+            if error.current is not None:
+                self._book.note(error.current)
+                await self._runner.note_head(error.current)
+            return
+        except RowStoreError as error:
+            self._timeline.record("job_not_taken", job_id, str(error))
+            return
+        if job is None:
+            self._timeline.record("job_missing", job_id, "its body is not stored")
+            return
+        self._book.note(claimed)
+        newest = self._book.heads[job_id]
+        if newest.head.owner != own.vm:
+            return
+        owned = OwnedJob(job, newest, listed, progress)
+        if job_id not in self._runner.jobs:
+            self._runner.add(owned, self._book.compute_due_s(newest.head))
+        self._timeline.record(
+            "job_adopted",
+            job_id,
+            "its rows were read",
+            listed=len(listed),
+            with_text=len(progress),
+            took_ms=round((_now_s() - started_s) * 1000),
+        )
+
+    async def _claim(self, stored: StoredHead) -> StoredHead | None:
+        """Returns the head with this node as owner; None when the owner answers."""
+        own, head = self._book.own, stored.head
+        if (head.owner, head.owner_incarnation) == (own.vm, own.incarnation):
+            return None if await self._does_heir_answer(stored) else stored
+        if await self._does_owner_answer(stored):
+            return None
+        new = self._book.build_own_head(head)
+        claimed = await self._store.change_head(stored, new)
+        self._timeline.record(
+            "job_taken_over",
+            stored.job_id,
+            f"{head.owner} runs no more",
+            epoch=new.epoch,
+        )
+        return claimed
+
+    async def _does_heir_answer(self, stored: StoredHead) -> bool:
+        """Asks a peer that took this node's job; without an answer it is taken back."""
+        heir = self._book.given.get(stored.job_id)
+        if heir is None:
+            return False
+        request = JobRead(stored.job_id, stored.head.total, False)
+        answer = await ask_owner(self._http, heir.peers, request)
+        if not answer.is_owner:
+            self._book.given.pop(stored.job_id, None)
+            reason = f"{heir.vm} took it and runs it no more"
+            self._timeline.record("job_taken_back", stored.job_id, reason)
+        return answer.is_owner
+
+    async def _does_owner_answer(self, stored: StoredHead) -> bool:
+        """Asks an owner that is held for dead; whoever answers keeps its job."""
+        assert self._book.fleet is not None
+        record = self._book.fleet.find(stored.head.owner)
+        if record is None or record.incarnation != stored.head.owner_incarnation:
+            return False
+        request = JobRead(stored.job_id, stored.head.total, False)
+        answer = await ask_owner(self._http, record.peers, request)
+        if answer.is_owner:
+            # Asked again only after a while.
+            self._orphaned_s[stored.job_id] = _now_s() + RANK_PAUSE_S
+            self._timeline.record(
+                "owner_answers",
+                stored.job_id,
+                "gossip holds it for dead, but it still runs the job",
+                owner=record.vm,
+            )
+        return answer.is_owner
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+__all__ = ["JobAdoption"]
--- /dev/null
+++ b/src/tamarackshelf/jobs/book.py
@@ -0,0 +1,96 @@
+"""What a node knows of all jobs: their heads, and those that it is about to run."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Coroutine
+from dataclasses import replace
+from functools import partial
+
+from tamarackshelf.jobs.scorer import TableSource
+from tamarackshelf.node.fleet import Fleet
+from tamarackshelf.store.fleet_rows import NodeRecord
+from tamarackshelf.store.job_store import StoredHead
+from tamarackshelf.store.link import StoreLink
+from tamarackshelf.tasks import stop_tasks
+from tamarackshelf.world.job import JobHead
+
+# Several steps of each trainer, so that their order does not matter.
+WORK_WINDOW_S = 20.0
+
+
+class JobBook:
+    """Shared by whoever accepts, adopts and hands over jobs."""
+
+    def __init__(self, link: StoreLink, table: TableSource) -> None:
+        self.heads: dict[str, StoredHead] = {}
+        # Jobs whose acceptance is under way; the feed may tell of them first.
+        self.accepting: set[str] = set()
+        # Jobs of this node that a peer took and has not claimed in the store yet.
+        self.given: dict[str, NodeRecord] = {}
+        self.fleet: Fleet | None = None
+        self._link = link
+        self._table = table
+        self._taking: dict[str, asyncio.Task[None]] = {}
+
+    async def close(self) -> None:
+        """Stops what is under way."""
+        await stop_tasks(*self._taking.values())
+
+    @property
+    def own(self) -> NodeRecord:
+        """Returns this node's record; only after the start."""
+        assert self.fleet is not None
+        return self.fleet.own
+
+    def note(self, stored: StoredHead) -> None:
+        """Takes a head unless a newer one is known."""
+        known = self.heads.get(stored.job_id)
+        if known is None or stored.version > known.version:
+            self.heads[stored.job_id] = stored
+            if self.fleet is not None and stored.head.owner != self.own.vm:
+                self.given.pop(stored.job_id, None)
+
+    def is_taking(self, job_id: str) -> bool:
+        """Tells whether this node is about to run or to give away a job."""
+        return job_id in self._taking or job_id in self.accepting
+
+    def take(self, job_id: str, work: Coroutine[None, None, None]) -> None:
+        """Runs what takes or gives a job; until its end nobody else may start."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._taking[job_id] = task
+        task.add_done_callback(partial(self._end_take, job_id))
+
+    def build_own_head(self, head: JobHead) -> JobHead:
+        """Returns a head that names this node as the next owner."""
+        return replace(
+            head,
+            owner=self.own.vm,
+            owner_incarnation=self.own.incarnation,
+            epoch=head.epoch + 1,
+        )
+
+    def compute_due_s(self, head: JobHead) -> float:
+        """Returns when a job's results are due on the loop's clock."""
+        now_ms = self._link.now_store_ms()
+        age_s = (now_ms - head.accepted_store_ms) / 1000 if now_ms else 0.0
+        table = self._table()
+        found = None if table is None else table.find(head.host, head.path)
+        due_after_s = 0.0 if found is None else found.job_due_s
+        return asyncio.get_running_loop().time() - age_s + due_after_s
+
+    def measure_work(self) -> dict[str, float]:
+        """Returns the expected tokens of the jobs accepted lately, by model."""
+        now_ms = self._link.now_store_ms() or 0
+        work: dict[str, float] = {}
+        for stored in self.heads.values():
+            head = stored.head
+            if now_ms - head.accepted_store_ms <= WORK_WINDOW_S * 1000:
+                work[head.model] = work.get(head.model, 0.0) + head.expected_tokens
+        return work
+
+    def _end_take(self, job_id: str, _: asyncio.Task[None]) -> None:
+        self._taking.pop(job_id, None)
+
+
+__all__ = ["JobBook"]
--- a/src/tamarackshelf/node/peer_jobs.py
+++ b/src/tamarackshelf/node/peer_jobs.py
@@ -59,7 +59,10 @@
 
 
 async def hand_over_to(
-    http: HttpClient, address: Address, handover: JobHandover
+    http: HttpClient,
+    address: Address,
+    handover: JobHandover,
+    timeout_s: float = TAKE_TIMEOUT_S,
 ) -> HandoverOutcome:
     """Returns whether the peer took the job, as far as that is known."""
     try:
@@ -68,7 +71,7 @@
             "POST",
             TAKE_PATH,
             body=msgspec.msgpack.encode(handover),
-            timeout_s=TAKE_TIMEOUT_S,
+            timeout_s=timeout_s,
         )
     except ConnectFailed:
         return HandoverOutcome.REFUSED
--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -124,6 +124,7 @@
         self.board = TargetBoard(
             timeline, lambda: self.link.recovered_at_s, random.Random()
         )
+        self.board.is_connected = calls.is_connected
         scorer = Scorer(
             self.board, calls, self.view.get_table, settings.data_centre, timeline
         )
@@ -243,7 +244,7 @@
             version = fleet.row_version()
             await fleet.leave()
             self._callers.announce_close()
-            await self.desk.hand_over()
+            await self.desk.handovers.give_all()
             if version is not None:
                 try:
                     await unregister(self.link, self._settings.vm, version)
@@ -320,6 +321,7 @@
             data_centre=settings.data_centre,
             callers=settings.callers_address,
             peers=settings.peer_address,
+            cores=settings.cores,
         )
         while True:
             try:
--- a/src/tamarackshelf/node/settings.py
+++ b/src/tamarackshelf/node/settings.py
@@ -48,6 +48,8 @@
     # For how long results stay readable after their job was accepted.
     results_kept_s: float
     targets_check_fencing: bool
+    # Part of a processor times its cores.
+    cores: float = 1.0
     metrics_port: int = 0
 
     @property
--- a/src/tamarackshelf/node/targets.py
+++ b/src/tamarackshelf/node/targets.py
@@ -76,6 +76,8 @@
         self, timeline: Timeline, recovered_at_s: Callable[[], float], rng: Random
     ) -> None:
         self.rng = rng
+        # Tells whether an idle connection to a target is there.
+        self.is_connected: Callable[[Target], bool] = lambda target: False
         self._timeline = timeline
         self._recovered_at_s = recovered_at_s
         self._states: dict[str, TargetState] = {}
@@ -202,6 +204,7 @@
                 share=state.target.concurrency,
                 ruled_out=state.avoid_reason if state.avoid_until_s > now_s else "",
                 slowness=_compare(state.usual(), fastest),
+                is_connected=self.is_connected(state.target),
             )
             for state in states
             if state.target.name not in excluded
@@ -242,6 +245,7 @@
                 in_use=state.in_flight + round(_fade(state, now_s)),
                 version=state.version_of(model),
                 slowness=_compare(state.usual(), fastest),
+                is_connected=self.is_connected(state.target),
             )
             for state in states
             if state.avoid_until_s <= now_s
--- a/src/tamarackshelf/platform/settings.py
+++ b/src/tamarackshelf/platform/settings.py
@@ -58,6 +58,9 @@
         entries_valid_max_s=float(fields["bounds.ttl_max_s"]),
         results_kept_s=float(fields["bounds.statusS"]),
         targets_check_fencing=fields["bounds.fencing"] == "true",
+        # The platform's share is of a core that is so many times as fast.
+        cores=float(fields.get("limits.cpuShare", "1"))
+        * float(fields.get("limits.cpuCores", "1")),
     )
 
 
--- a/src/tamarackshelf/platform/target_calls.py
+++ b/src/tamarackshelf/platform/target_calls.py
@@ -88,6 +88,10 @@
     def __init__(self, http: HttpClient) -> None:
         self._http = http
 
+    def is_connected(self, target: Target) -> bool:
+        """Tells whether an idle connection to the target is there."""
+        return self._http.has_idle(target.address)
+
     async def forward(
         self, target: Target, request: PlainRequest, timeout_s: float, *, once: bool
     ) -> TargetAnswer:
--- a/src/tamarackshelf/policy/item_placement.py
+++ b/src/tamarackshelf/policy/item_placement.py
@@ -16,6 +16,8 @@
 # How much longer an event takes on a full engine; the engines' published step times
 # grow by half a percent a request.
 FULL_FACTOR = 0.05
+# A new connection costs less than an event; it decides only among equal engines.
+CONNECT_COST = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +57,7 @@
     in_use: int
     version: int | None
     slowness: float = 1.0
+    is_connected: bool = False
 
     @property
     def free(self) -> int:
@@ -124,7 +127,8 @@
 def _cost(engine: EnginePlace) -> tuple[float, str]:
     """Returns the expected time of an event, more the fuller the engine is."""
     filled = engine.in_use / max(1, engine.places)
-    return (engine.slowness * (1.0 + FULL_FACTOR * filled), engine.name)
+    connect = 0.0 if engine.is_connected else CONNECT_COST
+    return (engine.slowness * (1.0 + FULL_FACTOR * filled + connect), engine.name)
 
 
 __all__ = [
--- a/src/tamarackshelf/policy/routing.py
+++ b/src/tamarackshelf/policy/routing.py
@@ -14,6 +14,11 @@
 AFFINITY_BOUND = 1.25
 FAR_PENALTY = 0.05
 SLOWEST_PREFERRED = 1.5
+# A new connection takes a place at its target for a moment; it is worth about one more
+# request in flight at a target of six places.
+CONNECT_PENALTY = 0.17
+# Looked at beside the two that are drawn, so that idle connections are used.
+CONNECTED_ADDED = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,6 +34,7 @@
     share: int = 1
     ruled_out: str = ""
     slowness: float = 1.0
+    is_connected: bool = False
 
     @property
     def load(self) -> float:
@@ -90,9 +96,10 @@
         mean = sum(candidate.load for candidate in allowed) / len(allowed)
         if preferred.load <= AFFINITY_BOUND * mean + 1 / preferred.target.concurrency:
             return Choice(preferred.target, f"prefix affinity, load {preferred.load}")
-    pair = rng.sample(free, min(2, len(free)))
-    best = min(pair, key=lambda c: (_cost(c, need), c.target.name))
-    names = ", ".join(f"{c.target.name} {_cost(c, need):.2f}" for c in pair)
+    drawn = rng.sample(free, min(2, len(free)))
+    drawn += [c for c in free if c.is_connected and c not in drawn][:CONNECTED_ADDED]
+    best = min(drawn, key=lambda c: (_cost(c, need), c.target.name))
+    names = ", ".join(f"{c.target.name} {_cost(c, need):.2f}" for c in drawn)
     return Choice(best.target, f"lower load of {names}")
 
 
@@ -163,7 +170,8 @@
     """Returns how long the request would take, in times of an idle target."""
     is_far = candidate.target.data_centre != need.data_centre
     time = (1.0 + candidate.load) * candidate.slowness
-    return time + (FAR_PENALTY if is_far else 0.0)
+    connect = 0.0 if candidate.is_connected else CONNECT_PENALTY
+    return time + connect + (FAR_PENALTY if is_far else 0.0)
 
 
 __all__ = [
--- a/src/tamarackshelf/store/fleet_rows.py
+++ b/src/tamarackshelf/store/fleet_rows.py
@@ -33,6 +33,8 @@
     data_centre: str
     callers: Address
     peers: Address
+    # What the VM can compute, in cores.
+    cores: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/node/test_targets.py
+++ b/tests/node/test_targets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from collections import Counter
 
 import pytest
 
@@ -82,3 +83,46 @@
         assert names(board) == ["t2", "t3"]
 
     play(scenario)
+
+
+def count_choices(board, requests=200):
+    """Returns how often each target is chosen while nothing is in flight."""
+    chosen = [board.choose("app", "dc", frozenset())[0] for _ in range(requests)]
+    return Counter(state.target.name for state in chosen)
+
+
+def build_app_board():
+    timeline = Timeline("n", lambda: 0)
+    board = TargetBoard(timeline, lambda: float("-inf"), random.Random(3))
+    for name in ("t1", "t2", "t3", "t4"):
+        board.put(build_target(name, "app", places=6))
+    return board
+
+
+def test_load_of_rare_requests_uses_the_open_connection(run):
+    """Pattern: many nodes with a request every few seconds each."""
+
+    async def scenario():
+        board = build_app_board()
+        board.is_connected = lambda target: target.name == "t2"
+        assert count_choices(board)["t2"] == 200
+
+    run(scenario())
+
+
+def test_busy_target_is_left_whether_connected_or_not(run):
+    async def scenario():
+        board = build_app_board()
+        board.is_connected = lambda target: target.name == "t2"
+        board.get("t2").in_flight = 4
+        assert count_choices(board)["t2"] < 20
+
+    run(scenario())
+
+
+def test_without_connections_all_targets_are_used_alike(run):
+    async def scenario():
+        counts = count_choices(build_app_board(), requests=400)
+        assert min(counts.values()) > 60
+
+    run(scenario())
--- a/tests/support/node.py
+++ b/tests/support/node.py
@@ -216,14 +216,19 @@
 class Cluster:
     """Nodes on one store; stands for the HTTP client between them too."""
 
-    def __init__(self, store, engines, names="abc"):
+    def __init__(self, store, engines, names="abc", data_centre=""):
+        """Gives each node a data centre of its own unless one is named."""
         self.store = store
         self.engines = engines
         self.dead = set()
         self.lose_take_answers = 0
         self.records = {
             name: NodeRecord(
-                name, 1, "dc", Address("10.0.0.1", n), Address("10.0.0.2", n)
+                name,
+                1,
+                data_centre or f"dc-{name}",
+                Address("10.0.0.1", n),
+                Address("10.0.0.2", n),
             )
             for n, name in enumerate(names, 1)
         }
@@ -248,7 +253,7 @@
         desk = self.nodes[name].desk
         if path == peer_jobs.TAKE_PATH:
             handover = msgspec.msgpack.decode(body, type=peer_jobs.JobHandover)
-            status = 200 if desk.take_handover(handover) else 409
+            status = 200 if desk.handovers.take(handover) else 409
             if self.lose_take_answers:
                 self.lose_take_answers -= 1
                 raise ConnectionLost("the answer was lost")
