Load weights after a step has begun, fill own engines first, leave queues

Engines that suit all open jobs now load 0.8 s after the last one came; a model's own engines are filled first and foreign ones keep a third of their places; a run without an event for 0.5 s leaves when another engine has a place.

--- a/src/tamarackshelf/jobs/book.py
+++ b/src/tamarackshelf/jobs/book.py
@@ -13,7 +13,7 @@
 from tamarackshelf.store.job_store import StoredHead
 from tamarackshelf.store.link import StoreLink
 from tamarackshelf.tasks import stop_tasks
-from tamarackshelf.world.job import JobHead
+from tamarackshelf.world.job import JobHead, JobState, ModelDemand
 
 # Several steps of each trainer, so that their order does not matter.
 WORK_WINDOW_S = 20.0
@@ -79,18 +79,29 @@
         due_after_s = 0.0 if found is None else found.job_due_s
         return asyncio.get_running_loop().time() - age_s + due_after_s
 
-    def measure_work(self) -> dict[str, float]:
-        """Returns the expected tokens of the jobs accepted lately, by model."""
+    def measure_demand(self) -> dict[str, ModelDemand]:
+        """Returns what the jobs of each model ask of its engines."""
         now_ms = self._link.now_store_ms() or 0
-        work: dict[str, float] = {}
+        demands: dict[str, ModelDemand] = {}
         for stored in self.heads.values():
             head = stored.head
-            if now_ms - head.accepted_store_ms <= WORK_WINDOW_S * 1000:
-                work[head.model] = work.get(head.model, 0.0) + head.expected_tokens
-        return work
+            age_s = (now_ms - head.accepted_store_ms) / 1000
+            if age_s <= WORK_WINDOW_S:
+                before = demands.get(head.model, ModelDemand())
+                demands[head.model] = _add(before, head, max(0.0, age_s))
+        return demands
 
     def _end_take(self, job_id: str, _: asyncio.Task[None]) -> None:
         self._taking.pop(job_id, None)
 
 
+def _add(before: ModelDemand, head: JobHead, age_s: float) -> ModelDemand:
+    is_open = head.state is JobState.OPEN
+    return ModelDemand(
+        before.expected_tokens + head.expected_tokens,
+        min(before.newest_age_s, age_s),
+        max(before.needed_version, head.min_version if is_open else 0),
+    )
+
+
 __all__ = ["JobBook"]
--- a/src/tamarackshelf/jobs/desk.py
+++ b/src/tamarackshelf/jobs/desk.py
@@ -36,7 +36,7 @@
 from tamarackshelf.store.link import StoreLink
 from tamarackshelf.store.table_watch import TableWatch
 from tamarackshelf.tasks import start_task, stop_tasks
-from tamarackshelf.world.job import Job, JobHead, JobState
+from tamarackshelf.world.job import Job, JobHead, JobState, ModelDemand
 
 TICK_S = 0.2
 ACCEPT_TIMEOUT_S = 3.0
@@ -77,9 +77,9 @@
         """Returns the heads of all jobs that this node knows."""
         return self._book.heads
 
-    def measure_work(self) -> dict[str, float]:
-        """Returns the expected tokens of the jobs accepted lately, by model."""
-        return self._book.measure_work()
+    def measure_demand(self) -> dict[str, ModelDemand]:
+        """Returns what the jobs of each model ask of its engines."""
+        return self._book.measure_demand()
 
     async def start(self, fleet: Fleet) -> None:
         """Starts to look for jobs that this node has to run."""
@@ -189,6 +189,7 @@
             path=job.path,
             model=job.model,
             expected_tokens=sum(item.expected_tokens for item in job.items),
+            min_version=job.min_version,
         )
 
     def _note_accepted(self, job: Job, stored: StoredHead | None, reason: str) -> None:
--- a/src/tamarackshelf/jobs/item_state.py
+++ b/src/tamarackshelf/jobs/item_state.py
@@ -29,6 +29,8 @@
     engine: str
     service: str
     started_s: float
+    # How much text there was when it began.
+    pieces_before: int = 0
 
 
 @dataclass(slots=True)
--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 from collections.abc import Coroutine
-from dataclasses import replace
 from functools import partial
 
 from tamarackshelf.contracts.rows import RowStoreError
@@ -35,6 +34,7 @@
     WaitingItem,
     order_items,
     place_item,
+    take_place,
 )
 from tamarackshelf.policy.route_table import pick_service
 from tamarackshelf.store.job_store import HeadChanged, JobStore, StoredHead
@@ -221,7 +221,7 @@
             if target is None:
                 continue
             self._start(job, state, target, found)
-            engines[key] = [_take_place(e, target) for e in engines[key]]
+            engines[key] = [take_place(e, target.target.name) for e in engines[key]]
         self.stragglers.look(self.jobs.values(), self._due_s, now_s)
 
     def _list_waiting(self, now_s: float) -> list[WaitingItem]:
@@ -281,7 +281,9 @@
     ) -> None:
         state.stage = ItemStage.RUNNING
         target.in_flight += 1
-        state.run = CurrentRun(target.target.name, target.target.service, _now_s())
+        state.run = CurrentRun(
+            target.target.name, target.target.service, _now_s(), len(state.pieces)
+        )
         self._track(job, state, self._work(job, state, target, found))
 
     async def _work(
@@ -465,12 +467,6 @@
     return isinstance(error, TargetChanged) or type(error) is NotRun
 
 
-def _take_place(engine: EnginePlace, target: TargetState) -> EnginePlace:
-    if engine.name != target.target.name:
-        return engine
-    return replace(engine, in_use=engine.in_use + 1)
-
-
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
 
--- a/src/tamarackshelf/jobs/stragglers.py
+++ b/src/tamarackshelf/jobs/stragglers.py
@@ -10,10 +10,18 @@
 from tamarackshelf.node.targets import TargetBoard
 from tamarackshelf.observe import Timeline
 from tamarackshelf.policy.engine_wish import choose_wish
-from tamarackshelf.policy.item_placement import RunningItem, choose_moves
+from tamarackshelf.policy.item_placement import (
+    EnginePlace,
+    RunningItem,
+    choose_moves,
+    place_item,
+    take_place,
+)
 
 # A run stays on its engine at least as long, so that moves cannot chase each other.
 STAY_S = 0.4
+# An engine with a free place reads a prompt in and makes an event in a tenth of it.
+QUEUE_PATIENCE_S = 0.5
 # About as many tokens come in one event; only used to order runs by what is left.
 TOKENS_PER_PIECE = 50
 # The time of an event before any was measured.
@@ -40,6 +48,8 @@
         """Moves runs off slow engines and wishes for engines; clocks of the loop."""
         open_jobs = [job for job in jobs if job.is_open]
         self._move(open_jobs, now_s)
+        for job in open_jobs:
+            self._leave_queues(job, now_s)
         for job in open_jobs:
             self._wish(job, due_s[job.job_id] - now_s, now_s)
 
@@ -69,6 +79,32 @@
                 )
                 job.stop_run(item.item_id)
 
+    def _leave_queues(self, job: OwnedJob, now_s: float) -> None:
+        """Stops runs that wait at a full engine when another one has a place."""
+        queued = [
+            (state, state.run)
+            for state in job.items.values()
+            if state.run is not None
+            and len(state.pieces) == state.run.pieces_before
+            and now_s - state.run.started_s >= QUEUE_PATIENCE_S
+        ]
+        for _, run in queued:
+            self._board.note_queue(run.engine)
+        engines: list[EnginePlace] = []
+        for state, run in queued:
+            engines = engines or self._board.engines(run.service, job.job.model)
+            place = place_item(engines, job.job.min_version, (run.engine,))
+            if place is None:
+                return
+            engines = [take_place(engine, place) for engine in engines]
+            self._timeline.record(
+                "item_moved",
+                state.item.item_id,
+                "it waits at its engine",
+                target=run.engine,
+            )
+            job.stop_run(state.item.item_id)
+
     def _wish(self, job: OwnedJob, left_s: float, now_s: float) -> None:
         """Asks for the weights on one more engine when a job will be late."""
         wished = self._choose_wish(job, left_s)
--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -213,7 +213,8 @@
             self._timeline,
         )
         self.weights.configuration = lambda: self.view.configuration
-        self.weights.measure_work = self.desk.measure_work
+        self.weights.measure_demand = self.desk.measure_demand
+        self.board.share_of = self.weights.share_of
         self._follow(self.weights)
         self._connect_wishes(fleet, self.weights)
         await self._watches[NODE_TABLE].loaded.wait()
--- a/src/tamarackshelf/node/targets.py
+++ b/src/tamarackshelf/node/targets.py
@@ -13,12 +13,14 @@
 from tamarackshelf.observe import Timeline
 from tamarackshelf.policy.item_placement import EnginePlace
 from tamarackshelf.policy.routing import Candidate, Need, route
-from tamarackshelf.world import Target
+from tamarackshelf.world import Target, TargetKind
 
 # A target that refused or failed gets no new work for as long.
 AVOID_S = 0.3
 # A load report counts less and less until it is this old.
 REPORT_FADES_S = 1.0
+# Texts take seconds, so what others run at an engine is still there a little later.
+ENGINE_REPORT_FADES_S = 2.0
 # The median of the last durations passes over single pauses.
 DURATIONS_KEPT = 7
 DURATIONS_NEEDED = 3
@@ -78,6 +80,8 @@
         self.rng = rng
         # Tells whether an idle connection to a target is there.
         self.is_connected: Callable[[Target], bool] = lambda target: False
+        # Returns the model that an engine follows, or nothing when it is not known.
+        self.share_of: Callable[[str], str] = lambda engine: ""
         self._timeline = timeline
         self._recovered_at_s = recovered_at_s
         self._states: dict[str, TargetState] = {}
@@ -167,6 +171,14 @@
             state.others = max(0, load.running + load.waiting - state.in_flight)
             state.reported_at_s = _now_s()
 
+    def note_queue(self, name: str) -> None:
+        """Takes that a run waits at an engine, so all its places are taken."""
+        state = self._states.get(name)
+        if state is not None:
+            taken = state.target.concurrency - state.in_flight
+            state.others = max(state.others, taken)
+            state.reported_at_s = _now_s()
+
     def note_duration(self, name: str, duration: float) -> None:
         """Takes how long a request or an event took at a target.
 
@@ -246,6 +258,7 @@
                 version=state.version_of(model),
                 slowness=_compare(state.usual(), fastest),
                 is_connected=self.is_connected(state.target),
+                is_foreign=self.share_of(state.target.name) not in ("", model),
             )
             for state in states
             if state.avoid_until_s <= now_s
@@ -267,7 +280,9 @@
 
 def _fade(state: TargetState, now_s: float) -> float:
     age_s = now_s - state.reported_at_s
-    return state.others * max(0.0, 1.0 - age_s / REPORT_FADES_S)
+    is_engine = state.target.kind is TargetKind.ENGINE
+    fades_s = ENGINE_REPORT_FADES_S if is_engine else REPORT_FADES_S
+    return state.others * max(0.0, 1.0 - age_s / fades_s)
 
 
 def _find_fastest(states: Iterable[TargetState]) -> float | None:
--- a/src/tamarackshelf/node/weights.py
+++ b/src/tamarackshelf/node/weights.py
@@ -24,12 +24,14 @@
 from tamarackshelf.policy.weight_roll import (
     EngineView,
     RollMemory,
+    choose_version,
     note_order,
     plan_wave,
 )
 from tamarackshelf.store.fleet_rows import StoredLease, read_lease, take_lease
 from tamarackshelf.store.link import StoreLink
 from tamarackshelf.tasks import start_task, stop_tasks
+from tamarackshelf.world.job import ModelDemand
 from tamarackshelf.world.route import RoutingConfiguration
 
 LEASE_NAME = "weights"
@@ -39,8 +41,6 @@
 # A load takes about as long; reports before that would only cost.
 LOAD_S = 0.95
 REPORT_GAP_S = 0.2
-# Work changes with each step, every few seconds; adding it up takes a look at all jobs.
-WORK_CHECK_S = 1.0
 # An accepted order without effect for as long counts as failed.
 GIVE_UP_S = 3.0
 # The engines of one model that load at once.
@@ -63,8 +63,9 @@
     sequences: dict[tuple[str, int], int] = field(default_factory=dict)
     wishes: dict[tuple[str, str], float] = field(default_factory=dict)
     roll: RollMemory = field(default_factory=RollMemory)
-    work: Mapping[str, float] = field(default_factory=dict)
-    work_at_s: float = float("-inf")
+    demand: Mapping[str, ModelDemand] = field(default_factory=dict)
+    demand_at_s: float = float("-inf")
+    named_at_s: dict[str, float] = field(default_factory=dict)
 
 
 class WeightKeeper:
@@ -81,8 +82,7 @@
     ) -> None:
         self.named: dict[str, int] = {}
         self.configuration: Callable[[], RoutingConfiguration | None] = lambda: None
-        # Returns what each model's jobs asked for lately.
-        self.measure_work: Callable[[], Mapping[str, float]] = dict
+        self.measure_demand: Callable[[], Mapping[str, ModelDemand]] = dict
         self._link = link
         self._fleet = fleet
         self._board = board
@@ -108,10 +108,15 @@
         """Takes a version that a trainer named."""
         if version > self.named.get(model, 0):
             self.named[model] = version
+            self._memory.named_at_s[model] = _now_s()
             self._timeline.record(
                 "version_named", model, "its trainer", version=version
             )
 
+    def share_of(self, engine: str) -> str:
+        """Returns the model that an engine follows; every node works it out alike."""
+        return self._memory.shares.get(engine, "")
+
     def wish(self, model: str, engine: str) -> None:
         """Takes that a job's owner wants a model's weights on an engine too."""
         self._memory.wishes[model, engine] = _now_s() + WISH_HOLDS_S
@@ -138,7 +143,7 @@
 
     def _is_behind(self, engine: TargetState, model: str) -> bool:
         known = engine.version_of(model)
-        return known is not None and known < self.named.get(model, 1)
+        return known is not None and known < self._choose_version(model)
 
     def _group(self) -> dict[str, list[TargetState]]:
         """Returns the engines of each model, shared out among its service's models."""
@@ -156,7 +161,7 @@
                 service.models,
                 versions,
                 self._memory.shares,
-                self._recall_work(),
+                {m: d.expected_tokens for m, d in self._recall_demand().items()},
             )
             self._memory.shares.update(shares)
             for name, model in shares.items():
@@ -167,12 +172,18 @@
                     group.append(engines[name])
         return groups
 
-    def _recall_work(self) -> Mapping[str, float]:
+    def _recall_demand(self) -> Mapping[str, ModelDemand]:
         now_s = _now_s()
         memory = self._memory
-        if now_s - memory.work_at_s >= WORK_CHECK_S:
-            memory.work, memory.work_at_s = self.measure_work(), now_s
-        return memory.work
+        if now_s - memory.demand_at_s >= TICK_S:
+            memory.demand, memory.demand_at_s = self.measure_demand(), now_s
+        return memory.demand
+
+    def _choose_version(self, model: str) -> int:
+        """Returns the version that the model's engines should have by now."""
+        demand = self._recall_demand().get(model, ModelDemand())
+        named_age_s = _now_s() - self._memory.named_at_s.get(model, float("-inf"))
+        return choose_version(self.named.get(model, 1), demand, named_age_s)
 
     def _list_wishes(self) -> list[tuple[str, str]]:
         now_s = _now_s()
@@ -226,7 +237,7 @@
     def _order_all(self) -> None:
         now_s = _now_s()
         for model, engines in self._group().items():
-            version = self.named.get(model, 1)
+            version = self._choose_version(model)
             views = [self._to_view(engine, model) for engine in engines]
             wave = plan_wave(views, version, WAVE_SHARE, self._memory.roll, now_s)
             for engine in engines:
--- a/src/tamarackshelf/policy/item_placement.py
+++ b/src/tamarackshelf/policy/item_placement.py
@@ -7,8 +7,9 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Collection, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 # A run is moved when its engine takes this many times as long for an event as one
 # with a free place: reading a text in again costs less than two events.
@@ -18,6 +19,11 @@
 FULL_FACTOR = 0.05
 # A new connection costs less than an event; it decides only among equal engines.
 CONNECT_COST = 0.02
+# Above all that a full engine costs: a model's own engines are filled first, as steps
+# of several models begin together and would meet on each other's engines.
+FOREIGN_COST = 0.1
+# Part of its places that an engine keeps for its own model.
+KEPT_SHARE = 0.34
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,7 +55,7 @@
     """An engine as this node sees it.
 
     `slowness` is its time for an event against the fastest engine of the service;
-    `version` is None while it is not known.
+    `version` is None while it is not known; a foreign one follows another model.
     """
 
     name: str
@@ -58,12 +64,19 @@
     version: int | None
     slowness: float = 1.0
     is_connected: bool = False
+    is_foreign: bool = False
 
     @property
     def free(self) -> int:
         """Returns how many more items fit."""
         return max(0, self.places - self.in_use)
 
+    @property
+    def room(self) -> int:
+        """Returns how many more items this model may put here."""
+        kept = math.ceil(self.places * KEPT_SHARE) if self.is_foreign else 0
+        return max(0, self.free - kept)
+
 
 def order_items(items: Sequence[WaitingItem]) -> list[WaitingItem]:
     """Returns items in the order to start them."""
@@ -86,7 +99,7 @@
     fit = [
         engine
         for engine in engines
-        if engine.free > 0
+        if engine.room > 0
         and engine.name not in excluded
         and (engine.version is None or engine.version >= min_version)
     ]
@@ -96,6 +109,13 @@
     return best.name
 
 
+def take_place(engine: EnginePlace, chosen: str) -> EnginePlace:
+    """Returns the engine with one place less when it is the chosen one."""
+    if engine.name != chosen:
+        return engine
+    return replace(engine, in_use=engine.in_use + 1)
+
+
 def choose_moves(
     running: Sequence[RunningItem], engines: Sequence[EnginePlace]
 ) -> list[RunningItem]:
@@ -104,7 +124,7 @@
     The longest go first, each only when a much faster engine has a free place.
     """
     by_name = {engine.name: engine for engine in engines}
-    free = {engine.name: engine.free for engine in engines}
+    free = {engine.name: engine.room for engine in engines}
     moves = []
     for item in sorted(running, key=lambda r: (-r.remaining_tokens, r.item_id)):
         here = by_name.get(item.engine)
@@ -127,8 +147,9 @@
 def _cost(engine: EnginePlace) -> tuple[float, str]:
     """Returns the expected time of an event, more the fuller the engine is."""
     filled = engine.in_use / max(1, engine.places)
-    connect = 0.0 if engine.is_connected else CONNECT_COST
-    return (engine.slowness * (1.0 + FULL_FACTOR * filled + connect), engine.name)
+    extra = 0.0 if engine.is_connected else CONNECT_COST
+    extra += FOREIGN_COST if engine.is_foreign else 0.0
+    return (engine.slowness * (1.0 + FULL_FACTOR * filled + extra), engine.name)
 
 
 __all__ = [
@@ -138,4 +159,5 @@
     "choose_moves",
     "order_items",
     "place_item",
+    "take_place",
 ]
--- a/src/tamarackshelf/policy/weight_roll.py
+++ b/src/tamarackshelf/policy/weight_roll.py
@@ -5,9 +5,15 @@
 import math
 from dataclasses import dataclass, field
 
+from tamarackshelf.world.job import ModelDemand
+
 FIRST_BACKOFF_S = 0.5
 LONGEST_BACKOFF_S = 8.0
 FAILURES_TO_REPORT = 3
+# Items of a job have found their first places by then; the next step is seconds off.
+RUSH_S = 0.8
+# A trainer hands its step in right after it named a version.
+NAMED_HOLD_S = 0.1
 
 
 @dataclass(frozen=True, slots=True)
@@ -53,6 +59,16 @@
     return [engine.name for engine in behind[: max(0, wave)]]
 
 
+def choose_version(named: int, demand: ModelDemand, named_age_s: float) -> int:
+    """Returns the version to order; not yet the named one while a step begins.
+
+    An engine takes no new run while it loads. Right after a job came its items look
+    for places, so engines that suit all open jobs load only once they have started.
+    """
+    is_rush = demand.newest_age_s < RUSH_S or named_age_s < NAMED_HOLD_S
+    return min(named, demand.needed_version) if is_rush else named
+
+
 def note_order(memory: RollMemory, name: str, *, succeeded: bool, now_s: float) -> int:
     """Remembers an order's outcome; returns the failures in a row."""
     if succeeded:
@@ -70,6 +86,7 @@
     "FAILURES_TO_REPORT",
     "EngineView",
     "RollMemory",
+    "choose_version",
     "note_order",
     "plan_wave",
 ]
--- a/src/tamarackshelf/world/job.py
+++ b/src/tamarackshelf/world/job.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from dataclasses import dataclass
 
 
@@ -66,6 +67,20 @@
     model: str
     # What its items are expected to make together, for sharing out engines.
     expected_tokens: int = 0
+    min_version: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ModelDemand:
+    """What the jobs of one model ask of its engines.
+
+    `expected_tokens` are those of the jobs accepted lately, `newest_age_s` is how long
+    ago the last one came, `needed_version` the oldest that all open ones may use.
+    """
+
+    expected_tokens: int = 0
+    newest_age_s: float = math.inf
+    needed_version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -97,5 +112,6 @@
     "JobHead",
     "JobItem",
     "JobState",
+    "ModelDemand",
     "ScoreCall",
 ]
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -329,6 +329,20 @@
     play(scenario)
 
 
+def test_load_of_runs_that_wait_at_a_full_engine_goes_elsewhere(play):
+    """Pattern: another node's step took all places of an engine a moment before."""
+
+    async def scenario(cluster):
+        cluster.engines.queue_s["e2"] = 6.0
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        job = await submit(cluster, job=build_job(items=8))
+        check_whole(await read_whole(cluster, "a", job), job)
+        assert loop.time() - started_s < 2.0
+
+    play(scenario)
+
+
 def test_load_of_a_slow_engine_moves_its_runs(play):
     """Pattern: one of two engines turns slow in the middle of a step."""
 
--- a/tests/policy/test_item_placement.py
+++ b/tests/policy/test_item_placement.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import math
 from random import Random
 
+import pytest
+
 from tamarackshelf.policy.engine_share import share_engines
 from tamarackshelf.policy.item_placement import (
     EnginePlace,
@@ -12,7 +15,10 @@
     choose_moves,
     order_items,
     place_item,
+    take_place,
 )
+from tamarackshelf.policy.weight_roll import choose_version
+from tamarackshelf.world.job import ModelDemand
 
 EVENT_S = 0.036
 
@@ -96,6 +102,41 @@
     assert shares == {"e1": "m0", "e2": "m1", "e3": "m0", "e4": "m1"}
 
 
+def test_load_of_steps_that_begin_together_fills_own_engines_first():
+    """Pattern: steps of several models begin at once and know nothing of each other."""
+    engines = [
+        EnginePlace("a-foreign", 6, 0, 5, is_foreign=True),
+        EnginePlace("own1", 6, 0, 5),
+        EnginePlace("own2", 6, 0, 5),
+    ]
+    placed = []
+    while (name := place_item(engines, 4)) is not None:
+        placed.append(name)
+        engines = [take_place(engine, name) for engine in engines]
+    assert "a-foreign" not in placed[:12]
+    # The other model keeps places at its own engine.
+    assert placed[12:] == ["a-foreign"] * 3
+
+
+@pytest.mark.parametrize(
+    ("age_s", "named_age_s", "needed", "expected"),
+    [
+        (0.2, 5.0, 6, 6),
+        (0.2, 5.0, 7, 7),
+        (1.0, 5.0, 6, 7),
+        (9.0, 0.05, 6, 6),
+        (math.inf, 1.0, 0, 7),
+    ],
+    ids=["step begins", "step needs it", "step runs", "just named", "no step"],
+)
+def test_engines_load_once_the_items_of_a_step_have_places(
+    age_s, named_age_s, needed, expected
+):
+    """Pattern: a trainer names a version and hands its next step in at once."""
+    demand = ModelDemand(900, age_s, needed)
+    assert choose_version(7, demand, named_age_s) == expected
+
+
 GROWN = [f"e{n:02d}" for n in range(19)]
 # Events of a step each: 56 x 7, 64 x 18, 56 x 21 and 64 x 14.
 STEPS = {"short": 392, "long": 1152, "name": 1176, "coin": 896}
--- a/tests/support/node.py
+++ b/tests/support/node.py
@@ -103,6 +103,8 @@
         self.score_faults = []
         self.faults = {}
         self.slowness = {}
+        # Seconds for which runs wait for a place, by engine.
+        self.queue_s = {}
         self.version = 1
 
     async def run_item(self, target, run):
@@ -115,6 +117,7 @@
             self.overlaps.append(item_id)
         self.running[item_id] = True
         try:
+            await asyncio.sleep(self.queue_s.get(target.name, 0.0))
             for number in range(run.after_event_id + 1, self.pieces):
                 await asyncio.sleep(EVENT_S * self.slowness.get(target.name, 1.0))
                 if fault is not None and number >= fault:
