Leave failing targets out for growing pauses and try them with one request

A fault now counts once for all requests in flight; faults without a success between them pause a target for 0.3, 1, 2, 4, 8 s, and then one request at a time shows whether it is back. With fewer than half of a service's targets sound, pauses stay at 0.3 s.

--- a/src/tamarackshelf/entry/forwarder.py
+++ b/src/tamarackshelf/entry/forwarder.py
@@ -21,8 +21,6 @@
 from tamarackshelf.policy.route_table import pick_service
 from tamarackshelf.world.route import Route, RouteKind
 
-# A target that changed its address or refuses connections is left out as long.
-GONE_PAUSE_S = 1.0
 # A first attempt leaves this share of the time for a second one.
 ATTEMPT_SHARE = 0.5
 # Between rounds in which every target refused.
@@ -179,12 +177,15 @@
             )
         except NotRun as error:
             is_gone = isinstance(error, TargetChanged) or type(error) is NotRun
-            self._board.avoid(name, str(error), GONE_PAUSE_S if is_gone else AVOID_S)
+            if is_gone:
+                self._board.note_fault(name, str(error))
+            else:
+                self._board.avoid(name, str(error), AVOID_S)
             tries.last_reason = str(error)
             tries.runs -= 1
             return None
         except OutcomeUnknown as error:
-            self._board.avoid(name, str(error), AVOID_S)
+            self._board.note_fault(name, str(error))
             tries.last_reason = str(error)
             tries.may_have_run = True
             return None
@@ -195,6 +196,7 @@
         finally:
             state.in_flight -= 1
         tries.may_have_run = True
+        self._board.note_success(name)
         self._board.note_duration(name, self._compare(started_s, found))
         self._board.note_load(name, answer.load)
         return self._judge(answer, name, tries, has_more)
--- a/src/tamarackshelf/entry/streamer.py
+++ b/src/tamarackshelf/entry/streamer.py
@@ -14,6 +14,7 @@
     StreamHead,
     StreamPiece,
     TargetCalls,
+    TargetFull,
 )
 from tamarackshelf.entry.forwarder import RETRY_AFTER_S
 from tamarackshelf.errors import AnswerLost, NoTarget
@@ -99,6 +100,7 @@
             stream.runs += 1
             stream.may_have_run = True
             assert isinstance(head, StreamHead)
+            self._board.note_success(name)
             return head, parts, state
         raise self._to_error(stream)
 
@@ -156,7 +158,10 @@
     ) -> None:
         state.in_flight -= 1
         stream.reason = str(error) or repr(error)
-        self._board.avoid(state.target.name, stream.reason, AVOID_S)
+        if isinstance(error, TargetFull):
+            self._board.avoid(state.target.name, stream.reason, AVOID_S)
+        else:
+            self._board.note_fault(state.target.name, stream.reason)
 
     def _to_error(self, stream: _Stream) -> NoTarget | AnswerLost:
         if stream.may_have_run:
--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -48,10 +48,8 @@
 # An engine answers within a step and its prefill unless it is stuck or loads weights.
 FIRST_EVENT_S = 2.5
 # Several times the slowest event of a slow engine, and longer than a weight load.
-NEXT_EVENT_S = 1.8
+NEXT_EVENT_S = 1.3
 FULL_PAUSE_S = 0.12
-BROKEN_PAUSE_S = 0.3
-GONE_PAUSE_S = 1.0
 FAILED_PAUSE_S = 0.05
 # Texts of running items are stored this often, for whoever takes a job over.
 SAVE_EVERY_S = 1.5
@@ -318,11 +316,13 @@
             reason = "whole"
             return True
         except NotRun as error:
-            pause_s = GONE_PAUSE_S if _is_gone(error) else FULL_PAUSE_S
-            self._board.avoid(name, str(error), pause_s)
+            if _is_gone(error):
+                self._board.note_fault(name, str(error))
+            else:
+                self._board.avoid(name, str(error), FULL_PAUSE_S)
             reason = str(error)
         except (OutcomeUnknown, BrokenText) as error:
-            self._board.avoid(name, str(error), BROKEN_PAUSE_S)
+            self._board.note_fault(name, str(error))
             reason = str(error)
         except OldVersion as error:
             reason = str(error)
@@ -365,6 +365,7 @@
             async for event in events:
                 self._check_version(job, state, target, found, event)
                 state.add(event)
+                self._board.note_success(target.name)
                 now_s = _now_s()
                 if last_s is not None:
                     self._board.note_duration(target.name, now_s - last_s)
--- a/src/tamarackshelf/jobs/scorer.py
+++ b/src/tamarackshelf/jobs/scorer.py
@@ -10,6 +10,7 @@
     NotRun,
     OutcomeUnknown,
     TargetCalls,
+    TargetFull,
 )
 from tamarackshelf.entry.hedge import HEDGE_AT_SHARE, Attempt, build_budget, race
 from tamarackshelf.node.targets import AVOID_S, TargetBoard, TargetState
@@ -118,7 +119,10 @@
         try:
             score = await self._calls.score(state.target, call, timeout_s)
         except (NotRun, OutcomeUnknown) as error:
-            self._board.avoid(name, str(error), AVOID_S)
+            if isinstance(error, TargetFull):
+                self._board.avoid(name, str(error), AVOID_S)
+            else:
+                self._board.note_fault(name, str(error))
             self._timeline.record("score_repeated", call.call_id, str(error))
             return None
         except asyncio.CancelledError:
@@ -127,6 +131,7 @@
             raise
         finally:
             state.in_flight -= 1
+        self._board.note_success(name)
         self._board.note_duration(name, _compare(started_s, found))
         return score
 
--- a/src/tamarackshelf/jobs/stragglers.py
+++ b/src/tamarackshelf/jobs/stragglers.py
@@ -90,6 +90,8 @@
         ]
         for _, run in queued:
             self._board.note_queue(run.engine)
+            if self._board.is_on_trial(run.engine):
+                self._board.note_fault(run.engine, "a trial run got no event")
         engines: list[EnginePlace] = []
         for state, run in queued:
             engines = engines or self._board.engines(run.service, job.job.model)
--- a/src/tamarackshelf/node/targets.py
+++ b/src/tamarackshelf/node/targets.py
@@ -11,6 +11,7 @@
 
 from tamarackshelf.contracts.targets import TargetLoad, TargetRecord
 from tamarackshelf.observe import Timeline
+from tamarackshelf.policy.ejection import TargetHealth, compute_sound_share
 from tamarackshelf.policy.item_placement import EnginePlace
 from tamarackshelf.policy.routing import Candidate, Need, route
 from tamarackshelf.world import Target, TargetKind
@@ -51,6 +52,7 @@
     )
     measured_at_s: float = float("-inf")
     versions: dict[str, int] = field(default_factory=dict)
+    health: TargetHealth = field(default_factory=TargetHealth)
 
     @property
     def target(self) -> Target:
@@ -158,12 +160,37 @@
         return [s for s in self._states.values() if s.target.service in wanted]
 
     def avoid(self, name: str, reason: str, duration_s: float = AVOID_S) -> None:
-        """Gives a target no new work for a while."""
+        """Gives a target that has no room no new work for a while."""
         state = self._states.get(name)
         if state is not None:
             state.avoid_until_s = max(state.avoid_until_s, _now_s() + duration_s)
             state.avoid_reason = reason
 
+    def note_fault(self, name: str, reason: str) -> None:
+        """Takes that a target broke off, stayed silent or was not there."""
+        state = self._states.get(name)
+        if state is not None and state.health.note_fault(reason, _now_s()):
+            health = state.health
+            self._timeline.record(
+                "target_out",
+                name,
+                reason,
+                strikes=health.strikes,
+                pause_ms=round((health.out_until_s - health.struck_at_s) * 1000),
+            )
+
+    def is_on_trial(self, name: str) -> bool:
+        """Tells whether a target has yet to show that it works again."""
+        state = self._states.get(name)
+        return state is not None and not state.health.is_sound(_now_s())
+
+    def note_success(self, name: str) -> None:
+        """Takes that a target answered as it should."""
+        state = self._states.get(name)
+        if state is not None and state.health.strikes:
+            state.health.note_success()
+            self._timeline.record("target_sound", name, "it answers again")
+
     def note_load(self, name: str, load: TargetLoad | None) -> None:
         """Takes the load that a target reported."""
         state = self._states.get(name)
@@ -208,13 +235,14 @@
         states = self.of_service(service)
         fastest = _find_fastest(states)
         now_s = _now_s()
+        sound = compute_sound_share([state.health for state in states], now_s)
         return [
             Candidate(
                 target=state.target,
                 own_in_flight=state.in_flight,
                 others_in_flight=round(_fade(state, now_s)),
                 share=state.target.concurrency,
-                ruled_out=state.avoid_reason if state.avoid_until_s > now_s else "",
+                ruled_out=_rule_out(state, sound, now_s),
                 slowness=_compare(state.usual(), fastest),
                 is_connected=self.is_connected(state.target),
             )
@@ -250,10 +278,12 @@
         states = self.of_service(service)
         fastest = _find_fastest(states)
         now_s = _now_s()
+        sound = compute_sound_share([state.health for state in states], now_s)
         return [
             EnginePlace(
                 name=state.target.name,
-                places=state.target.concurrency,
+                # One run tells whether the engine is back.
+                places=state.target.concurrency if state.health.is_sound(now_s) else 1,
                 in_use=state.in_flight + round(_fade(state, now_s)),
                 version=state.version_of(model),
                 slowness=_compare(state.usual(), fastest),
@@ -261,7 +291,7 @@
                 is_foreign=self.share_of(state.target.name) not in ("", model),
             )
             for state in states
-            if state.avoid_until_s <= now_s
+            if not _rule_out(state, sound, now_s)
         ]
 
     def fastest_event_s(self, service: str) -> float | None:
@@ -278,6 +308,17 @@
             listener()
 
 
+def _rule_out(state: TargetState, sound_share: float, now_s: float) -> str:
+    """Returns why a target gets nothing now, or nothing."""
+    if state.avoid_until_s > now_s:
+        return state.avoid_reason
+    if state.health.is_out(sound_share, now_s):
+        return state.health.reason
+    if not state.health.is_sound(now_s) and state.in_flight:
+        return "a trial request is still there"
+    return ""
+
+
 def _fade(state: TargetState, now_s: float) -> float:
     age_s = now_s - state.reported_at_s
     is_engine = state.target.kind is TargetKind.ENGINE
--- a/tests/node/test_targets.py
+++ b/tests/node/test_targets.py
@@ -126,3 +126,22 @@
         assert min(counts.values()) > 60
 
     run(scenario())
+
+
+def test_target_on_trial_gets_one_request_until_it_succeeds(run):
+    """Pattern: a target goes down and up by turns."""
+
+    async def scenario():
+        board = build_app_board()
+        board.note_fault("t2", "reset")
+        assert count_choices(board)["t2"] == 0
+        await asyncio.sleep(0.4)
+        assert count_choices(board)["t2"] > 0
+        board.get("t2").in_flight = 1
+        assert count_choices(board)["t2"] == 0
+        board.note_success("t2")
+        for name in ("t1", "t3", "t4"):
+            board.get(name).in_flight = 1
+        assert count_choices(board)["t2"] > 0
+
+    run(scenario())
