Move runs of which nothing comes any more

A run silent for half a second, and for six of its engine's usual events, now goes on elsewhere when there is a place, and its engine has a fault.

--- a/src/tamarackshelf/jobs/item_state.py
+++ b/src/tamarackshelf/jobs/item_state.py
@@ -22,15 +22,19 @@
     """An event does not go on where the text ends."""
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class CurrentRun:
     """Where an item runs and since when; seconds of the loop's clock."""
 
     engine: str
     service: str
     started_s: float
-    # How much text there was when it began.
-    pieces_before: int = 0
+    # When its last event came.
+    heard_s: float | None = None
+
+    def silent_s(self, now_s: float) -> float:
+        """Returns for how long nothing came of it."""
+        return now_s - (self.started_s if self.heard_s is None else self.heard_s)
 
 
 @dataclass(slots=True)
--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -279,9 +279,7 @@
     ) -> None:
         state.stage = ItemStage.RUNNING
         target.in_flight += 1
-        state.run = CurrentRun(
-            target.target.name, target.target.service, _now_s(), len(state.pieces)
-        )
+        state.run = CurrentRun(target.target.name, target.target.service, _now_s())
         self._track(job, state, self._work(job, state, target, found))
 
     async def _work(
@@ -367,6 +365,8 @@
                 state.add(event)
                 self._board.note_success(target.name)
                 now_s = _now_s()
+                if state.run is not None:
+                    state.run.heard_s = now_s
                 if last_s is not None:
                     self._board.note_duration(target.name, now_s - last_s)
                 last_s = now_s
--- a/src/tamarackshelf/jobs/stragglers.py
+++ b/src/tamarackshelf/jobs/stragglers.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable, Iterable, Mapping
 
-from tamarackshelf.jobs.item_state import ItemStage
+from tamarackshelf.jobs.item_state import CurrentRun, ItemStage
 from tamarackshelf.jobs.owned_job import OwnedJob
 from tamarackshelf.jobs.scorer import TableSource
 from tamarackshelf.node.targets import TargetBoard
@@ -21,7 +21,9 @@
 # A run stays on its engine at least as long, so that moves cannot chase each other.
 STAY_S = 0.4
 # An engine with a free place reads a prompt in and makes an event in a tenth of it.
-QUEUE_PATIENCE_S = 0.5
+PATIENCE_S = 0.5
+# A slow engine is left for its speed, not for its silence.
+SILENT_EVENTS = 6.0
 # About as many tokens come in one event; only used to order runs by what is left.
 TOKENS_PER_PIECE = 50
 # The time of an event before any was measured.
@@ -49,7 +51,7 @@
         open_jobs = [job for job in jobs if job.is_open]
         self._move(open_jobs, now_s)
         for job in open_jobs:
-            self._leave_queues(job, now_s)
+            self._leave_silent(job, now_s)
         for job in open_jobs:
             self._wish(job, due_s[job.job_id] - now_s, now_s)
 
@@ -79,34 +81,38 @@
                 )
                 job.stop_run(item.item_id)
 
-    def _leave_queues(self, job: OwnedJob, now_s: float) -> None:
-        """Stops runs that wait at a full engine when another one has a place."""
-        queued = [
+    def _leave_silent(self, job: OwnedJob, now_s: float) -> None:
+        """Stops runs of which nothing comes when another engine has a place."""
+        silent = [
             (state, state.run)
             for state in job.items.values()
-            if state.run is not None
-            and len(state.pieces) == state.run.pieces_before
-            and now_s - state.run.started_s >= QUEUE_PATIENCE_S
+            if state.run is not None and self._is_silent(state.run, now_s)
         ]
-        for _, run in queued:
-            self._board.note_queue(run.engine)
-            if self._board.is_on_trial(run.engine):
-                self._board.note_fault(run.engine, "a trial run got no event")
+        for _, run in silent:
+            self._note_silence(run)
         engines: list[EnginePlace] = []
-        for state, run in queued:
+        for state, run in silent:
             engines = engines or self._board.engines(run.service, job.job.model)
             place = place_item(engines, job.job.min_version, (run.engine,))
             if place is None:
                 return
             engines = [take_place(engine, place) for engine in engines]
+            reason = "it waits at its engine" if run.heard_s is None else "no event"
             self._timeline.record(
-                "item_moved",
-                state.item.item_id,
-                "it waits at its engine",
-                target=run.engine,
+                "item_moved", state.item.item_id, reason, target=run.engine
             )
             job.stop_run(state.item.item_id)
 
+    def _is_silent(self, run: CurrentRun, now_s: float) -> bool:
+        usual_s = self._board.usual_event_s(run.engine) or USUAL_EVENT_S
+        return run.silent_s(now_s) >= max(PATIENCE_S, SILENT_EVENTS * usual_s)
+
+    def _note_silence(self, run: CurrentRun) -> None:
+        """Takes that an engine is full, or that it makes nothing any more."""
+        self._board.note_queue(run.engine)
+        if run.heard_s is not None or self._board.is_on_trial(run.engine):
+            self._board.note_fault(run.engine, "its runs get no event")
+
     def _wish(self, job: OwnedJob, left_s: float, now_s: float) -> None:
         """Asks for the weights on one more engine when a job will be late."""
         wished = self._choose_wish(job, left_s)
--- a/src/tamarackshelf/node/targets.py
+++ b/src/tamarackshelf/node/targets.py
@@ -294,6 +294,11 @@
             if not _rule_out(state, sound, now_s)
         ]
 
+    def usual_event_s(self, name: str) -> float | None:
+        """Returns the usual time of an event at one engine."""
+        state = self._states.get(name)
+        return None if state is None else state.usual()
+
     def fastest_event_s(self, service: str) -> float | None:
         """Returns the usual time of an event at the fastest engine of a service."""
         return _find_fastest(self.of_service(service))
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -343,6 +343,25 @@
     play(scenario)
 
 
+def test_load_of_an_engine_that_falls_silent_goes_on_elsewhere(play):
+    """Pattern: an engine is cut off under runs that were streaming."""
+
+    async def scenario(cluster):
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        job = await submit(cluster, job=build_job(items=8))
+        await asyncio.sleep(0.5)
+        cluster.engines.silent.add("e2")
+        check_whole(await read_whole(cluster, "a", job), job, pieces=40)
+        # All events of an item, the patience, and half a second for scores.
+        assert loop.time() - started_s < 40 * 0.036 + 0.5 + 0.5
+        resumed = [run for run in cluster.engines.runs if run[2] >= 0]
+        assert resumed
+        assert all(name == "e1" for _, name, _ in resumed)
+
+    play(scenario, pieces=40)
+
+
 def test_load_of_a_slow_engine_moves_its_runs(play):
     """Pattern: one of two engines turns slow in the middle of a step."""
 
--- a/tests/support/node.py
+++ b/tests/support/node.py
@@ -105,6 +105,8 @@
         self.slowness = {}
         # Seconds for which runs wait for a place, by engine.
         self.queue_s = {}
+        # Engines that make nothing and say nothing.
+        self.silent = set()
         self.version = 1
 
     async def run_item(self, target, run):
@@ -120,6 +122,8 @@
             await asyncio.sleep(self.queue_s.get(target.name, 0.0))
             for number in range(run.after_event_id + 1, self.pieces):
                 await asyncio.sleep(EVENT_S * self.slowness.get(target.name, 1.0))
+                if target.name in self.silent:
+                    await asyncio.sleep(3600)
                 if fault is not None and number >= fault:
                     raise OutcomeUnknown("the engine broke off")
                 yield ItemEvent(number, f"{item_id}:{number}", self.version)
