Give large jobs the time that a slow link needs, and drop the unused rank

Found by reading. The wait now grows with the job's bytes. WaitingItem.rank was the same for all items.

--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -236,7 +236,6 @@
                         job_id=job.job_id,
                         item_id=item.item_id,
                         group=item.group,
-                        rank=0,
                         due_s=self._due_s[job.job_id],
                         expected_tokens=item.expected_tokens,
                         is_begun=state.is_begun,
--- a/src/tamarackshelf/node/peer_jobs.py
+++ b/src/tamarackshelf/node/peer_jobs.py
@@ -16,6 +16,8 @@
 TAKE_PATH = "/job-take"
 # A job with its texts is a few hundred kilobytes.
 TAKE_TIMEOUT_S = 1.0
+# The smallest VMs of the users have links of 30 Mbit/s.
+SLOWEST_LINK_BYTES_PER_S = 30e6 / 8
 # Callers wait at most a little longer than a second for a page.
 READ_TIMEOUT_S = 0.6
 
@@ -64,14 +66,18 @@
     handover: JobHandover,
     timeout_s: float = TAKE_TIMEOUT_S,
 ) -> HandoverOutcome:
-    """Returns whether the peer took the job, as far as that is known."""
+    """Returns whether the peer took the job, as far as that is known.
+
+    `timeout_s` does not count the time that the job's bytes take on a slow link.
+    """
+    body = msgspec.msgpack.encode(handover)
     try:
         answer = await http.request(
             address,
             "POST",
             TAKE_PATH,
-            body=msgspec.msgpack.encode(handover),
-            timeout_s=timeout_s,
+            body=body,
+            timeout_s=timeout_s + len(body) / SLOWEST_LINK_BYTES_PER_S,
         )
     except ConnectFailed:
         return HandoverOutcome.REFUSED
--- a/src/tamarackshelf/policy/item_placement.py
+++ b/src/tamarackshelf/policy/item_placement.py
@@ -28,12 +28,11 @@
 
 @dataclass(frozen=True, slots=True)
 class WaitingItem:
-    """An item at no engine; `rank` 0 is the most urgent route."""
+    """An item at no engine."""
 
     job_id: str
     item_id: str
     group: str
-    rank: int
     due_s: float
     expected_tokens: int
     is_begun: bool
@@ -84,7 +83,6 @@
         items,
         key=lambda item: (
             item.due_s > 0 and item.due_s,
-            item.rank,
             not item.is_begun,
             -item.expected_tokens,
             item.item_id,
--- a/src/tamarackshelf/trials/placement.py
+++ b/src/tamarackshelf/trials/placement.py
@@ -248,7 +248,6 @@
         job_id="step",
         item_id=item.item_id,
         group=str(item.group),
-        rank=0,
         due_s=1.0,
         expected_tokens=item.estimate_tokens,
         is_begun=item.done > 0,
--- a/tests/policy/test_item_placement.py
+++ b/tests/policy/test_item_placement.py
@@ -28,7 +28,6 @@
         job_id=job,
         item_id=name,
         group="g",
-        rank=0,
         due_s=due_s,
         expected_tokens=tokens,
         is_begun=begun,
