--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -18,6 +18,7 @@
     PlainCall,
     SeenJob,
     SeenResult,
+    SeenStream,
     now_s,
 )
 
@@ -31,9 +32,11 @@
 SCORE_PATH = "/score/"
 ONCE_PATH = "/once/"
 REPEAT_PATH = "/repeat/"
+STREAM_PATH = "/tell/"
 MODEL = "m"
 PLAIN_TIMEOUT_S = 2.0
 JOB_TIMEOUT_S = 2.5
+STREAM_TIMEOUT_S = 6.0
 # A trainer gives a step this long, then ends its job.
 STEP_S = 8.0
 ENTRIES_KEPT_S = 2.0
@@ -154,6 +157,50 @@
         return 200 <= status < 300
 
 
+class StreamClient:
+    """Reads streams that may be resumed, one after the other."""
+
+    def __init__(self, ledger: Ledger, entries: Entries, random: Random) -> None:
+        self._ledger = ledger
+        self._entries = entries
+        self._random = random
+
+    async def run(self) -> None:
+        """Opens streams until it is cancelled."""
+        http = HttpClient(connect_timeout_s=1.0)
+        try:
+            while True:
+                await self._read(http, await self._entries.pick())
+                await asyncio.sleep(self._random.uniform(0.1, 0.5))
+        finally:
+            await http.close()
+
+    async def _read(self, http: HttpClient, entry: Entry) -> None:
+        request_id = uuid.UUID(int=self._random.getrandbits(128)).hex
+        headers = {"host": HOST, "x-request-id": request_id, "x-model": MODEL}
+        headers["x-deadline-ms"] = str(int(STREAM_TIMEOUT_S * 1000))
+        status, text, is_ended = 0, b"", False
+        try:
+            async with http.stream(
+                entry.through,
+                "POST",
+                f"{STREAM_PATH}x",
+                headers=headers,
+                timeout_s=STREAM_TIMEOUT_S,
+                fresh=True,
+            ) as answer:
+                status = answer.status
+                async for chunk in answer.chunks():
+                    text += chunk
+            is_ended = True
+        except (ConnectFailed, ConnectionLost):
+            # What came before the break is judged, too.
+            is_ended = False
+        self._ledger.streams.append(
+            SeenStream(request_id, entry.name, status, text, is_ended)
+        )
+
+
 class JobClient:
     """Submits, reads and ends jobs, each call on a new connection."""
 
@@ -339,6 +386,7 @@
             "version": version,
             "routes": [
                 route("jobs", JOB_PATH, "rollout", "models"),
+                route("tell", STREAM_PATH, "streaming", "models") | {"resumable": True},
                 route("score", SCORE_PATH, "idempotent", "desk"),
                 route("repeat", REPEAT_PATH, "idempotent", "desk"),
                 route("once", ONCE_PATH, "non_idempotent", "desk"),
@@ -375,6 +423,7 @@
     "JobClient",
     "NOT_RUN",
     "PlainClient",
+    "StreamClient",
     "Trainer",
     "build_configuration",
 ]
--- a/tests/soak/checkers.py
+++ b/tests/soak/checkers.py
@@ -7,7 +7,13 @@
 
 from tests.soak.callers import NOT_RUN
 from tests.soak.ledger import ENDLESS_S, Ledger, SeenJob, SeenResult
-from tests.soak.texts import build_answer, build_stamp, is_whole_text, read_versions
+from tests.soak.texts import (
+    build_answer,
+    build_stamp,
+    count_events,
+    is_whole_text,
+    read_versions,
+)
 
 # Figures of the platform's settings: drainMs, cancelMs, settleMs, stableWindowMs.
 DRAIN_S = 2.0
@@ -35,6 +41,23 @@
             yield f"{call.request_id} at {call.node}: not its own whole answer"
 
 
+def check_streams_are_in_order(ledger: Ledger) -> Iterator[Violation]:
+    """A stream has each event once and in order, and ends only when it is whole."""
+    for stream in ledger.streams:
+        if stream.status != 200:
+            continue
+        blocks = stream.text.decode().split("\n\n")
+        whole, rest = blocks[:-1], blocks[-1]
+        where = f"stream {stream.request_id} at {stream.node}"
+        for number, block in enumerate(whole):
+            if f"data: {stream.request_id}/{number}/" not in block:
+                yield f"{where}: event {number} is {block!r}"
+                break
+        wanted = count_events(stream.request_id)
+        if stream.is_ended and (len(whole) != wanted or rest):
+            yield f"{where}: ended after {len(whole)} of {wanted} events"
+
+
 def check_runs_are_asked(ledger: Ledger) -> Iterator[Violation]:
     """A worker runs only what callers sent, with the same path and body."""
     asked = {call.request_id: (call.path, call.body) for call in ledger.calls}
@@ -208,6 +231,7 @@
 
 CHECKERS: tuple[Checker, ...] = (
     check_answers_are_whole,
+    check_streams_are_in_order,
     check_runs_are_asked,
     check_runs_once,
     check_refusals_are_true,
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -56,6 +56,17 @@
     is_cut: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class SeenStream:
+    """A streamed answer; `is_ended` tells that its end marker came."""
+
+    request_id: str
+    node: str
+    status: int
+    text: bytes
+    is_ended: bool
+
+
 @dataclass(frozen=True, slots=True)
 class SeenResult:
     """A result of an item as read by a caller."""
@@ -111,6 +122,7 @@
     runs: list[Run] = field(default_factory=list)
     orders: list[Order] = field(default_factory=list)
     calls: list[PlainCall] = field(default_factory=list)
+    streams: list[SeenStream] = field(default_factory=list)
     jobs: dict[str, SeenJob] = field(default_factory=dict)
     scores: dict[str, bytes] = field(default_factory=dict)
     disruptions: list[Disruption] = field(default_factory=list)
@@ -142,5 +154,6 @@
     "Run",
     "SeenJob",
     "SeenResult",
+    "SeenStream",
     "now_s",
 ]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -29,6 +29,7 @@
     nodes: int = 4
     engines: int = 3
     clients: int = 6
+    streams: int = 2
     trainers: int = 2
     faults: int = 8
     window_s: float = 14.0
@@ -45,6 +46,8 @@
     jobs_whole: int
     calls: int
     calls_served: int
+    streams: int
+    streams_ended: int
     took_s: float
 
     def format(self) -> str:
@@ -53,6 +56,7 @@
             f"seed={self.seed} violations={len(self.violations)} "
             f"jobs={self.jobs_accepted} whole={self.jobs_whole} "
             f"calls={self.calls} served={self.calls_served} "
+            f"streams={self.streams} ended={self.streams_ended} "
             f"took_s={self.took_s:.0f} faults={','.join(self.faults)}"
         )
 
@@ -66,7 +70,7 @@
     failure = ""
     try:
         await site.start()
-        site.start_callers(size.clients, size.trainers)
+        site.start_callers(size.clients, size.streams, size.trainers)
         await asyncio.sleep(QUIET_START_S)
         await carry_out(site, faults)
         await site.finish()
@@ -85,6 +89,8 @@
         jobs_whole=sum(job.is_read_whole for job in accepted),
         calls=len(ledger.calls),
         calls_served=sum(200 <= call.status < 300 for call in ledger.calls),
+        streams=len(ledger.streams),
+        streams_ended=sum(s.is_ended and s.status == 200 for s in ledger.streams),
         took_s=time.monotonic() - started_s,
     )
 
--- a/tests/soak/site.py
+++ b/tests/soak/site.py
@@ -17,6 +17,7 @@
     Entry,
     JobClient,
     PlainClient,
+    StreamClient,
     Trainer,
     build_configuration,
 )
@@ -104,8 +105,12 @@
             await proxy.close()
         await self.store.close()
 
-    def start_callers(self, clients: int, trainers: int) -> None:
+    def start_callers(self, clients: int, streams: int, trainers: int) -> None:
         """Lets callers begin."""
+        for _ in range(streams):
+            random = Random(self._random.getrandbits(32))
+            reader = StreamClient(self.ledger, self._entries, random)
+            self._callers.append(asyncio.create_task(reader.run()))
         for _ in range(clients):
             random = Random(self._random.getrandbits(32))
             client = PlainClient(self.ledger, self._entries, random)
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -16,6 +16,7 @@
     Run,
     SeenJob,
     SeenResult,
+    SeenStream,
 )
 from tests.soak.texts import build_answer, build_event, build_stamp, count_events
 
@@ -38,6 +39,12 @@
 )
 
 
+STREAM = b"".join(
+    f"id: {n}\ndata: {build_event('t1', n, 2)}\n\n".encode()
+    for n in range(count_events("t1"))
+)
+
+
 @pytest.fixture
 def ledger():
     job = SeenJob("j1", {ITEM: b"item"}, 1, [202], accepted_s=1.0, is_read_whole=True)
@@ -50,6 +57,7 @@
         ],
         orders=[Order("e1/1", "n1", 4, 1.0), Order("e1/1", "n2", 5, 2.0)],
         calls=[CALL],
+        streams=[SeenStream("t1", "n1", 200, STREAM, is_ended=True)],
         jobs={"j1": job},
         scores={f"{ITEM}s": b"score"},
     )
@@ -72,6 +80,22 @@
     call_again(ledger, stamp="")
 
 
+def stream_again(ledger, **changes):
+    ledger.streams[0] = replace(ledger.streams[0], **changes)
+
+
+def end_a_stream_early(ledger):
+    stream_again(ledger, text=STREAM.rpartition(b"id: ")[0])
+
+
+def skip_an_event(ledger):
+    stream_again(ledger, text=STREAM.partition(b"\n\n")[2], is_ended=False)
+
+
+def join_pieces(ledger):
+    stream_again(ledger, text=STREAM[:30] + STREAM, is_ended=False)
+
+
 def change_body(ledger):
     ledger.runs[2].body = b"other"
 
@@ -169,6 +193,9 @@
 HARM = {
     change_answer: "check_answers_are_whole",
     lose_stamp: "check_answers_are_whole",
+    end_a_stream_early: "check_streams_are_in_order",
+    skip_an_event: "check_streams_are_in_order",
+    join_pieces: "check_streams_are_in_order",
     change_body: "check_runs_are_asked",
     run_twice: "check_runs_once",
     refuse_what_ran: "check_refusals_are_true",
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -213,6 +213,7 @@
         model = request.headers.get("x-model", "")
         version = self.state.versions[model]
         headers["x-weight-versions"] = str(version)
+        headers["x-server-stamp"] = build_stamp(run.request_id, run.body)
         first = int(request.headers.get("last-event-id", "-1")) + 1
         events = self._make_text(run, model, version, first)
         return Response(200, events, "text/event-stream", headers)
