Hold the lease whose taking lost its answer

Cause: a node took the lease of the weight orders, the store carried it out and lost the answer. The node then read itself as the holder, found that holder alive and left the lease to it; so did all others. No engine got newer weights for the rest of its life (22 s in the log), and jobs that needed them never ended. After: the test passes; a node that reads its own incarnation as the holder begins, after the wait that a change of holders takes.

--- a/src/tamarackshelf/node/weights.py
+++ b/src/tamarackshelf/node/weights.py
@@ -206,6 +206,9 @@
             return False
         before = await read_lease(self._link, LEASE_NAME)
         holder = before.record
+        if (holder.holder, holder.holder_incarnation) == (own.vm, own.incarnation):
+            # The store took this node's claim, but its answer was lost.
+            return self._begin(before, "it was taken here unheard", is_other=True)
         if holder.holder and not self._fleet.is_gone(
             holder.holder, holder.holder_incarnation
         ):
@@ -220,16 +223,20 @@
         )
         if taken is None:
             return False
-        self._lease = taken
+        reason = f"{holder.holder} runs no more" if holder.holder else "it was free"
         # A VM that started again is still the same holder to the engines.
-        is_other = holder.holder not in ("", own.vm)
+        return self._begin(taken, reason, is_other=holder.holder not in ("", own.vm))
+
+    def _begin(self, lease: StoredLease, reason: str, *, is_other: bool) -> bool:
+        """Takes the lease as this node's; returns whether it may order at once."""
+        self._lease = lease
         wait_s = self.lease_s + TURN_MARGIN_S if is_other else 0.0
         self._not_before_s = _now_s() + wait_s
         self._timeline.record(
             "lease_taken",
             LEASE_NAME,
-            f"{holder.holder} runs no more" if holder.holder else "it was free",
-            fencing=taken.record.fencing_number,
+            reason,
+            fencing=lease.record.fencing_number,
             orders_after_s=wait_s,
         )
         return wait_s == 0.0
--- a/tests/node/test_weights.py
+++ b/tests/node/test_weights.py
@@ -68,6 +68,7 @@
         self.store = MemoryRowStore()
         self.engines = Engines()
         self.dead = set()
+        self.clients = {}
         address = Address("10.0.0.1", 1)
         self.records = {
             name: NodeRecord(name, 1, "dc", address, address) for name in "ab"
@@ -78,8 +79,9 @@
         board = TargetBoard(timeline, lambda: float("-inf"), random.Random(1))
         for number in range(1, 5):
             board.put(build_target(f"e{number}", "models", versions={"m": 1, "n": 1}))
+        client = self.clients[name] = self.store.connect()
         keeper = WeightKeeper(
-            StoreLink(self.store.connect(), timeline),
+            StoreLink(client, timeline),
             FleetOf(name, self.records, self.dead),
             board,
             self.engines,
@@ -126,6 +128,20 @@
     play(scenario)
 
 
+def test_lease_whose_taking_lost_its_answer_is_still_held(play):
+    """Soak seed 11: the holder took itself for another node, and nobody gave orders."""
+
+    async def scenario(scene, keepers):
+        for client in scene.clients.values():
+            client.lose_answers = 1
+        name_everywhere(keepers, "m", 2)
+        await asyncio.sleep(8)
+        assert [v["m"] for v in scene.engines.versions.values()] == [2, 2]
+        assert len({order.holder for _, _, order in scene.engines.orders}) == 1
+
+    play(scenario)
+
+
 def test_engines_of_one_model_load_one_after_the_other(play):
     async def scenario(scene, keepers):
         name_everywhere(keepers, "m", 2)
--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -5,6 +5,7 @@
 REGRESSIONS = {
     4: "a hang-up while a node's libraries loaded ended its process",
     13: "the same, on a node that started again after two kills",
+    11: "the lease of the weight orders was taken and its answer lost: no orders",
 }
 
 __all__ = ["REGRESSIONS"]
