Let only a stored claim list results, and look at what is listed before

A home that took a job over but could not claim it in the store answered readers from its own memory, where nothing was listed yet, while the node that had given the job ran and listed it, since the hand-over's answer was lost. The job's row changes only with its owner, so the late claim was taken although results stood there. Now a node with an unstored claim reads the store like any other, the giver fences the job with a claim of its own when it cannot tell, a job is taken back with a new epoch, and a claim that was stored is followed by a look at what is listed. Before: both cases of the new test show an empty page, a third one never ends; after: they pass.

--- a/src/tamarackshelf/jobs/adoption.py
+++ b/src/tamarackshelf/jobs/adoption.py
@@ -116,7 +116,7 @@
         """Returns the head with this node as owner; None when the owner answers."""
         own, head = self._book.own, stored.head
         if (head.owner, head.owner_incarnation) == (own.vm, own.incarnation):
-            return None if await self._does_heir_answer(stored) else stored
+            return await self._claim_own(stored)
         if await self._does_owner_answer(stored):
             return None
         new = self._book.build_own_head(head)
@@ -129,18 +129,21 @@
         )
         return claimed
 
-    async def _does_heir_answer(self, stored: StoredHead) -> bool:
-        """Asks a peer that took this node's job; without an answer it is taken back."""
+    async def _claim_own(self, stored: StoredHead) -> StoredHead | None:
+        """Takes a job back from a peer that does not answer for it any more."""
         heir = self._book.given.get(stored.job_id)
         if heir is None:
-            return False
+            return stored
         request = JobRead(stored.job_id, stored.head.total, False)
-        answer = await ask_owner(self._http, heir.peers, request)
-        if not answer.is_owner:
-            self._book.given.pop(stored.job_id, None)
-            reason = f"{heir.vm} took it and runs it no more"
-            self._timeline.record("job_taken_back", stored.job_id, reason)
-        return answer.is_owner
+        if (await ask_owner(self._http, heir.peers, request)).is_owner:
+            return None
+        # The peer may only stand still; its own claim must fail from here on.
+        new = self._book.build_own_head(stored.head)
+        claimed = await self._store.change_head(stored, new)
+        self._book.given.pop(stored.job_id, None)
+        reason = f"{heir.vm} took it and does not answer for it"
+        self._timeline.record("job_taken_back", stored.job_id, reason, epoch=new.epoch)
+        return claimed
 
     async def _does_owner_answer(self, stored: StoredHead) -> bool:
         """Asks an owner that is held for dead; whoever answers keeps its job."""
--- a/src/tamarackshelf/jobs/handover.py
+++ b/src/tamarackshelf/jobs/handover.py
@@ -20,7 +20,7 @@
 from tamarackshelf.policy.ownership import rank_weighted
 from tamarackshelf.store.fleet_rows import NodeRecord
 from tamarackshelf.store.job_store import HeadChanged, JobStore, StoredHead
-from tamarackshelf.world.job import JobState
+from tamarackshelf.world.job import ItemResult, JobState
 
 # Peers that are asked in turn to take a job of a node that stops.
 HEIRS_TRIED = 3
@@ -57,11 +57,19 @@
         One node for all jobs of a model uses its connections to the engines again.
         """
         home = self._find_home(job.job.model)
-        if home is not None and await self._does_take(home, job):
+        outcome = HandoverOutcome.REFUSED
+        if home is not None:
+            outcome = await self._offer(home, job)
+        if home is not None and outcome is HandoverOutcome.TAKEN:
             # Its claim of the job reaches this node over the store.
             self._book.given[job.job_id] = home
-        elif job.job_id not in self._runner.jobs:
+            return
+        if outcome is HandoverOutcome.UNCERTAIN:
+            # The home may have it; whichever claim is stored first lists results.
+            job.await_claim(self._book.build_own_head(job.stored.head))
+        if job.job_id not in self._runner.jobs:
             self._runner.add(job, due_s)
+            await self._claim(job)
 
     def take(self, handover: JobHandover) -> bool:
         """Goes on with a job of another node and claims it in the store meanwhile."""
@@ -90,13 +98,14 @@
         book.take(job_id, self._claim(owned))
         return True
 
-    async def _does_take(self, home: NodeRecord, job: OwnedJob) -> bool:
+    async def _offer(self, home: NodeRecord, job: OwnedJob) -> HandoverOutcome:
         outcome = await hand_over_to(self._http, home.peers, _pack(job), HOME_TIMEOUT_S)
         self._record(job, home, outcome, f"it is the home of {job.job.model}")
         if outcome is HandoverOutcome.UNCERTAIN:
             request = JobRead(job.job_id, len(job.items), False)
-            return (await ask_owner(self._http, home.peers, request)).is_owner
-        return outcome is HandoverOutcome.TAKEN
+            if (await ask_owner(self._http, home.peers, request)).is_owner:
+                return HandoverOutcome.TAKEN
+        return outcome
 
     def _find_home(self, model: str) -> NodeRecord | None:
         """Returns the node for a model's jobs, or None when it is this one."""
@@ -147,8 +156,33 @@
                 self._timeline.record("job_unclaimed", owned.job_id, str(error))
                 await asyncio.sleep(CLAIM_GAP_S)
                 continue
-            owned.note_claimed(stored)
             self._book.note(stored)
+            await self._begin_listing(owned, stored)
+
+    async def _begin_listing(self, owned: OwnedJob, stored: StoredHead) -> None:
+        """Lists results after those that the owner before may have listed meanwhile."""
+        while not owned.is_closed:
+            try:
+                listed = await self._store.read_all_results(owned.job_id)
+            except RowStoreError as error:
+                self._timeline.record("job_unverified", owned.job_id, str(error))
+                await asyncio.sleep(CLAIM_GAP_S)
+                continue
+            if len(listed) > len(owned.listed):
+                await self._renew(owned, stored, listed)
+            else:
+                owned.note_claimed(stored)
+            return
+
+    async def _renew(
+        self, owned: OwnedJob, stored: StoredHead, listed: list[ItemResult]
+    ) -> None:
+        texts = {text.item_id: text for text in owned.texts()}
+        known = {result.item_id for result in listed}
+        unlisted = [each for each in owned.unlisted if each.item_id not in known]
+        await self._runner.drop(owned.job_id, "more of it is listed than was known")
+        renewed = OwnedJob(owned.job, stored, listed, texts, unlisted)
+        self._runner.add(renewed, self._book.compute_due_s(stored.head))
 
     async def _yield_claim(self, owned: OwnedJob, current: StoredHead | None) -> None:
         """Gives way to another owner; claims anew when only the job's end changed."""
--- a/src/tamarackshelf/jobs/reader.py
+++ b/src/tamarackshelf/jobs/reader.py
@@ -57,7 +57,8 @@
         """Returns stored results; raises NotFound or StoreUnavailable."""
         deadline_s = _now_s() + wait_s
         owned = self._runner.jobs.get(job_id)
-        while owned is not None and not owned.is_closed:
+        # Until its claim is stored, another node may list results of the job.
+        while owned is not None and not owned.is_closed and owned.claim is None:
             left_s = deadline_s - _now_s()
             if len(owned.listed) > after or left_s <= SHORTEST_WAIT_S:
                 return _to_page(len(owned.items), after, owned.listed[after:])
@@ -81,9 +82,11 @@
         owned = self._runner.jobs.get(request.job_id)
         if owned is None:
             return JobReadAnswer(is_owner=False)
+        if owned.claim is not None:
+            return JobReadAnswer(is_owner=True, knows_results=False)
         page = _to_page(len(owned.items), request.after, owned.listed[request.after :])
         job = owned.job if request.with_job else None
-        return JobReadAnswer(True, page.total, page.results, job)
+        return JobReadAnswer(True, True, page.total, page.results, job)
 
     async def read_head(self, job_id: str) -> StoredHead:
         """Returns the head as stored now; raises NotFound or StoreUnavailable."""
@@ -127,7 +130,7 @@
             answer = self.read_owned(request)
         else:
             answer = await ask_owner(self._http, record.peers, request)
-        return answer if answer.is_owner else None
+        return answer if answer.is_owner and answer.knows_results else None
 
     async def _find_job(self, job_id: str) -> Job:
         owned = self._runner.jobs.get(job_id)
--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -139,7 +139,7 @@
         if job is None or stored.version <= job.stored.version:
             return
         if job.claim is not None and stored.head == job.claim:
-            job.note_claimed(stored)
+            # Whoever claims it looks at what is listed before it goes on.
             return
         before = job.stored.head
         if (stored.head.owner, stored.head.epoch) != (before.owner, before.epoch):
--- a/src/tamarackshelf/node/peer_jobs.py
+++ b/src/tamarackshelf/node/peer_jobs.py
@@ -33,9 +33,13 @@
 
 @dataclass(frozen=True, slots=True)
 class JobReadAnswer:
-    """What the owner has stored; all else is empty when it is not the owner."""
+    """What the owner has stored; all else is empty when it is not the owner.
+
+    A node that took a job and has not claimed it yet knows no results for sure.
+    """
 
     is_owner: bool
+    knows_results: bool = True
     total: int = 0
     results: tuple[ItemResult, ...] = ()
     job: Job | None = None
--- a/tests/jobs/test_homes.py
+++ b/tests/jobs/test_homes.py
@@ -6,6 +6,8 @@
 
 import pytest
 
+from tamarackshelf.errors import StoreUnavailable
+from tamarackshelf.node.peer_jobs import JobHandover
 from tamarackshelf.policy.ownership import rank_weighted
 from tamarackshelf.standin.row_store import MemoryRowStore
 from tests.jobs.test_jobs import check_whole, read_whole, submit
@@ -104,3 +106,58 @@
         assert len(cluster.engines.runs) == len(job.items)
 
     play(scenario)
+
+
+@pytest.mark.parametrize("is_taken", [False, True], ids=["unheard", "given"])
+def test_home_that_wakes_late_never_shows_less_than_was_read(run, is_taken):
+    """tannpost hunt-3e87-39: a home that the store refused listed from its memory."""
+
+    async def scenario():
+        cluster = Cluster(MemoryRowStore(), Engines(pieces=20), data_centre="dc")
+        await cluster.start()
+        await asyncio.sleep(0.1)
+        home = cluster.nodes[HOME]
+        home.client.is_refused = True
+        home.link.set_peers(list)
+        cluster.lose_take_answers = 0 if is_taken else 1
+        cluster.mute.add(HOME)
+        job = await submit(cluster, OTHERS[0])
+        await asyncio.sleep(0.1)
+        assert HOME in find_runners(cluster, job)
+        results = await read_whole(cluster, OTHERS[1], job, within_s=8.0)
+        check_whole(results, job, pieces=20)
+        for is_refused in (True, False):
+            home.client.is_refused = is_refused
+            await asyncio.sleep(0.5)
+            try:
+                page = await home.desk.reader.read(job.job_id, 0, 0.0)
+            except StoreUnavailable:
+                assert is_refused
+                continue
+            assert list(page.results) == results
+        await cluster.stop()
+
+    run(scenario())
+
+
+def test_heir_goes_on_after_results_that_were_listed_meanwhile(run):
+    """Pattern: the claim of an heir is stored after results of the owner before."""
+
+    async def scenario():
+        cluster = Cluster(MemoryRowStore(), Engines(pieces=20), data_centre="dc")
+        await cluster.start()
+        await asyncio.sleep(0.1)
+        job = await submit(cluster, HOME)
+        await asyncio.sleep(1.2)
+        giver, heir = cluster.nodes[HOME], cluster.nodes[OTHERS[0]]
+        owned = giver.runner.jobs[job.job_id]
+        handover = JobHandover(job, owned.stored, (), (), owned.texts())
+        assert owned.listed
+        await giver.runner.drop(job.job_id, "the test gives it away")
+        assert heir.desk.handovers.take(handover)
+        results = await read_whole(cluster, OTHERS[1], job, within_s=8.0)
+        check_whole(results, job, pieces=20)
+        assert results == await read_whole(cluster, OTHERS[0], job)
+        await cluster.stop()
+
+    run(scenario())
--- a/tests/support/node.py
+++ b/tests/support/node.py
@@ -229,6 +229,8 @@
         self.engines = engines
         self.dead = set()
         self.lose_take_answers = 0
+        # Nodes that answer no question about a job.
+        self.mute = set()
         self.records = {
             name: NodeRecord(
                 name,
@@ -265,6 +267,8 @@
                 self.lose_take_answers -= 1
                 raise ConnectionLost("the answer was lost")
             return Answer(status, {}, b"")
+        if name in self.mute:
+            raise ConnectionLost(f"{name} does not answer")
         read = msgspec.msgpack.decode(body, type=peer_jobs.JobRead)
         return Answer(200, {}, msgspec.msgpack.encode(desk.reader.read_owned(read)))
 
