--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -182,6 +182,12 @@
     call_again(ledger, status=0, is_cut=True)
 
 
+def cut_late_at_a_stop(ledger):
+    ledger.disruptions.append(Disruption("stop", "n1", 9.0, 18.0))
+    ledger.runs.pop()
+    call_again(ledger, status=0, is_cut=True, ended_s=CALL.sent_s + 0.3)
+
+
 def end_by_itself(ledger):
     ledger.ended_by_themselves.append("n1")
 
@@ -217,6 +223,7 @@
     lower_a_fence: "check_orders_are_fenced",
     share_a_fence: "check_orders_are_fenced",
     cut_at_a_stop: "check_planned_stops_cut_nothing",
+    cut_late_at_a_stop: "check_planned_stops_cut_nothing",
     end_by_itself: "check_processes_live",
     stay_unready: "check_processes_live",
 }
@@ -226,6 +233,14 @@
     assert find_violations(ledger) == []
 
 
+def test_request_that_crosses_a_close_is_no_violation(ledger):
+    """Soak seed 27: no node has a line of the request, and no worker saw it."""
+    ledger.disruptions.append(Disruption("stop", "n1", 9.0, 18.0))
+    ledger.runs.pop()
+    call_again(ledger, status=0, is_cut=True)
+    assert find_violations(ledger) == []
+
+
 @pytest.mark.parametrize("harm", HARM, ids=lambda harm: harm.__name__)
 def test_harm_is_found(ledger, harm):
     harm(ledger)
