--- a/tests/soak/regressions.py
+++ b/tests/soak/regressions.py
@@ -6,7 +6,7 @@
     4: "a hang-up while a node's libraries loaded ended its process",
     13: "the same, on a node that started again after two kills",
     11: "the lease of the weight orders was taken and its answer lost: no orders",
-    27: "no fault: a request crossed the close of a stopping node and reached no worker",
+    27: "no fault: a request crossed the close of a stopping node, no worker saw it",
 }
 
 __all__ = ["REGRESSIONS"]
