Log each lost answer with its target's incarnation and the request's fingerprint

The record of the incident with repeated sends cannot tell whether a node forgets a request under which a target ended or never knew it: each attempt has a new id, and the log names no incarnation. The new line event=answer_lost_at_target gives both, so attempts at the same request can be joined over all nodes.

--- a/src/tamarackshelf/contracts/targets.py
+++ b/src/tamarackshelf/contracts/targets.py
@@ -8,6 +8,7 @@
 from typing import Protocol
 
 from tamarackshelf.net import ClientResponse, Request
+from tamarackshelf.policy.quarantine import fingerprint_call
 from tamarackshelf.world import Target
 from tamarackshelf.world.job import JobItem, ScoreCall
 
@@ -140,11 +141,21 @@
 
 @dataclass(frozen=True, slots=True)
 class ForwardedRequest:
-    """A caller's request for a service, which is forwarded unchanged."""
+    """A caller's request for a service, which is forwarded unchanged.
+
+    `caller` is the identity that the caller presents, or "" if there is none.
+    """
 
     request_id: str
     host: str
     http: Request
+    caller: str = ""
+
+    def compute_fingerprint(self) -> str:
+        """Return what is equal in all attempts of the caller at this request."""
+        http = self.http
+        path = f"{http.path}?{http.query}" if http.query else http.path
+        return fingerprint_call(self.caller, http.method, self.host, path, http.body)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/tamarackshelf/entry/forwarder.py
+++ b/src/tamarackshelf/entry/forwarder.py
@@ -218,6 +218,7 @@
             self._targets.record_fault(name, str(error))
             attempts.last_reason = str(error)
             attempts.may_have_run = True
+            self._record_lost_answer(request, state, started_s, error)
             return None
         except asyncio.CancelledError:
             # Another attempt was faster or the caller disconnected, so the time up to
@@ -234,6 +235,23 @@
         self._targets.record_load(name, response.load)
         return self._to_final_response(response, name, attempts, may_retry)
 
+    def _record_lost_answer(
+        self,
+        request: ForwardedRequest,
+        state: TargetState,
+        started_s: float,
+        error: OutcomeUnknown,
+    ) -> None:
+        self._timeline.record(
+            "answer_lost_at_target",
+            request.request_id,
+            str(error),
+            target=state.target.name,
+            incarnation=state.target.incarnation,
+            fingerprint=request.compute_fingerprint(),
+            took_ms=round((_now_s() - started_s) * 1000),
+        )
+
     def _relative_duration(self, started_s: float, route: Route) -> float:
         """Return the time since `started_s` divided by the route's target latency.
 
--- a/src/tamarackshelf/platform/caller_api.py
+++ b/src/tamarackshelf/platform/caller_api.py
@@ -115,7 +115,8 @@
         self, request: Request, host: str, route: Route
     ) -> Response:
         request_id = request.headers.get("x-request-id", "")
-        forwarded = ForwardedRequest(request_id, host, request)
+        caller = request.headers.get("authorization", "")
+        forwarded = ForwardedRequest(request_id, host, request, caller)
         timeout_s = min(route.timeout_s, _parse_deadline_s(request))
         if route.kind is RouteKind.STREAMING:
             head, events = await self._streamer.open(forwarded, route, timeout_s)
--- a/src/tamarackshelf/policy/quarantine.py
+++ b/src/tamarackshelf/policy/quarantine.py
@@ -40,8 +40,22 @@
 
 def fingerprint_request(organisation: str, service: str, body: bytes) -> str:
     """Return a fingerprint by which a repeated request is recognised."""
-    digest = hashlib.blake2b(body, digest_size=12, person=b"request").hexdigest()
-    return f"{organisation}/{service}/{digest}"
+    return f"{organisation}/{service}/{_compute_digest(body)}"
+
+
+def fingerprint_call(
+    caller: str, method: str, host: str, path: str, body: bytes
+) -> str:
+    """Return the fingerprint of a call that is forwarded unchanged, without its id.
+
+    `path` includes the query.
+    """
+    head = "\0".join((caller, method, host, path))
+    return _compute_digest(head.encode("utf-8", "surrogateescape") + b"\0" + body)
+
+
+def _compute_digest(data: bytes) -> str:
+    return hashlib.blake2b(data, digest_size=12, person=b"request").hexdigest()
 
 
 @dataclass(frozen=True, slots=True)
@@ -122,5 +136,6 @@
     "CrashHistory",
     "IsolationTable",
     "QuarantineStatus",
+    "fingerprint_call",
     "fingerprint_request",
 ]
