Play a request that crashes its workers in the soak, which fails

Callers saw refusals for 3.7 s in every 4: one request ended all targets of a service again and again. The soak's new client sends one body again and again under new ids at random nodes; a worker that runs it ends and is back after 1.5 s. The checker allows three sends later than 3 s after the third end, as the users' rule does. The second checker fails if a sound request is refused as a crashing one.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+import contextlib
 import uuid
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
@@ -21,6 +22,7 @@
     PlainCall,
     now_s,
 )
+from tests.soak.workers import CRASHING_PREFIX
 
 if TYPE_CHECKING:
     from random import Random
@@ -173,6 +175,48 @@
         return 200 <= status < 300
 
 
+class CrashingClient:
+    """Client that sends one request again and again, which crashes its workers.
+
+    Each attempt has its own id; the path and the body are always the same.
+    """
+
+    def __init__(self, resolver: NodeResolver, random: Random) -> None:
+        self._resolver = resolver
+        self._random = random
+        self._body = CRASHING_PREFIX + random.randbytes(200)
+
+    async def run(self) -> None:
+        """Send the request at random nodes until cancelled, each time twice."""
+        http = HttpClient(connect_timeout_s=1.0)
+        try:
+            while True:
+                for _ in range(2):
+                    await self._send(http, await self._resolver.choose())
+                    await asyncio.sleep(0.03)
+                await asyncio.sleep(self._random.uniform(0.1, 0.6))
+        finally:
+            await http.close()
+
+    async def _send(self, http: HttpClient, endpoint: NodeEndpoint) -> None:
+        headers = {
+            "host": HOST,
+            "x-request-id": uuid.UUID(int=self._random.getrandbits(128)).hex,
+            "x-deadline-ms": str(int(PLAIN_TIMEOUT_S * 1000)),
+        }
+        # Only the runs at the workers are checked, not the responses.
+        with contextlib.suppress(ConnectFailed, ConnectionLost):
+            await http.request(
+                endpoint.proxy_address,
+                "POST",
+                f"{REPEAT_PATH}x",
+                headers=headers,
+                body=self._body,
+                timeout_s=PLAIN_TIMEOUT_S + 0.5,
+                new_connection=True,
+            )
+
+
 class StreamClient:
     """Client that reads streams of a resumable route, one after the other."""
 
@@ -438,6 +482,7 @@
 
 
 __all__ = [
+    "CrashingClient",
     "JobClient",
     "NOT_RUN_STATUSES",
     "NodeEndpoint",
--- a/tests/soak/checkers.py
+++ b/tests/soak/checkers.py
@@ -12,6 +12,7 @@
     History,
     ObservedJob,
     ObservedResult,
+    Run,
 )
 from tests.soak.responses import (
     build_plain_body,
@@ -20,6 +21,7 @@
     is_complete_text,
     parse_versions,
 )
+from tests.soak.workers import CRASHING_PREFIX
 
 # The values of drainMs, cancelMs, settleMs and stableWindowMs in the platform settings,
 # in this order.
@@ -37,6 +39,10 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
+# A request that has crashed its workers this often may reach them a few times more from
+# STABLE_WINDOW_S after the last of these crashes.
+ALLOWED_CRASHES = 3
+ALLOWED_RETRIES = 3
 PLANNED_KINDS = ("stop", "hang_up", "configuration")
 # maxAttempts of the routes: the node gives an item up after this many responses with
 # status 500.
@@ -283,6 +289,32 @@
             return
 
 
+def check_crashing_requests_are_stopped(history: History) -> Iterator[Violation]:
+    """Check that a request that crashes its workers is not sent to them for long."""
+    runs_by_body: dict[bytes, list[Run]] = defaultdict(list)
+    for run in history.runs:
+        if run.body.startswith(CRASHING_PREFIX):
+            runs_by_body[run.body].append(run)
+    for runs in runs_by_body.values():
+        ends_s = sorted(run.ended_s for run in runs if run.has_crashed_worker)
+        if len(ends_s) < ALLOWED_CRASHES:
+            continue
+        from_s = ends_s[ALLOWED_CRASHES - 1] + STABLE_WINDOW_S
+        late_count = sum(run.received_s > from_s for run in runs)
+        if late_count > ALLOWED_RETRIES:
+            yield (
+                f"{runs[0].path}: sent to workers {late_count} times more after "
+                f"{ALLOWED_CRASHES} crashes, which ended {len(ends_s)} workers in all"
+            )
+
+
+def check_sound_requests_are_not_quarantined(history: History) -> Iterator[Violation]:
+    """Check that no request is refused as one that crashes its workers by mistake."""
+    for call in history.calls:
+        if b'"quarantined"' in call.answer:
+            yield f"{call.request_id} at {call.node}: {call.answer!r}"
+
+
 def check_planned_stops_lose_no_requests(history: History) -> Iterator[Violation]:
     """Check that a planned stop without other faults leaves no request unanswered.
 
@@ -334,6 +366,8 @@
     check_leaving_targets_get_no_requests,
     check_orders_are_fenced,
     check_limits_are_kept,
+    check_crashing_requests_are_stopped,
+    check_sound_requests_are_not_quarantined,
     check_planned_stops_lose_no_requests,
     check_nodes_keep_running,
 )
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -13,6 +13,7 @@
 from tamarackshelf.world import Address
 from tests.soak.callers import (
     MODEL,
+    CrashingClient,
     JobClient,
     NodeEndpoint,
     NodeResolver,
@@ -38,6 +39,8 @@
 PLAIN_SLOTS = 6
 # The platform gives a starting node at most three seed nodes.
 MAX_SEED_NODES = 3
+# A worker that a request crashed starts again after this time.
+WORKER_RESTART_S = 1.5
 
 
 class Deployment:
@@ -58,6 +61,7 @@
         self._random = Random(seed)
         self._host = f"127.{block}"
         self._callers: list[asyncio.Task[None]] = []
+        self._worker_restarts: set[asyncio.Task[None]] = set()
         self._restart_task: asyncio.Task[None] | None = None
         store_address = Address(f"{self._host}.0.1", 9000)
         self._store_address = store_address
@@ -104,9 +108,8 @@
 
     async def close(self) -> None:
         """Stop everything that this deployment started; kill only its own processes."""
-        await _cancel(
-            [*self._callers, *([self._restart_task] if self._restart_task else [])]
-        )
+        restarts = [self._restart_task] if self._restart_task else []
+        await _cancel([*self._callers, *self._worker_restarts, *restarts])
         for node in self.nodes:
             node.send_signal(signal.SIGCONT)
             node.kill()
@@ -116,8 +119,14 @@
             await proxy.close()
         await self.store.close()
 
-    def start_callers(self, clients: int, streams: int, trainers: int) -> None:
+    def start_callers(
+        self, clients: int, streams: int, trainers: int, crashing: int = 0
+    ) -> None:
         """Start the given numbers of callers of each kind."""
+        for _ in range(crashing):
+            random = Random(self._random.getrandbits(32))
+            crasher = CrashingClient(self._resolver, random)
+            self._callers.append(asyncio.create_task(crasher.run()))
         for _ in range(streams):
             random = Random(self._random.getrandbits(32))
             reader = StreamClient(self.history, self._resolver, random)
@@ -150,6 +159,22 @@
         if not node.is_running():
             node.start()
 
+    async def crash_worker(self, worker: Worker, down_s: float) -> None:
+        """Crash a worker and restart it under its name, unless it is down already.
+
+        Until its first heartbeat after the restart, its row describes the earlier
+        process.
+        """
+        if worker.name in self.departed_workers | self.crashed_workers:
+            return
+        self.crashed_workers.add(worker.name)
+        with self.record_disruption("worker:crash", worker.name, down_s):
+            await worker.crash()
+            self.worker_links[worker.name].reset_all()
+            await asyncio.sleep(down_s)
+            await self.start_worker(worker)
+        self.crashed_workers.discard(worker.name)
+
     async def start_worker(self, worker: Worker) -> None:
         """Restart a worker under its name and with the model versions that it had."""
         versions = worker.state.versions
@@ -191,9 +216,16 @@
         worker = Worker(
             name, service, slots, listed_address, self.history, self.store, random
         )
+        worker.on_crash = self._handle_crash
         self.workers.append(worker)
         self.worker_links[name] = Proxy(listed_address, self._server_address(worker))
 
+    def _handle_crash(self, worker: Worker) -> None:
+        restart = self.crash_worker(worker, WORKER_RESTART_S)
+        task = asyncio.create_task(restart)
+        self._worker_restarts.add(task)
+        task.add_done_callback(self._worker_restarts.discard)
+
     def _server_address(self, worker: Worker) -> Address:
         host, port = worker.listed_address.host, worker.listed_address.port
         return Address(host.replace(f"{self._host}.4.", f"{self._host}.5."), port)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -231,21 +231,8 @@
 
 
 async def _crash_worker(deployment: Deployment, fault: PlannedFault) -> None:
-    """Crash a worker and restart it under its name after the fault's duration.
-
-    Until its first heartbeat after the restart, its row describes the earlier process.
-    """
     worker = _select_worker(deployment, fault)
-    is_down = worker.name in deployment.crashed_workers
-    if worker.name in deployment.departed_workers or is_down:
-        return
-    deployment.crashed_workers.add(worker.name)
-    with deployment.record_disruption("worker:crash", worker.name, fault.duration_s):
-        await worker.crash()
-        deployment.worker_links[worker.name].reset_all()
-        await asyncio.sleep(fault.duration_s)
-        await deployment.start_worker(worker)
-    deployment.crashed_workers.discard(worker.name)
+    await deployment.crash_worker(worker, fault.duration_s)
 
 
 async def _make_worker_leave(deployment: Deployment, fault: PlannedFault) -> None:
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -24,6 +24,7 @@
     ended_s: float = NEVER_S
     is_complete: bool = False
     is_answered_500: bool = False
+    has_crashed_worker: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -26,7 +26,8 @@
 class SoakSize:
     """Numbers of nodes, workers, callers and faults of a run, and its fault window.
 
-    `limits` is the number of times that workers name a rate limit.
+    `limits` is the number of times that workers name a rate limit, `crashing` the
+    number of clients whose request crashes the workers.
     """
 
     nodes: int = 4
@@ -37,6 +38,7 @@
     faults: int = 8
     window_s: float = 14.0
     limits: int = 0
+    crashing: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,7 +79,9 @@
     failure = ""
     try:
         await deployment.start()
-        deployment.start_callers(size.clients, size.streams, size.trainers)
+        deployment.start_callers(
+            size.clients, size.streams, size.trainers, size.crashing
+        )
         await asyncio.sleep(WARM_UP_S)
         await inject_faults(deployment, faults)
         await deployment.finish()
@@ -119,11 +123,17 @@
     faults: int = 8,
     window_s: float = 14.0,
     limits: int = 0,
+    crashing: int = 0,
 ) -> None:
     """Run seeds in parallel and print a line for each; exit with 1 on a violation."""
     folder = folder or tempfile.mkdtemp(prefix="soak-")
     size = SoakSize(
-        nodes=nodes, engines=engines, faults=faults, window_s=window_s, limits=limits
+        nodes=nodes,
+        engines=engines,
+        faults=faults,
+        window_s=window_s,
+        limits=limits,
+        crashing=crashing,
     )
     violation_counts: Counter[str] = Counter()
     with ProcessPoolExecutor(jobs) as pool:
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -25,8 +25,10 @@
     build_stamp,
     count_events,
 )
+from tests.soak.workers import CRASHING_PREFIX
 
 ITEM = "a1"
+CRASHING_BODY = CRASHING_PREFIX + b"1"
 TEXT = "\n".join(build_event(ITEM, n, 2) for n in range(count_events(ITEM)))
 GOOD_RESULT = ObservedResult(
     ITEM, "completed", TEXT, (2,), build_stamp(f"{ITEM}s", b"score")
@@ -191,6 +193,19 @@
     ]
 
 
+def send_crashing_request_again(history):
+    # Three crashes, and four runs later than the stable window after the third.
+    for number in range(7):
+        at_s = 20.0 + number if number < 3 else 30.0 + number
+        run = Run("d1", f"c{number}", "/repeat/x", CRASHING_BODY, at_s, at_s, at_s)
+        run.has_crashed_worker = True
+        history.runs.append(run)
+
+
+def quarantine_sound_request(history):
+    replace_call(history, status=503, answer=b'{"error":"quarantined"}')
+
+
 def share_fencing_number(history):
     history.orders.append(Order("e1/1", "n3", 5, 3.0))
 
@@ -241,6 +256,8 @@
     lower_fencing_number: "check_orders_are_fenced",
     share_fencing_number: "check_orders_are_fenced",
     exceed_limit: "check_limits_are_kept",
+    send_crashing_request_again: "check_crashing_requests_are_stopped",
+    quarantine_sound_request: "check_sound_requests_are_not_quarantined",
     lose_connection_at_stop: "check_planned_stops_lose_no_requests",
     lose_unforwarded_request_late_at_stop: "check_planned_stops_lose_no_requests",
     exit_unexpectedly: "check_nodes_keep_running",
@@ -288,6 +305,12 @@
     assert CHECKER_BY_VIOLATION[violate] in found
 
 
+def test_few_retries_of_a_crashing_request_are_no_violation(history):
+    send_crashing_request_again(history)
+    history.runs.pop()
+    assert find_violations(history) == []
+
+
 def test_every_checker_has_a_violation():
     assert {checker.__name__ for checker in CHECKERS} == set(
         CHECKER_BY_VIOLATION.values()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -14,6 +14,7 @@
 
 
 LIMIT_SEEDS = (1, 6)
+CRASHING_SEEDS = (2, 5)
 
 
 @pytest.mark.parametrize("seed", [*CI_SEEDS, *REGRESSIONS])
@@ -32,6 +33,14 @@
     assert result.calls_served > 0
 
 
+# A request that ended every target which ran it was sent to targets without end.
+@pytest.mark.parametrize("seed", CRASHING_SEEDS)
+def test_request_that_crashes_its_targets_is_refused_by_all_nodes(seed, tmp_path):
+    result = run_in_time(seed, tmp_path, SoakSize(crashing=1))
+    assert result.violations == [], result.format()
+    assert result.calls_served > 0
+
+
 def run_in_time(seed, folder, size):
     async def run_with_timeout():
         async with asyncio.timeout(SOAK_TIMEOUT_S):
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -18,7 +18,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Callable
     from random import Random
 
     from tamarackshelf.world import Address
@@ -28,6 +28,9 @@
 PLAIN_RESPONSE_S = 0.02
 MODEL_LOAD_S = 0.4
 MAX_WAITING = 4
+# A request whose body begins so crashes the worker this long after it begins to run.
+CRASHING_PREFIX = b"crash:"
+CRASH_DELAY_S = 0.02
 HEARTBEAT_INTERVAL_S = 1.2
 # The value of drainMs in the platform settings: nodes must stop sending requests to a
 # leaving worker within this time. The worker keeps serving for twice this time.
@@ -86,6 +89,8 @@
         self._history = history
         self._store = store
         self._random = random
+        # Called when a request crashes the worker.
+        self.on_crash: Callable[[Worker], None] = lambda worker: None
         self._is_leaving = False
         self._free_slots = asyncio.Semaphore(slots)
         self._server: HttpServer | None = None
@@ -230,6 +235,11 @@
         self._history.runs.append(run)
         self.state.runs.append(run)
         self.state.running += 1
+        if request.body.startswith(CRASHING_PREFIX):
+            await asyncio.sleep(CRASH_DELAY_S)
+            run.has_crashed_worker = True
+            self.on_crash(self)
+            await asyncio.sleep(3600)
         if self._random.random() < self.faults.failing_share:
             run.is_answered_500 = True
             self._finish(run)
@@ -287,4 +297,4 @@
         return f"{self.state.running},{self.state.waiting},{self._slots}"
 
 
-__all__ = ["Worker", "WorkerFaults"]
+__all__ = ["CRASHING_PREFIX", "Worker", "WorkerFaults"]
