Let the quarantine client reach its peers over any transport

The node needs the same announcements and isolation over HTTP. The logic stays in QuarantineClient; RpcQuarantinePeers keeps the calls of the gateways and runners. The messages move to a module that does not import grpc. No change of behaviour.

--- a/src/tamarackshelf/dispatch/runtime.py
+++ b/src/tamarackshelf/dispatch/runtime.py
@@ -20,6 +20,7 @@
     get_process_name,
 )
 from tamarackshelf.peers.quarantine_client import QuarantineClient
+from tamarackshelf.peers.rpc_quarantine import RpcQuarantinePeers
 from tamarackshelf.policy.routing import Router, route
 from tamarackshelf.state import TableClient
 from tamarackshelf.world import Address
@@ -63,7 +64,7 @@
         rng = Random(f"{settings.seed}/{settings.vm}/{settings.role}")
         process_name = get_process_name(settings.vm, settings.role)
         self.pool = TargetPool(process_name, rng, router, record)
-        quarantine = QuarantineClient(self.rpc, self.watch)
+        quarantine = QuarantineClient(RpcQuarantinePeers(self.rpc, self.watch))
         actions = PeerActions(
             quarantine.isolate,
             quarantine.release,
--- a/src/tamarackshelf/peers/messages.py
+++ b/src/tamarackshelf/peers/messages.py
@@ -5,6 +5,11 @@
 from dataclasses import dataclass
 
 from tamarackshelf.net.rpc import RpcMethod
+from tamarackshelf.peers.isolation import (
+    IsolationAnswer,
+    IsolationRelease,
+    IsolationRequest,
+)
 from tamarackshelf.policy.quarantine import Crash
 from tamarackshelf.world import Sample, Step
 
@@ -14,33 +19,6 @@
     """Empty response: the message was received."""
 
 
-@dataclass(frozen=True, slots=True)
-class IsolationRequest:
-    """Request for one of `targets` on which to run a suspect request in isolation.
-
-    A suspect request was in flight when a target crashed. The arbiter, one of the
-    gateways, grants each target to one suspect request at a time.
-    """
-
-    fingerprint: str
-    targets: tuple[str, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class IsolationAnswer:
-    """Granted target; if its name is empty, the caller asks again later."""
-
-    target: str
-
-
-@dataclass(frozen=True, slots=True)
-class IsolationRelease:
-    """Release of a granted target."""
-
-    fingerprint: str
-    target: str
-
-
 @dataclass(frozen=True, slots=True)
 class RegisterRequest:
     """Registration of a gateway as the one that runs the request with this key.
--- a/src/tamarackshelf/peers/quarantine_client.py
+++ b/src/tamarackshelf/peers/quarantine_client.py
@@ -1,50 +1,62 @@
 """Announcement of crashes to peers and isolation of suspect requests.
 
-A suspect request was in flight when a target crashed. The arbiter, the first gateway
-by rank that responds, grants each target to one suspect request at a time.
+A suspect request was in flight when a target crashed. The arbiter, the first process by
+rank that responds, grants each target to one suspect request at a time.
 """
 
 from __future__ import annotations
 
 import asyncio
-import contextlib
+from typing import Protocol
 
-from tamarackshelf.net.rpc import PeerRefused, PeerUnreachable, RpcClient
-from tamarackshelf.peers.messages import (
-    ISOLATE,
-    NOTE_CRASH,
-    RELEASE_ISOLATION,
+from tamarackshelf.peers.isolation import (
+    IsolationAnswer,
     IsolationRelease,
     IsolationRequest,
 )
-from tamarackshelf.peers.view import Role
-from tamarackshelf.peers.view_watch import ViewWatch
-from tamarackshelf.policy.ownership import rank_owners
 from tamarackshelf.policy.quarantine import Crash
 from tamarackshelf.world import Address
 
-ANNOUNCE_TIMEOUT_S = 2.0
-ISOLATE_TIMEOUT_S = 2.0
 ARBITER_KEY = "isolation"
 
 
+class QuarantinePeers(Protocol):
+    """Calls to the other processes; a peer that gives no answer is no error."""
+
+    def list_announced(self) -> list[Address]:
+        """Return the processes that are told of crashes."""
+
+    def rank_arbiters(self, key: str) -> list[Address]:
+        """Return the processes that may be the arbiter, the first one by rank first."""
+
+    async def note_crash(self, address: Address, crash: Crash) -> None:
+        """Tell a process of a crash and wait for its answer, but not for long."""
+
+    async def isolate(
+        self, address: Address, request: IsolationRequest
+    ) -> IsolationAnswer | None:
+        """Ask an arbiter for a target; return None if it gives no answer."""
+
+    async def release(self, address: Address, release: IsolationRelease) -> None:
+        """Tell an arbiter that a target is no longer in use."""
+
+
 class QuarantineClient:
     """Client that announces crashes to peers and asks the arbiter for targets."""
 
-    def __init__(self, rpc: RpcClient, watch: ViewWatch) -> None:
-        self._rpc = rpc
-        self._watch = watch
+    def __init__(self, peers: QuarantinePeers) -> None:
+        self._peers = peers
 
     async def announce_crash(self, crash: Crash) -> None:
-        """Send a crash to all live gateways and runners in parallel.
+        """Send a crash to all processes that must know of it, in parallel.
 
-        Wait for their responses, but for at most ANNOUNCE_TIMEOUT_S.
+        Wait for their responses, but not longer than `note_crash` does.
         """
-        view = self._watch.view
-        addresses = [e.gateway_peer for e in view.find_entries(Role.GATEWAY)]
-        addresses += [e.runner_peer for e in view.find_entries(Role.RUNNER)]
         await asyncio.gather(
-            *(self._announce_to(address, crash) for address in addresses)
+            *(
+                self._peers.note_crash(address, crash)
+                for address in self._peers.list_announced()
+            )
         )
 
     async def isolate(self, fingerprint: str, targets: tuple[str, ...]) -> str:
@@ -53,33 +65,17 @@
         Return "" if none is free or no arbiter responds.
         """
         request = IsolationRequest(fingerprint, targets)
-        for address in self._rank_arbiters():
-            try:
-                answer = await self._rpc.call(
-                    address, ISOLATE, request, ISOLATE_TIMEOUT_S
-                )
-            except (PeerUnreachable, PeerRefused):
-                continue
-            return str(answer.target)
+        for address in self._peers.rank_arbiters(ARBITER_KEY):
+            answer = await self._peers.isolate(address, request)
+            if answer is not None:
+                return answer.target
         return ""
 
     async def release(self, fingerprint: str, target: str) -> None:
         """Release the target at the first arbiter; if that fails, the grant expires."""
         release = IsolationRelease(fingerprint, target)
-        for address in self._rank_arbiters()[:1]:
-            with contextlib.suppress(PeerUnreachable, PeerRefused):
-                await self._rpc.call(
-                    address, RELEASE_ISOLATION, release, ISOLATE_TIMEOUT_S
-                )
-
-    def _rank_arbiters(self) -> list[Address]:
-        entries = {e.name: e for e in self._watch.view.find_entries(Role.GATEWAY)}
-        ranked = rank_owners(entries, ARBITER_KEY)
-        return [entries[name].gateway_peer for name in ranked]
-
-    async def _announce_to(self, address: Address, crash: Crash) -> None:
-        with contextlib.suppress(PeerUnreachable, PeerRefused):
-            await self._rpc.call(address, NOTE_CRASH, crash, ANNOUNCE_TIMEOUT_S)
+        for address in self._peers.rank_arbiters(ARBITER_KEY)[:1]:
+            await self._peers.release(address, release)
 
 
-__all__ = ["QuarantineClient"]
+__all__ = ["QuarantineClient", "QuarantinePeers"]
--- a/tests/dispatch/test_poison.py
+++ b/tests/dispatch/test_poison.py
@@ -16,6 +16,7 @@
 from tamarackshelf.gateway.answers import AnswerCache, KeyRegistry
 from tamarackshelf.gateway.peer_api import build_handlers
 from tamarackshelf.peers.quarantine_client import QuarantineClient
+from tamarackshelf.peers.rpc_quarantine import RpcQuarantinePeers
 from tests.dispatch.test_completion import build_job, complete, has_expected_tokens
 from tests.support.fleet import FakeViewWatch, MemoryFleet, build_noop_peer_actions
 from tests.support.memory import MemoryRpc
@@ -31,7 +32,7 @@
     rpc = MemoryRpc(handlers, delay_s)
     dispatchers = []
     for entry in entries:
-        quarantine = QuarantineClient(rpc, watch)
+        quarantine = QuarantineClient(RpcQuarantinePeers(rpc, watch))
         peers = PeerActions(
             quarantine.isolate,
             quarantine.release,
