Close the listening socket of a crashed soak worker's proxy

The address of a crashed worker accepted connections and reset them, which no address of a crashed process does. Nodes tell a crash from a reset by the refusal.

--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -170,9 +170,10 @@
         self.crashed_workers.add(worker.name)
         with self.record_disruption("worker:crash", worker.name, down_s):
             await worker.crash()
-            self.worker_links[worker.name].reset_all()
+            await self.worker_links[worker.name].close()
             await asyncio.sleep(down_s)
             await self.start_worker(worker)
+            await self.worker_links[worker.name].start()
         self.crashed_workers.discard(worker.name)
 
     async def start_worker(self, worker: Worker) -> None:
