Quarantine callers' requests that crash their targets, at all nodes

Cause: the node kept no memory of requests at all. Attempts were judged each by itself, health and faults are kept for targets, and the quarantine of the own interface's programs was not part of the node. The log of the soak shows it: the same fingerprint lost its answer at four nodes and under each new incarnation, the first loss each time.

A lost answer counts only if its target ended: it refuses connections, or its row vanishes or shows another incarnation within 5 s. All live nodes are told before the caller is, and the store keeps each crash for nodes that start or did not hear. A suspect runs where no other suspect does, never hedged and not on the last target that is left; it is quarantined after three crashes, two of them isolated, and pauses 10 s after the first isolated one, so that a sound request on targets that crash by themselves is not refused. Items and score calls take no part.

--- a/src/tamarackshelf/contracts/targets.py
+++ b/src/tamarackshelf/contracts/targets.py
@@ -84,6 +84,10 @@
     """The request was sent but no complete response came; it may have run."""
 
 
+class ConnectionBroken(OutcomeUnknown):
+    """The connection ended before a complete response; the target may have crashed."""
+
+
 class ItemFailed(Exception):
     """The target ran the item or the score call and reported a failure."""
 
@@ -234,6 +238,9 @@
     def is_connected(self, target: Target) -> bool:
         """Return whether there is an idle connection to the target."""
 
+    async def refuses_connections(self, target: Target) -> bool:
+        """Return whether no process listens at the target's address."""
+
     async def forward(
         self,
         target: Target,
@@ -291,6 +298,7 @@
 __all__ = [
     "CallGate",
     "CallKind",
+    "ConnectionBroken",
     "EngineReport",
     "ForwardedRequest",
     "ItemEvent",
--- a/src/tamarackshelf/entry/forwarder.py
+++ b/src/tamarackshelf/entry/forwarder.py
@@ -21,8 +21,10 @@
 )
 from tamarackshelf.errors import AnswerLost, NoTarget, ShelfError
 from tamarackshelf.errors import OutcomeUnknown as CallerOutcomeUnknown
+from tamarackshelf.node.quarantine import LostRun, RequestQuarantine
 from tamarackshelf.node.targets import TargetRegistry, TargetState
 from tamarackshelf.observe import Metrics, Timeline
+from tamarackshelf.policy.quarantine import QuarantineStatus
 from tamarackshelf.policy.route_table import pick_service
 from tamarackshelf.world.route import Route, RouteKind
 
@@ -30,6 +32,8 @@
 ATTEMPT_TIME_SHARE = 0.5
 # Pause before a request is sent again to the targets after all of them refused it.
 ROUND_PAUSE_S = 0.02
+# Pause before a suspect request asks again for a target of its own.
+ISOLATION_PAUSE_S = 0.05
 # Retry delay that a refused caller is told; equals AVOID_S, the time for which a busy
 # target is avoided.
 RETRY_AFTER_S = 0.3
@@ -43,11 +47,13 @@
     """Outcomes of the attempts of one request.
 
     `runs` counts the attempts that ran, may have run or are still in progress.
+    `isolated_target` is the target on which it runs isolated from other suspects.
     """
 
     deadline_s: float
     refuse_at_s: float
     service: str = ""
+    isolated_target: str = ""
     tried: set[str] = field(default_factory=set)
     runs: int = 0
     may_have_run: bool = False
@@ -62,12 +68,14 @@
         self,
         targets: TargetRegistry,
         target_client: TargetClient,
+        quarantine: RequestQuarantine,
         data_centre: str,
         timeline: Timeline,
         metrics: Metrics,
     ) -> None:
         self._targets = targets
         self._target_client = target_client
+        self._quarantine = quarantine
         self._data_centre = data_centre
         self._timeline = timeline
         self._metrics = metrics
@@ -112,15 +120,31 @@
     ) -> TargetResponse:
         is_repeatable = route.kind is RouteKind.IDEMPOTENT
         while _now_s() < attempts.deadline_s:
-            state = self._choose_target(route, attempts)
+            status = self._quarantine.classify(request)
+            if status is QuarantineStatus.QUARANTINED:
+                if attempts.last_response is not None:
+                    break
+                attempts.last_reason = "targets crashed while the request ran there"
+                raise self._quarantine.build_refusal(
+                    request, may_have_run=attempts.may_have_run
+                )
+            is_suspect = status is QuarantineStatus.SUSPECT
+            state = (
+                await self._isolate(request, route, attempts)
+                if is_suspect
+                else self._choose_target(route, attempts)
+            )
             if state is None:
                 if not attempts.may_have_run and self._must_refuse(attempts):
                     break
                 # Targets that refused did not run the request and may be asked again.
                 attempts.tried.clear()
-                await asyncio.sleep(ROUND_PAUSE_S)
+                await asyncio.sleep(ISOLATION_PAUSE_S if is_suspect else ROUND_PAUSE_S)
                 continue
-            response = await self._send_hedged(request, route, state, attempts)
+            if is_suspect:
+                response = await self._send_isolated(request, route, state, attempts)
+            else:
+                response = await self._send_hedged(request, route, state, attempts)
             if response is not None:
                 return response
             if attempts.may_have_run and not is_repeatable:
@@ -148,6 +172,36 @@
             attempts.last_reason = reason
         return state
 
+    async def _isolate(
+        self, request: ForwardedRequest, route: Route, attempts: _Attempts
+    ) -> TargetState | None:
+        """Return a target that is isolated for a suspect, or None."""
+        attempts.service = pick_service(route.shares, self._targets.rng)
+        names, reason = self._targets.list_isolatable(
+            attempts.service, frozenset(attempts.tried)
+        )
+        if names:
+            reason = "other suspects are on all targets that are left"
+        name = await self._quarantine.isolate(request, names)
+        state = self._targets.get(name) if name else None
+        attempts.isolated_target = name
+        if state is None:
+            attempts.last_reason = reason
+        return state
+
+    async def _send_isolated(
+        self,
+        request: ForwardedRequest,
+        route: Route,
+        state: TargetState,
+        attempts: _Attempts,
+    ) -> TargetResponse | None:
+        try:
+            return await self._send(request, route, state, attempts)
+        finally:
+            attempts.isolated_target = ""
+            self._quarantine.release(request, state.target.name)
+
     async def _send_hedged(
         self,
         request: ForwardedRequest,
@@ -218,7 +272,9 @@
             self._targets.record_fault(name, str(error))
             attempts.last_reason = str(error)
             attempts.may_have_run = True
-            self._record_lost_answer(request, state, started_s, error)
+            await self._quarantine.record_lost_answer(
+                self._build_lost_run(request, state, attempts), error
+            )
             return None
         except asyncio.CancelledError:
             # Another attempt was faster or the caller disconnected, so the time up to
@@ -226,31 +282,27 @@
             self._targets.record_min_duration(
                 name, self._relative_duration(started_s, route)
             )
+            self._quarantine.record_unsettled(
+                self._build_lost_run(request, state, attempts)
+            )
             raise
         finally:
             state.in_flight -= 1
         attempts.may_have_run = True
+        if response.is_signed:
+            self._quarantine.record_answer(request)
         self._targets.record_success(name)
         self._targets.record_duration(name, self._relative_duration(started_s, route))
         self._targets.record_load(name, response.load)
         return self._to_final_response(response, name, attempts, may_retry)
 
-    def _record_lost_answer(
-        self,
-        request: ForwardedRequest,
-        state: TargetState,
-        started_s: float,
-        error: OutcomeUnknown,
-    ) -> None:
-        self._timeline.record(
-            "answer_lost_at_target",
-            request.request_id,
-            str(error),
-            target=state.target.name,
-            incarnation=state.target.incarnation,
-            fingerprint=request.compute_fingerprint(),
-            took_ms=round((_now_s() - started_s) * 1000),
-        )
+    def _build_lost_run(
+        self, request: ForwardedRequest, state: TargetState, attempts: _Attempts
+    ) -> LostRun:
+        target = state.target
+        is_isolated = attempts.isolated_target == target.name
+        fingerprint = request.compute_fingerprint()
+        return LostRun(request.request_id, fingerprint, target, is_isolated, _now_s())
 
     def _relative_duration(self, started_s: float, route: Route) -> float:
         """Return the time since `started_s` divided by the route's target latency.
--- a/src/tamarackshelf/entry/streamer.py
+++ b/src/tamarackshelf/entry/streamer.py
@@ -17,8 +17,10 @@
 )
 from tamarackshelf.entry.forwarder import RETRY_AFTER_S
 from tamarackshelf.errors import AnswerLost, NoTarget
+from tamarackshelf.node.quarantine import LostRun, RequestQuarantine
 from tamarackshelf.node.targets import TargetRegistry, TargetState
 from tamarackshelf.observe import Metrics, Timeline
+from tamarackshelf.policy.quarantine import QuarantineStatus
 from tamarackshelf.policy.route_table import pick_service
 from tamarackshelf.world.route import Route
 
@@ -29,7 +31,8 @@
 class _Stream:
     """State of one caller's stream across its runs at targets.
 
-    `runs` counts the attempts that ran or may have run.
+    `runs` counts the attempts that ran or may have run. `isolated_target` is the target
+    on which the present run is isolated from other suspects.
     """
 
     request: ForwardedRequest
@@ -40,6 +43,7 @@
     may_have_run: bool = False
     last_event_id: int | None = None
     service: str = ""
+    isolated_target: str = ""
     last_reason: str = "no target of the service is listed"
 
 
@@ -50,12 +54,14 @@
         self,
         targets: TargetRegistry,
         target_client: TargetClient,
+        quarantine: RequestQuarantine,
         data_centre: str,
         timeline: Timeline,
         metrics: Metrics,
     ) -> None:
         self._targets = targets
         self._target_client = target_client
+        self._quarantine = quarantine
         self._data_centre = data_centre
         self._timeline = timeline
         self._metrics = metrics
@@ -80,7 +86,7 @@
         Raise NoTarget or AnswerLost if no target does.
         """
         while _now_s() < stream.deadline_s and stream.runs < stream.route.max_attempts:
-            state = self._choose_target(stream)
+            state = await self._choose_target(stream)
             if state is None:
                 break
             name = state.target.name
@@ -97,11 +103,17 @@
                 head = await anext(events)
             except NotRun as error:
                 self._record_failure(stream, state, error)
+                self._release(stream)
                 continue
+            except asyncio.CancelledError:
+                self._quarantine.record_unsettled(self._build_lost_run(stream, state))
+                self._release(stream)
+                state.in_flight -= 1
+                raise
             except (OutcomeUnknown, StopAsyncIteration) as error:
-                self._record_failure(stream, state, error)
                 stream.may_have_run = True
                 stream.runs += 1
+                await self._record_lost_run(stream, state, error)
                 if not stream.route.is_resumable:
                     break
                 continue
@@ -131,11 +143,14 @@
                                 if event.event_id >= 0:
                                     stream.last_event_id = event.event_id
                                 event_count += 1
+                                # A run that made progress does not show what ended it.
+                                self._release(stream)
                                 yield event.data
                     outcome = "whole"
+                    self._quarantine.record_answer(stream.request)
                     return
                 except OutcomeUnknown as error:
-                    self._record_failure(stream, state, error)
+                    await self._record_lost_run(stream, state, error)
                     if not stream.route.is_resumable:
                         raise self._build_error(stream) from error
                 head, events, state = await self._open_at_target(stream)
@@ -150,6 +165,9 @@
             # A stream that broke off is no longer counted in `in_flight`.
             if outcome != "broken_off":
                 state.in_flight -= 1
+            if outcome == "left":
+                self._quarantine.record_unsettled(self._build_lost_run(stream, state))
+            self._release(stream)
             self._metrics.count(f"streams_{outcome}")
             self._timeline.record(
                 "stream",
@@ -162,10 +180,48 @@
                 tried=",".join(sorted(stream.tried)),
             )
 
-    def _choose_target(self, stream: _Stream) -> TargetState | None:
+    async def _choose_target(self, stream: _Stream) -> TargetState | None:
+        """Return the target of the next run, isolated if the request is suspect.
+
+        Raise QuarantinedNotRun or AnswerLost if the request is quarantined.
+        """
         stream.service = pick_service(stream.route.shares, self._targets.rng)
         tried = frozenset(stream.tried)
-        return self._targets.choose(stream.service, self._data_centre, tried)[0]
+        status = self._quarantine.classify(stream.request)
+        if status is QuarantineStatus.QUARANTINED:
+            raise self._quarantine.build_refusal(
+                stream.request, may_have_run=stream.may_have_run
+            )
+        if status is QuarantineStatus.CLEAR:
+            return self._targets.choose(stream.service, self._data_centre, tried)[0]
+        names, stream.last_reason = self._targets.list_isolatable(stream.service, tried)
+        name = await self._quarantine.isolate(stream.request, names)
+        stream.isolated_target = name
+        return self._targets.get(name) if name else None
+
+    def _build_lost_run(self, stream: _Stream, state: TargetState) -> LostRun:
+        return LostRun(
+            stream.request.request_id,
+            stream.request.compute_fingerprint(),
+            state.target,
+            stream.isolated_target == state.target.name,
+            _now_s(),
+        )
+
+    async def _record_lost_run(
+        self, stream: _Stream, state: TargetState, error: Exception
+    ) -> None:
+        """End a run without a complete response, which may have crashed its target."""
+        self._record_failure(stream, state, error)
+        if isinstance(error, OutcomeUnknown):
+            run = self._build_lost_run(stream, state)
+            await self._quarantine.record_lost_answer(run, error)
+        self._release(stream)
+
+    def _release(self, stream: _Stream) -> None:
+        if stream.isolated_target:
+            self._quarantine.release(stream.request, stream.isolated_target)
+            stream.isolated_target = ""
 
     def _record_failure(
         self, stream: _Stream, state: TargetState, error: Exception
--- a/src/tamarackshelf/errors.py
+++ b/src/tamarackshelf/errors.py
@@ -87,6 +87,13 @@
     status = 422
 
 
+class QuarantinedNotRun(Quarantined):
+    """The request is rejected like that before this attempt at it ran anywhere."""
+
+    status = 503
+    not_run = True
+
+
 class Overloaded(ShelfError):
     """No target had free capacity before the request's deadline."""
 
@@ -184,6 +191,7 @@
     "Overloaded",
     "PullSuperseded",
     "Quarantined",
+    "QuarantinedNotRun",
     "RevisionConflict",
     "ShelfError",
     "StoreUnavailable",
--- a/src/tamarackshelf/net/__init__.py
+++ b/src/tamarackshelf/net/__init__.py
@@ -6,7 +6,9 @@
     ClientResponse,
     ConnectFailed,
     ConnectionLost,
+    ConnectRefused,
     HttpClient,
+    ResponseOverdue,
     StreamedResponse,
 )
 from tamarackshelf.net.http_server import HttpServer, ServerLimits
@@ -21,11 +23,13 @@
 __all__ = [
     "ClientResponse",
     "ConnectFailed",
+    "ConnectRefused",
     "ConnectionLost",
     "HttpClient",
     "HttpServer",
     "Request",
     "Response",
+    "ResponseOverdue",
     "ServerLimits",
     "StreamedResponse",
     "decode_error",
--- a/src/tamarackshelf/net/http_client.py
+++ b/src/tamarackshelf/net/http_client.py
@@ -27,10 +27,18 @@
     """No connection was opened, so no byte was sent; another address may be tried."""
 
 
+class ConnectRefused(ConnectFailed):
+    """The address refused the connection, so no process listens there."""
+
+
 class ConnectionLost(Exception):
     """The request was sent without a complete response; its outcome is unknown."""
 
 
+class ResponseOverdue(ConnectionLost):
+    """The response was not complete at the deadline; the connection may be open."""
+
+
 @dataclass(frozen=True, slots=True)
 class ClientResponse:
     """HTTP response with its complete body."""
@@ -75,6 +83,12 @@
         for connection in self._idle.pop(address, []):
             connection.close()
 
+    async def probe(self, address: Address, timeout_s: float) -> None:
+        """Open a connection and close it; raise ConnectFailed if that fails."""
+        deadline_s = asyncio.get_running_loop().time() + timeout_s
+        connection = await self._connect(address, deadline_s)
+        connection.close()
+
     async def request(
         self,
         address: Address,
@@ -296,7 +310,7 @@
                 self._http.receive_data(data)
                 event = self._http.next_event()
         except TimeoutError as error:
-            raise ConnectionLost("no response before the deadline") from error
+            raise ResponseOverdue("no response before the deadline") from error
         except (ConnectionError, h11.RemoteProtocolError) as error:
             raise ConnectionLost(str(error)) from error
         return event
@@ -324,6 +338,8 @@
             reader, writer = await asyncio.open_connection(
                 address.host, address.port, limit=READ_SIZE_BYTES
             )
+    except ConnectionRefusedError as error:
+        raise ConnectRefused(f"cannot connect to {address}: {error}") from error
     except (OSError, TimeoutError) as error:
         raise ConnectFailed(f"cannot connect to {address}: {error}") from error
     set_keep_alive(writer)
@@ -335,7 +351,9 @@
 __all__ = [
     "ClientResponse",
     "ConnectFailed",
+    "ConnectRefused",
     "ConnectionLost",
     "HttpClient",
+    "ResponseOverdue",
     "StreamedResponse",
 ]
--- a/src/tamarackshelf/node/peer_api.py
+++ b/src/tamarackshelf/node/peer_api.py
@@ -19,7 +19,11 @@
 )
 from tamarackshelf.node.peer_store import RELAY_PATH, answer_relay
 from tamarackshelf.node.permits import PERMIT_PATH, PermitRequest
+from tamarackshelf.node.quarantine import RequestQuarantine
+from tamarackshelf.node.quarantine_peers import CRASH_PATH, ISOLATE_PATH, RELEASE_PATH
 from tamarackshelf.node.target_limits import TargetLimits
+from tamarackshelf.peers.isolation import IsolationRelease, IsolationRequest
+from tamarackshelf.policy.quarantine import Crash
 from tamarackshelf.policy.rumours import Rumour
 from tamarackshelf.store.failover import FailoverStore
 
@@ -36,9 +40,11 @@
         store: FailoverStore,
         jobs: JobManager,
         limits: TargetLimits,
+        quarantine: RequestQuarantine,
         get_gossip: GossipGetter,
     ) -> None:
         self._limits = limits
+        self._quarantine = quarantine
         self._store = store
         self._jobs = jobs
         self._get_gossip = get_gossip
@@ -49,6 +55,9 @@
             HANDOVER_PATH: self._accept_job,
             SYNC_PATH: self._sync_rumours,
             PERMIT_PATH: self._answer_permit_request,
+            CRASH_PATH: self._accept_crash,
+            ISOLATE_PATH: self._isolate,
+            RELEASE_PATH: self._release_isolation,
         }
 
     async def handle(self, request: Request) -> Response:
@@ -84,6 +93,20 @@
         answer = self._limits.answer_permit_request(asked)
         return Response(200, msgspec.msgpack.encode(answer))
 
+    async def _accept_crash(self, request: Request) -> Response:
+        self._quarantine.accept_crash(msgspec.msgpack.decode(request.body, type=Crash))
+        return Response(200)
+
+    async def _isolate(self, request: Request) -> Response:
+        asked = msgspec.msgpack.decode(request.body, type=IsolationRequest)
+        answer = self._quarantine.answer_isolation(asked)
+        return Response(200, msgspec.msgpack.encode(answer))
+
+    async def _release_isolation(self, request: Request) -> Response:
+        release = msgspec.msgpack.decode(request.body, type=IsolationRelease)
+        self._quarantine.accept_release(release)
+        return Response(200)
+
     async def _sync_rumours(self, request: Request) -> Response:
         gossip = self._get_gossip()
         if gossip is None:
--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -29,6 +29,8 @@
 from tamarackshelf.node.freeze import watch_for_freezes
 from tamarackshelf.node.peer_api import PeerApi
 from tamarackshelf.node.peer_store import PeerStore
+from tamarackshelf.node.quarantine import RequestQuarantine
+from tamarackshelf.node.quarantine_peers import FleetQuarantinePeers
 from tamarackshelf.node.settings import NodeSettings
 from tamarackshelf.node.target_limits import TargetLimits
 from tamarackshelf.node.targets import TargetRegistry
@@ -37,6 +39,7 @@
 from tamarackshelf.policy.entries import EntryAnswer, choose_entries
 from tamarackshelf.policy.periods import fit_period_s
 from tamarackshelf.policy.rumours import Rumour
+from tamarackshelf.store.crash_rows import CRASH_TABLE
 from tamarackshelf.store.failover import FailoverStore
 from tamarackshelf.store.fleet_rows import (
     NODE_TABLE,
@@ -164,6 +167,7 @@
                 tables.targets_table,
                 NODE_TABLE,
                 HEAD_TABLE,
+                CRASH_TABLE,
             )
         }
         self.jobs = JobManager(
@@ -178,11 +182,24 @@
         self.retention = JobRetention(
             self.row_store, store, self.jobs.heads, settings.results_kept_s, timeline
         )
+        self.quarantine = RequestQuarantine(
+            settings.vm, self.targets, target_client, timeline, metrics, time.time
+        )
         forwarder = Forwarder(
-            self.targets, target_client, settings.data_centre, timeline, metrics
+            self.targets,
+            target_client,
+            self.quarantine,
+            settings.data_centre,
+            timeline,
+            metrics,
         )
         streamer = Streamer(
-            self.targets, target_client, settings.data_centre, timeline, metrics
+            self.targets,
+            target_client,
+            self.quarantine,
+            settings.data_centre,
+            timeline,
+            metrics,
         )
         self._caller_server = HttpServer(
             factories.callers(self.configuration_view, forwarder, streamer, self.jobs),
@@ -194,7 +211,9 @@
         )
         self._ready_server = HttpServer(_to_async(factories.ready(self.is_ready)))
         peer_limits = ServerLimits(body_bytes=MAX_PEER_BODY_BYTES)
-        peer_api = PeerApi(self.row_store, self.jobs, limits, self._get_gossip)
+        peer_api = PeerApi(
+            self.row_store, self.jobs, limits, self.quarantine, self._get_gossip
+        )
         self._peer_server = HttpServer(peer_api.handle, peer_limits)
         self._seed_server = HttpServer(peer_api.handle, peer_limits)
         self._metrics_server = HttpServer(self._answer_metrics)
@@ -251,6 +270,12 @@
         self.limits.connect(fleet)
         self._connect_engine_requests(fleet, self.weights)
         await self._watches[NODE_TABLE].loaded.wait()
+        await self.quarantine.start(
+            fleet,
+            FleetQuarantinePeers(fleet, self._http, self._timeline),
+            self.row_store,
+            self._watches[CRASH_TABLE],
+        )
         await fleet.start()
         self.fleet = fleet
         await self.runner.start()
@@ -304,6 +329,7 @@
     async def close(self) -> None:
         """Close everything at once, without handing over jobs."""
         await stop_tasks(*self._tasks)
+        await self.quarantine.close()
         await self.retention.close()
         await self.jobs.close()
         await self.runner.close()
--- a/src/tamarackshelf/node/targets.py
+++ b/src/tamarackshelf/node/targets.py
@@ -382,6 +382,25 @@
             if state.target.name not in excluded
         ]
 
+    def list_isolatable(
+        self, service: str, tried: frozenset[str]
+    ) -> tuple[tuple[str, ...], str]:
+        """Return targets that may run a suspect request, least loaded first.
+
+        Return none, and the reason, while all other targets of the service are out: the
+        request might crash the last one.
+        """
+        usable = [
+            candidate
+            for candidate in self.list_candidates(service, frozenset())
+            if not candidate.ruled_out
+        ]
+        if len(usable) < 2 and len(self.list_available(service)) > 1:
+            return (), f"only {len(usable)} targets are left for a suspect request"
+        usable.sort(key=lambda candidate: candidate.load)
+        names = [candidate.target.name for candidate in usable]
+        return tuple(name for name in names if name not in tried), ""
+
     def choose(
         self,
         service: str,
--- a/src/tamarackshelf/platform/target_client.py
+++ b/src/tamarackshelf/platform/target_client.py
@@ -13,6 +13,7 @@
 from tamarackshelf.contracts.targets import (
     CallGate,
     CallKind,
+    ConnectionBroken,
     EngineReport,
     ForwardedRequest,
     ItemEvent,
@@ -35,7 +36,9 @@
     ClientResponse,
     ConnectFailed,
     ConnectionLost,
+    ConnectRefused,
     HttpClient,
+    ResponseOverdue,
     StreamedResponse,
 )
 from tamarackshelf.world import Target
@@ -67,6 +70,8 @@
 # items for a more urgent one.
 ITEM_PRIORITY = "5"
 MAX_EVENT_BYTES = 1024 * 1024
+# A running worker accepts a connection, and a crashed one refuses it, in milliseconds.
+PROBE_TIMEOUT_S = 0.2
 
 
 class _ReportedModel(msgspec.Struct):
@@ -101,6 +106,17 @@
         """Return whether the pool holds a usable connection to the target."""
         return self._http.has_idle_connection(target.address)
 
+    async def refuses_connections(self, target: Target) -> bool:
+        """Return whether no process listens at the worker's address."""
+        try:
+            await self._http.probe(target.address, PROBE_TIMEOUT_S)
+        except ConnectRefused:
+            return True
+        except ConnectFailed:
+            # The worker may be cut off.
+            return False
+        return False
+
     async def forward(
         self,
         target: Target,
@@ -172,7 +188,7 @@
         except ConnectFailed as error:
             raise NotRun(str(error)) from error
         except ConnectionLost as error:
-            raise OutcomeUnknown(f"{target.name}: {error}") from error
+            raise _to_outcome(target, error) from error
 
     async def score(self, target: Target, call: ScoreCall, timeout_s: float) -> str:
         """Send a score call and return the score.
@@ -233,7 +249,7 @@
         except ConnectFailed as error:
             raise NotRun(str(error)) from error
         except ConnectionLost as error:
-            raise OutcomeUnknown(f"{target.name}: {error}") from error
+            raise _to_outcome(target, error) from error
 
     async def order_version(
         self, target: Target, order: VersionOrder, timeout_s: float
@@ -275,7 +291,7 @@
         except ConnectFailed as error:
             raise NotRun(str(error)) from error
         except ConnectionLost as error:
-            raise OutcomeUnknown(f"{target.name}: {error}") from error
+            raise _to_outcome(target, error) from error
         if response.status in (200, 202):
             return response.status == 202
         if response.status == 421:
@@ -331,7 +347,7 @@
         except ConnectFailed as error:
             raise NotRun(str(error)) from error
         except ConnectionLost as error:
-            raise OutcomeUnknown(f"{target.name}: {error}") from error
+            raise _to_outcome(target, error) from error
         response = ClientResponse(stream.status, stream.headers, data)
         _raise_if_not_run(target, response.status, response.headers)
         return TargetResponse(
@@ -395,6 +411,12 @@
     raise OutcomeUnknown(f"{target.name} returned {response.status} for item {item_id}")
 
 
+def _to_outcome(target: Target, error: ConnectionLost) -> OutcomeUnknown:
+    is_overdue = isinstance(error, ResponseOverdue)
+    error_class = OutcomeUnknown if is_overdue else ConnectionBroken
+    return error_class(f"{target.name}: {error}")
+
+
 def _check_request_id(
     target: Target, request_id: str, response: StreamedResponse
 ) -> None:
--- /dev/null
+++ b/src/tamarackshelf/store/crash_rows.py
@@ -0,0 +1,57 @@
+"""Rows of crashes of targets, one for each request in flight there.
+
+Each row is written once and never changed, so writes need no condition and may be
+repeated.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+import msgspec
+
+from tamarackshelf.contracts.rows import RowKey, RowStore, RowTransaction, RowWrite
+from tamarackshelf.policy.quarantine import Crash
+
+CRASH_TABLE = "crash"
+# The store's maximum number of writes in a transaction.
+MAX_WRITES = 100
+
+
+def build_crash_key(crash: Crash) -> RowKey:
+    """Return the key of a crash's row."""
+    key = f"{crash.fingerprint}/{crash.target}/{crash.incarnation}"
+    return RowKey(CRASH_TABLE, "", key)
+
+
+async def write_crashes(store: RowStore, crashes: Iterable[Crash]) -> None:
+    """Write the rows of crashes; raise RowStoreError if that fails."""
+    await _commit(
+        store,
+        [RowWrite(build_crash_key(c), msgspec.msgpack.encode(c)) for c in crashes],
+    )
+
+
+async def delete_crashes(store: RowStore, keys: Iterable[RowKey]) -> None:
+    """Delete the rows of crashes; raise RowStoreError if that fails."""
+    await _commit(store, [RowWrite(key, None) for key in keys])
+
+
+def decode_crash(value: bytes) -> Crash:
+    """Decode a crash's row; raise msgspec.DecodeError if it is invalid."""
+    return msgspec.msgpack.decode(value, type=Crash)
+
+
+async def _commit(store: RowStore, writes: list[RowWrite]) -> None:
+    for first in range(0, len(writes), MAX_WRITES):
+        batch = tuple(writes[first : first + MAX_WRITES])
+        await store.commit(RowTransaction((), batch))
+
+
+__all__ = [
+    "CRASH_TABLE",
+    "build_crash_key",
+    "decode_crash",
+    "delete_crashes",
+    "write_crashes",
+]
--- a/tests/entry/test_forwarder.py
+++ b/tests/entry/test_forwarder.py
@@ -22,7 +22,12 @@
 from tamarackshelf.node.targets import TargetRegistry
 from tamarackshelf.observe import Metrics, Timeline
 from tamarackshelf.policy.route_table import RouteTable
-from tests.support.node import HOST, build_configuration, build_target
+from tests.support.node import (
+    HOST,
+    build_configuration,
+    build_quarantine,
+    build_target,
+)
 
 NAMES = ("t1", "t2", "t3")
 
@@ -69,7 +74,14 @@
         registry = TargetRegistry(timeline, lambda: float("-inf"), random.Random(3))
         for name in names:
             registry.put(build_target(name, "app"))
-        forwarder = Forwarder(registry, targets, "dc", timeline, Metrics())
+        forwarder = Forwarder(
+            registry,
+            targets,
+            build_quarantine(registry, targets),
+            "dc",
+            timeline,
+            Metrics(),
+        )
         table = RouteTable(build_configuration(max_attempts=attempts))
         request = ForwardedRequest("r1", HOST, Request("POST", path))
         started_s = asyncio.get_running_loop().time()
@@ -181,7 +193,14 @@
         registry = TargetRegistry(timeline, lambda: float("-inf"), random.Random(3))
         for name in NAMES:
             registry.put(build_target(name, "app"))
-        forwarder = Forwarder(registry, targets, "dc", timeline, Metrics())
+        forwarder = Forwarder(
+            registry,
+            targets,
+            build_quarantine(registry, targets),
+            "dc",
+            timeline,
+            Metrics(),
+        )
         route = RouteTable(build_configuration()).find(HOST, "/score/x")
         loop = asyncio.get_running_loop()
         took_s = []
@@ -207,7 +226,14 @@
         registry = TargetRegistry(timeline, lambda: float("-inf"), random.Random(3))
         for name in NAMES:
             registry.put(build_target(name, "app"))
-        forwarder = Forwarder(registry, targets, "dc", timeline, Metrics())
+        forwarder = Forwarder(
+            registry,
+            targets,
+            build_quarantine(registry, targets),
+            "dc",
+            timeline,
+            Metrics(),
+        )
         route = RouteTable(build_configuration()).find(HOST, "/score/x")
         for number in range(100):
             request = ForwardedRequest(f"r{number}", HOST, Request("POST", "/score/x"))
--- a/tests/entry/test_streamer.py
+++ b/tests/entry/test_streamer.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tamarackshelf.contracts.targets import (
+    ConnectionBroken,
     ForwardedRequest,
     NotRun,
     OutcomeUnknown,
@@ -15,12 +16,12 @@
     StreamHead,
 )
 from tamarackshelf.entry.streamer import Streamer
-from tamarackshelf.errors import AnswerLost, NoTarget
+from tamarackshelf.errors import AnswerLost, NoTarget, Quarantined, QuarantinedNotRun
 from tamarackshelf.net import Request
 from tamarackshelf.node.targets import TargetRegistry
 from tamarackshelf.observe import Metrics, Timeline
 from tamarackshelf.world.route import Route, RouteKind, ServiceShare
-from tests.support.node import HOST, build_target
+from tests.support.node import HOST, build_quarantine, build_target
 
 EVENT_COUNT = 6
 
@@ -29,13 +30,18 @@
     """Streams events; `failures` holds what happens to one call after another.
 
     A number breaks the stream off at that event, an exception is raised before the
-    head, and None lets the stream complete.
+    head, and None lets the stream complete. A target that closed its connection
+    refuses new ones.
     """
 
-    def __init__(self, failures):
+    def __init__(self, failures, has_crashed=False):
         self.failures = list(failures)
+        self.has_crashed = has_crashed
         self.calls = []
 
+    async def refuses_connections(self, target):
+        return self.has_crashed
+
     async def stream(self, target, request, timeout_s, *, after_event_id, at_most_once):
         self.calls.append((target.name, after_event_id, at_most_once))
         failure = self.failures.pop(0) if self.failures else None
@@ -46,17 +52,12 @@
         for number in range(first, EVENT_COUNT):
             await asyncio.sleep(0.03)
             if failure is not None and number >= failure:
-                raise OutcomeUnknown("reset")
+                raise ConnectionBroken("reset")
             yield StreamEvent(number, f"{number};".encode())
 
 
-def open_stream(run, failures, *, resumable):
-    """Open a stream; return its head, the received bytes, its end and the calls.
-
-    The end is "complete" or the error, and the head is None after an error.
-    """
-    targets = FakeTargetClient(failures)
-    route = Route(
+def build_route(resumable):
+    return Route(
         name="s",
         host=HOST,
         path_prefix="/s/",
@@ -68,12 +69,28 @@
         is_resumable=resumable,
     )
 
+
+def open_stream(run, failures, *, resumable):
+    """Open a stream; return its head, the received bytes, its end and the calls.
+
+    The end is "complete" or the error, and the head is None after an error.
+    """
+    targets = FakeTargetClient(failures)
+    route = build_route(resumable)
+
     async def scenario():
         timeline = Timeline("n", lambda: 0)
         registry = TargetRegistry(timeline, lambda: float("-inf"), random.Random(3))
         for name in ("t1", "t2", "t3"):
             registry.put(build_target(name, "app"))
-        streamer = Streamer(registry, targets, "dc", timeline, Metrics())
+        streamer = Streamer(
+            registry,
+            targets,
+            build_quarantine(registry, targets),
+            "dc",
+            timeline,
+            Metrics(),
+        )
         request = ForwardedRequest("r", HOST, Request("POST", "/s/x"))
         received, end = b"", "complete"
         try:
@@ -131,3 +148,35 @@
     )
     assert len(calls) == (2 if resumable else 1)
     assert (received == ALL_EVENTS) is resumable
+
+
+# Streams that ended their targets were opened at more of them without end.
+@pytest.mark.parametrize("failure", [0, ConnectionBroken("reset")])
+def test_stream_that_crashes_its_targets_is_quarantined(run, failure):
+    targets = FakeTargetClient([failure] * 30, has_crashed=True)
+    route = build_route(resumable=True)
+
+    async def scenario():
+        timeline = Timeline("n", lambda: 0)
+        registry = TargetRegistry(timeline, lambda: float("-inf"), random.Random(3))
+        quarantine = build_quarantine(
+            registry, targets, wall_s=asyncio.get_running_loop().time
+        )
+        streamer = Streamer(registry, targets, quarantine, "dc", timeline, Metrics())
+        request = ForwardedRequest("r", HOST, Request("POST", "/s/x"))
+        errors = []
+        for number in range(10):
+            for name in ("t1", "t2", "t3"):
+                registry.put(build_target(name, "app", incarnation=number))
+            try:
+                _, events = await streamer.open(request, route, 5.0)
+                async for _ in events:
+                    pass
+            except (AnswerLost, NoTarget, Quarantined) as error:
+                errors.append(error)
+            await asyncio.sleep(5.0)
+        return errors
+
+    errors = run(scenario())
+    assert len(targets.calls) <= 5
+    assert isinstance(errors[-1], QuarantinedNotRun)
--- a/tests/node/test_peer_api.py
+++ b/tests/node/test_peer_api.py
@@ -11,12 +11,22 @@
 from tamarackshelf.node.peer_jobs import HANDOVER_PATH, JOB_READ_PATH
 from tamarackshelf.node.peer_store import RELAY_PATH
 from tamarackshelf.node.permits import PERMIT_PATH
+from tamarackshelf.node.quarantine_peers import CRASH_PATH, ISOLATE_PATH, RELEASE_PATH
 from tamarackshelf.node.target_limits import TargetLimits
 from tamarackshelf.observe import Metrics
 from tamarackshelf.standin.row_store import MemoryRowStore
-from tests.support.node import Cluster, SimulatedEngines
+from tests.support.node import Cluster, SimulatedEngines, build_quarantine
 
-PATHS = (RELAY_PATH, JOB_READ_PATH, HANDOVER_PATH, PERMIT_PATH, "/v1/sync")
+PATHS = (
+    RELAY_PATH,
+    JOB_READ_PATH,
+    HANDOVER_PATH,
+    PERMIT_PATH,
+    CRASH_PATH,
+    ISOLATE_PATH,
+    RELEASE_PATH,
+    "/v1/sync",
+)
 BODIES = {
     "empty": b"",
     "not msgpack": b"\xc1\xff\x00",
@@ -38,6 +48,7 @@
         node.failover_store,
         node.job_manager,
         TargetLimits(None, node.timeline, Metrics()),
+        build_quarantine(node.target_registry, cluster.engines),
         RejectingGossip,
     )
 
--- a/tests/support/node.py
+++ b/tests/support/node.py
@@ -17,6 +17,7 @@
 from tamarackshelf.jobs.scorer import Scorer
 from tamarackshelf.net import ClientResponse, ConnectFailed, ConnectionLost
 from tamarackshelf.node import peer_jobs
+from tamarackshelf.node.quarantine import RequestQuarantine
 from tamarackshelf.node.targets import TargetRegistry
 from tamarackshelf.observe import Metrics, Timeline
 from tamarackshelf.policy.route_table import RouteTable
@@ -68,6 +69,12 @@
     return TargetRecord(target, versions=versions or {})
 
 
+def build_quarantine(registry, target_client, vm="n", wall_s=lambda: 1e9):
+    """Return a node's quarantine that is not connected to other nodes."""
+    timeline = Timeline(vm, lambda: 0)
+    return RequestQuarantine(vm, registry, target_client, timeline, Metrics(), wall_s)
+
+
 def build_job(job_id="j1", items=4, min_version=1):
     return Job(
         job_id=job_id,
@@ -297,5 +304,6 @@
     "SimulatedEngines",
     "build_configuration",
     "build_job",
+    "build_quarantine",
     "build_target",
 ]
