Store crashes in a part of their own, several in one transaction

The store commits the transactions of a part one by one, 150 a second on the users' platform, and the nodes' own rows and leases lie in the empty part. A crash with many requests in flight wrote one transaction for each. Upkeep looked up the owner of each row's fingerprint every 2 s; now it does so for missing and obsolete rows only, 200 at a time.

--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -160,7 +160,10 @@
         )
         self._watches = {
             name: TableWatch(
-                self.row_store, name, timeline, has_parts=name == HEAD_TABLE
+                self.row_store,
+                name,
+                timeline,
+                has_parts=name in (HEAD_TABLE, CRASH_TABLE),
             )
             for name in (
                 tables.operator_table,
--- a/src/tamarackshelf/node/quarantine.py
+++ b/src/tamarackshelf/node/quarantine.py
@@ -59,6 +59,8 @@
 UNSETTLED_S = 5.0
 MAX_UNSETTLED = 1000
 UPKEEP_INTERVAL_S = 2.0
+# Rows that one round of upkeep writes or deletes at most.
+MAX_UPKEEP_ROWS = 200
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +103,8 @@
         self._history = CrashHistory(RULES)
         self._isolation = IsolationTable()
         self._unsettled: list[LostRun] = []
+        self._unstored: list[Crash] = []
+        self._storing: asyncio.Task[None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._upkeep: asyncio.Task[None] | None = None
         self._client: QuarantineClient | None = None
@@ -126,7 +130,7 @@
 
     async def close(self) -> None:
         """Stop sharing crashes."""
-        await stop_tasks(self._upkeep, *self._tasks)
+        await stop_tasks(self._upkeep, self._storing, *self._tasks)
 
     def classify(self, request: ForwardedRequest) -> QuarantineStatus:
         """Return whether a request may run, and whether it must be isolated."""
@@ -299,7 +303,10 @@
 
     async def _share(self, crash: Crash) -> None:
         """Tell the live nodes of a crash and wait for them; store it meanwhile."""
-        self._spawn(self._write([crash]))
+        self._unstored.append(crash)
+        if self._storing is None or self._storing.done():
+            loop = asyncio.get_running_loop()
+            self._storing = loop.create_task(self._store_crashes())
         if self._client is not None:
             await self._client.announce_crash(crash)
 
@@ -335,20 +342,24 @@
                 continue
             names = [record.vm for record in self._fleet.list_live_nodes()]
             rows = self._watch.rows
+            missing = [
+                crash
+                for crash in self._history.list_all()
+                if build_crash_key(crash) not in rows
+            ]
+            obsolete = [key for key in list(rows) if self._is_obsolete(key)]
             await self._write(
                 [
                     crash
-                    for crash in self._history.list_all()
-                    if build_crash_key(crash) not in rows
-                    and find_owner(names, crash.fingerprint) == self._vm
+                    for crash in missing[:MAX_UPKEEP_ROWS]
+                    if find_owner(names, crash.fingerprint) == self._vm
                 ]
             )
             await self._delete(
                 [
                     key
-                    for key in list(rows)
+                    for key in obsolete[:MAX_UPKEEP_ROWS]
                     if find_owner(names, key.key.partition("/")[0]) == self._vm
-                    and self._is_obsolete(key)
                 ]
             )
 
@@ -359,6 +370,12 @@
         status = self._history.classify(fingerprint, self._wall_s())
         return key not in known or status is QuarantineStatus.CLEAR
 
+    async def _store_crashes(self) -> None:
+        """Store the noticed crashes, those of one crash of a target together."""
+        while self._unstored:
+            crashes, self._unstored = self._unstored, []
+            await self._write(crashes)
+
     async def _write(self, crashes: list[Crash]) -> None:
         if self._store is None or not crashes:
             return
--- a/src/tamarackshelf/store/crash_rows.py
+++ b/src/tamarackshelf/store/crash_rows.py
@@ -14,6 +14,8 @@
 from tamarackshelf.policy.quarantine import Crash
 
 CRASH_TABLE = "crash"
+# A part of its own, as the store commits the transactions of a part one by one.
+CRASH_PART = "crash"
 # The store's maximum number of writes in a transaction.
 MAX_WRITES = 100
 
@@ -21,7 +23,7 @@
 def build_crash_key(crash: Crash) -> RowKey:
     """Return the key of a crash's row."""
     key = f"{crash.fingerprint}/{crash.target}/{crash.incarnation}"
-    return RowKey(CRASH_TABLE, "", key)
+    return RowKey(CRASH_TABLE, CRASH_PART, key)
 
 
 async def write_crashes(store: RowStore, crashes: Iterable[Crash]) -> None:
--- a/tests/support/crashing.py
+++ b/tests/support/crashing.py
@@ -137,9 +137,7 @@
             Metrics(),
         )
         self._cluster = cluster
-        self._watch = TableWatch(
-            self.store, CRASH_TABLE, self.timeline, has_parts=False
-        )
+        self._watch = TableWatch(self.store, CRASH_TABLE, self.timeline, has_parts=True)
         self._route = RouteTable(build_configuration()).find(HOST, PATH)
 
     async def start(self):
