Decode the software version of targets, and log it

A worker's row names the version of its software, which nothing read. The log's item_run lines could not tell whether a text went on at another version.

--- a/src/tamarackshelf/node/targets.py
+++ b/src/tamarackshelf/node/targets.py
@@ -167,6 +167,7 @@
                 name,
                 "the target is new in the list",
                 service=record.target.service,
+                software=record.target.software,
                 leaving=record.is_leaving,
             )
             state = self._states[name] = TargetState(record)
--- a/src/tamarackshelf/platform/records.py
+++ b/src/tamarackshelf/platform/records.py
@@ -112,6 +112,9 @@
     # Start time in Unix milliseconds; it changes when a worker with this id restarts.
     born: int = 0
     models: list[_LoadedModel] = []
+    # Version of the worker's software; the weight versions are those
+    # in `models`.
+    version: str = ""
     # The row's `sequence` is not decoded: it counts heartbeats, whereas `sequence` in a
     # worker's report counts orders.
 
@@ -155,6 +158,7 @@
         incarnation=record.born,
         concurrency=record.capacity,
         checks_fencing=checks_fencing,
+        software=record.version,
     )
     versions = {model.name: model.version for model in record.models}
     is_leaving = record.state == "draining"
--- a/src/tamarackshelf/world/vm.py
+++ b/src/tamarackshelf/world/vm.py
@@ -35,6 +35,8 @@
     incarnation: int
     concurrency: int
     checks_fencing: bool = True
+    # Version of the process's software, not of its weights; versions have no order.
+    software: str = ""
 
 
 @dataclass(frozen=True, slots=True)
