Play workers of two software versions in the soak, which fails

Engines run one of two software versions and restart at random with the other; each event names the version that wrote it. Clients of streams take a broken stream up again at another node with Resumes and Last-Event-Id. The checker lets no text hold events of two versions.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -22,7 +22,7 @@
     PlainCall,
     now_s,
 )
-from tests.soak.workers import CRASHING_PREFIX
+from tests.soak.workers import CRASHING_PREFIX, TEXT_HEADER
 
 if TYPE_CHECKING:
     from random import Random
@@ -39,6 +39,7 @@
 PLAIN_TIMEOUT_S = 2.0
 JOB_TIMEOUT_S = 2.5
 STREAM_TIMEOUT_S = 6.0
+MAX_RESUMPTIONS = 2
 # After this time a trainer stops reading a step's results, even if some are missing.
 STEP_TIME_LIMIT_S = 8.0
 RESOLVE_CACHE_S = 2.0
@@ -218,30 +219,67 @@
 
 
 class StreamClient:
-    """Client that reads streams of a resumable route, one after the other."""
+    """Client that reads streams of a resumable route, one after the other.
+
+    With `resumes`, it takes a broken stream up again at another node, up to
+    MAX_RESUMPTIONS times.
+    """
 
     def __init__(
-        self, history: History, resolver: NodeResolver, random: Random
+        self,
+        history: History,
+        resolver: NodeResolver,
+        random: Random,
+        *,
+        resumes: bool = False,
     ) -> None:
         self._history = history
         self._resolver = resolver
         self._random = random
+        self._max_attempts = MAX_RESUMPTIONS + 1 if resumes else 1
 
     async def run(self) -> None:
         """Read streams until cancelled."""
         http = HttpClient(connect_timeout_s=1.0)
         try:
             while True:
-                await self._read(http, await self._resolver.choose())
+                await self._read(http)
                 await asyncio.sleep(self._random.uniform(0.1, 0.5))
         finally:
             await http.close()
 
-    async def _read(self, http: HttpClient, endpoint: NodeEndpoint) -> None:
-        request_id = uuid.UUID(int=self._random.getrandbits(128)).hex
-        headers = {"host": HOST, "x-request-id": request_id, "x-model": MODEL}
+    async def _read(self, http: HttpClient) -> None:
+        text_id = uuid.UUID(int=self._random.getrandbits(128)).hex
+        headers = {"host": HOST, "x-request-id": text_id, "x-model": MODEL}
         headers["x-deadline-ms"] = str(int(STREAM_TIMEOUT_S * 1000))
-        status, text, is_ended = 0, b"", False
+        headers[TEXT_HEADER] = text_id
+        first_status, text, is_ended, node = 0, b"", False, ""
+        for _ in range(self._max_attempts):
+            endpoint = await self._resolver.choose(exclude=node)
+            node = endpoint.name
+            status, part, is_ended = await self._attempt(http, endpoint, headers)
+            first_status = first_status or status
+            if status == 200:
+                text += part
+            if is_ended and status == 200:
+                break
+            if text:
+                # An event whose end did not arrive comes again.
+                text = text[: text.rfind(b"\n\n") + 2] if b"\n\n" in text else b""
+            if text:
+                first_id = headers.get("resumes", headers["x-request-id"])
+                headers["resumes"] = first_id
+                headers["last-event-id"] = str(text.count(b"\n\n") - 1)
+            headers["x-request-id"] = uuid.UUID(int=self._random.getrandbits(128)).hex
+        self._history.streams.append(
+            ObservedStream(text_id, node, first_status, text, is_ended)
+        )
+
+    async def _attempt(
+        self, http: HttpClient, endpoint: NodeEndpoint, headers: dict[str, str]
+    ) -> tuple[int, bytes, bool]:
+        """Return the status, the received bytes and whether the response ended."""
+        status, text = NO_STATUS, b""
         try:
             async with http.stream(
                 endpoint.proxy_address,
@@ -254,13 +292,10 @@
                 status = answer.status
                 async for chunk in answer.chunks():
                     text += chunk
-            is_ended = True
         except (ConnectFailed, ConnectionLost):
             # The checkers also check the events of a stream that was cut off.
-            is_ended = False
-        self._history.streams.append(
-            ObservedStream(request_id, endpoint.name, status, text, is_ended)
-        )
+            return status, text, False
+        return status, text, True
 
 
 class JobClient:
--- a/tests/soak/checkers.py
+++ b/tests/soak/checkers.py
@@ -19,6 +19,7 @@
     build_stamp,
     count_events,
     is_complete_text,
+    parse_software,
     parse_versions,
 )
 from tests.soak.workers import CRASHING_PREFIX
@@ -80,6 +81,19 @@
             yield f"{where}: ended after {len(complete)} of {expected} events"
 
 
+def check_texts_have_one_software_version(history: History) -> Iterator[Violation]:
+    """Check that no text has events of workers of two software versions."""
+    for stream in history.streams:
+        software = parse_software(stream.text.decode())
+        if stream.status == 200 and len(software) > 1:
+            yield f"stream {stream.request_id} at {stream.node}: from {software}"
+    for job in history.jobs.values():
+        for result in _list_distinct_results(job):
+            software = parse_software(result.text)
+            if len(software) > 1:
+                yield f"item {result.item_id} of job {job.job_id}: from {software}"
+
+
 def check_requests_arrive_unchanged(history: History) -> Iterator[Violation]:
     """Check that requests reach workers with the path and body that callers sent."""
     sent_requests = {call.request_id: (call.path, call.body) for call in history.calls}
@@ -355,6 +369,7 @@
 CHECKERS: tuple[Checker, ...] = (
     check_responses_are_complete,
     check_streams_are_in_order,
+    check_texts_have_one_software_version,
     check_requests_arrive_unchanged,
     check_non_idempotent_requests_run_once,
     check_refused_requests_do_not_run,
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -46,11 +46,18 @@
 class Deployment:
     """The servers, processes and callers of one run, on addresses in 127.`block`.
 
-    `folder` gets the settings and the logs of the nodes.
+    `folder` gets the settings and the logs of the nodes. With `software` above one, the
+    workers have that many versions of it, and some have another one after a restart.
     """
 
     def __init__(
-        self, seed: int, folder: Path, block: int, nodes: int, engines: int = 3
+        self,
+        seed: int,
+        folder: Path,
+        block: int,
+        nodes: int,
+        engines: int = 3,
+        software: int = 1,
     ) -> None:
         self.history = History()
         self.store = StoreServer()
@@ -59,6 +66,8 @@
         self.crashed_workers: set[str] = set()
         self.configuration_version = 1
         self._random = Random(seed)
+        self._software = "abcdefgh"[:software]
+        self._software_random = Random(f"software-{seed}")
         self._host = f"127.{block}"
         self._callers: list[asyncio.Task[None]] = []
         self._worker_restarts: set[asyncio.Task[None]] = set()
@@ -129,7 +138,9 @@
             self._callers.append(asyncio.create_task(crasher.run()))
         for _ in range(streams):
             random = Random(self._random.getrandbits(32))
-            reader = StreamClient(self.history, self._resolver, random)
+            reader = StreamClient(
+                self.history, self._resolver, random, resumes=len(self._software) > 1
+            )
             self._callers.append(asyncio.create_task(reader.run()))
         for _ in range(clients):
             random = Random(self._random.getrandbits(32))
@@ -178,6 +189,7 @@
 
     async def start_worker(self, worker: Worker) -> None:
         """Restart a worker under its name and with the model versions that it had."""
+        worker.software = self._software_random.choice(self._software)
         versions = worker.state.versions
         await worker.start(self._server_address(worker), _unix_ms(), versions)
 
@@ -218,6 +230,7 @@
             name, service, slots, listed_address, self.history, self.store, random
         )
         worker.on_crash = self._handle_crash
+        worker.software = self._software[number % len(self._software)]
         self.workers.append(worker)
         self.worker_links[name] = Proxy(listed_address, self._server_address(worker))
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -70,13 +70,30 @@
     ]
 
 
+def plan_upgrades(seed: int, window_s: float, count: int) -> list[PlannedFault]:
+    """Return `count` random interruptions of streams, in a random stream of their own.
+
+    Engines restart, some with other software, and callers' connections are reset.
+    """
+    random = Random(f"upgrades-{seed}")
+    return [
+        PlannedFault(
+            kind=random.choice(list(UPGRADE_ACTIONS)),
+            at_s=random.uniform(0.0, window_s),
+            duration_s=random.uniform(0.3, MAX_FAULT_S / 4),
+            selector=random.getrandbits(30),
+        )
+        for _ in range(count)
+    ]
+
+
 async def inject_faults(deployment: Deployment, faults: list[PlannedFault]) -> None:
     """Inject each fault at its time and return when the last one has ended."""
     started_s = now_s()
 
     async def wait_and_inject(fault: PlannedFault) -> None:
         await asyncio.sleep(max(0.0, started_s + fault.at_s - now_s()))
-        actions = {**FAULT_ACTIONS, **LIMIT_ACTIONS}
+        actions = {**FAULT_ACTIONS, **LIMIT_ACTIONS, **UPGRADE_ACTIONS}
         await actions[fault.kind](deployment, fault)
 
     await asyncio.gather(*(wait_and_inject(fault) for fault in faults))
@@ -235,6 +252,16 @@
     await deployment.crash_worker(worker, fault.duration_s)
 
 
+async def _crash_engine(deployment: Deployment, fault: PlannedFault) -> None:
+    await deployment.crash_worker(_select_engine(deployment, fault), fault.duration_s)
+
+
+async def _reset_caller_link(deployment: Deployment, fault: PlannedFault) -> None:
+    node = _select_node(deployment, fault)
+    with deployment.record_disruption("callers:reset", node.name, 0.0):
+        deployment.caller_links[node.name].reset_all()
+
+
 async def _make_worker_leave(deployment: Deployment, fault: PlannedFault) -> None:
     worker = _select_worker(deployment, fault)
     peers = [w for w in deployment.workers if w.service == worker.service]
@@ -303,6 +330,13 @@
 }
 
 
+# Interruptions of streams, planned apart from the other faults.
+UPGRADE_ACTIONS: dict[str, FaultAction] = {
+    "engine_crash": _crash_engine,
+    "caller_link_reset": _reset_caller_link,
+}
+
+
 def _limit_workers(service: str) -> FaultAction:
     """Return an action that makes the workers of a service name a rate limit.
 
--- a/tests/soak/responses.py
+++ b/tests/soak/responses.py
@@ -14,9 +14,12 @@
     return minimum + xxhash.xxh32_intdigest(item_id.encode()) % (maximum - minimum)
 
 
-def build_event(item_id: str, number: int, version: int) -> str:
-    """Return the data field of one event of an item's text."""
-    return f"{item_id}/{number}/{version}"
+def build_event(item_id: str, number: int, version: int, software: str = "a") -> str:
+    """Return the data field of one event of an item's text.
+
+    `version` is that of the model, `software` that of the worker's software.
+    """
+    return f"{item_id}/{number}/{software}/{version}"
 
 
 def is_complete_text(item_id: str, text: str) -> bool:
@@ -32,6 +35,12 @@
     return sorted({int(line.rpartition("/")[2]) for line in text.split("\n")})
 
 
+def parse_software(text: str) -> list[str]:
+    """Return the software versions of the workers that produced a text's events."""
+    lines = [line for line in text.split("\n") if line.count("/") >= 3]
+    return sorted({line.split("/")[-2] for line in lines})
+
+
 def build_stamp(request_id: str, body: bytes) -> str:
     """Return the stamp of a response, which identifies its request."""
     return f"{xxhash.xxh64_hexdigest(request_id.encode() + body)}"
@@ -48,5 +57,6 @@
     "build_stamp",
     "count_events",
     "is_complete_text",
+    "parse_software",
     "parse_versions",
 ]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -15,11 +15,18 @@
 
 from tests.soak.checkers import find_violations
 from tests.soak.deployment import Deployment
-from tests.soak.faults import inject_faults, plan_faults, plan_limits
+from tests.soak.faults import (
+    inject_faults,
+    plan_faults,
+    plan_limits,
+    plan_upgrades,
+)
 
 # Loopback blocks 127.20 to 127.199; parallel runs must not share one.
 FIRST_LOOPBACK_BLOCK, LOOPBACK_BLOCKS = 20, 180
 WARM_UP_S = 1.5
+# Interruptions of streams in a run with several versions of the workers' software.
+UPGRADES = 16
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,7 +34,8 @@
     """Numbers of nodes, workers, callers and faults of a run, and its fault window.
 
     `limits` is the number of times that workers name a rate limit, `crashing` the
-    number of clients whose request crashes the workers.
+    number of clients whose request crashes the workers, `software` the number of
+    versions of the workers' software.
     """
 
     nodes: int = 4
@@ -39,6 +47,7 @@
     window_s: float = 14.0
     limits: int = 0
     crashing: int = 0
+    software: int = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,10 +80,13 @@
     """Run one seed and check its history; write the nodes' logs to the folder."""
     started_s = time.monotonic()
     block = FIRST_LOOPBACK_BLOCK + seed % LOOPBACK_BLOCKS
-    deployment = Deployment(seed, folder, block, size.nodes, size.engines)
+    deployment = Deployment(
+        seed, folder, block, size.nodes, size.engines, size.software
+    )
     faults = [
         *plan_faults(seed, size.window_s, size.faults),
         *plan_limits(seed, size.window_s, size.limits),
+        *plan_upgrades(seed, size.window_s, UPGRADES if size.software > 1 else 0),
     ]
     failure = ""
     try:
@@ -124,6 +136,7 @@
     window_s: float = 14.0,
     limits: int = 0,
     crashing: int = 0,
+    software: int = 1,
 ) -> None:
     """Run seeds in parallel and print a line for each; exit with 1 on a violation."""
     folder = folder or tempfile.mkdtemp(prefix="soak-")
@@ -134,6 +147,7 @@
         window_s=window_s,
         limits=limits,
         crashing=crashing,
+        software=software,
     )
     violation_counts: Counter[str] = Counter()
     with ProcessPoolExecutor(jobs) as pool:
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -108,6 +108,15 @@
     replace_stream(history, text=STREAM[:30] + STREAM, is_ended=False)
 
 
+def change_software_in_stream(history):
+    first, _, rest = STREAM.partition(b"/a/")
+    replace_stream(history, text=first + b"/b/" + rest)
+
+
+def change_software_in_result(history):
+    replace_result(history, text=TEXT.replace("/0/a/", "/0/b/"))
+
+
 def change_request_body(history):
     history.runs[2].body = b"other"
 
@@ -235,6 +244,8 @@
     end_stream_early: "check_streams_are_in_order",
     skip_stream_event: "check_streams_are_in_order",
     repeat_stream_part: "check_streams_are_in_order",
+    change_software_in_stream: "check_texts_have_one_software_version",
+    change_software_in_result: "check_texts_have_one_software_version",
     change_request_body: "check_requests_arrive_unchanged",
     run_call_twice: "check_non_idempotent_requests_run_once",
     refuse_call_that_ran: "check_refused_requests_do_not_run",
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -15,6 +15,7 @@
 
 LIMIT_SEEDS = (1, 6)
 CRASHING_SEEDS = (2, 5)
+SOFTWARE_SEEDS = (1, 3)
 
 
 @pytest.mark.parametrize("seed", [*CI_SEEDS, *REGRESSIONS])
@@ -41,6 +42,14 @@
     assert result.calls_served > 0
 
 
+# Texts were continued by workers of another software version than their first event's.
+@pytest.mark.parametrize("seed", SOFTWARE_SEEDS)
+def test_texts_are_continued_at_their_software_version_only(seed, tmp_path):
+    result = run_in_time(seed, tmp_path, SoakSize(engines=5, streams=4, software=2))
+    assert result.violations == [], result.format()
+    assert result.jobs_accepted > 0
+
+
 def run_in_time(seed, folder, size):
     async def run_with_timeout():
         async with asyncio.timeout(SOAK_TIMEOUT_S):
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -31,6 +31,8 @@
 # A request whose body begins so crashes the worker this long after it begins to run.
 CRASHING_PREFIX = b"crash:"
 CRASH_DELAY_S = 0.02
+# Names the text of a stream, which is the same in all attempts at the stream.
+TEXT_HEADER = "x-soak-text"
 HEARTBEAT_INTERVAL_S = 1.2
 # The value of drainMs in the platform settings: nodes must stop sending requests to a
 # leaving worker within this time. The worker keeps serving for twice this time.
@@ -83,6 +85,7 @@
         self.name = name
         self.service = service
         self.faults = WorkerFaults()
+        self.software = "a"
         self.listed_address = listed_address
         self.state = WorkerState(0, {})
         self._slots = slots
@@ -141,6 +144,7 @@
             "upstream": self.service,
             "address": str(self.listed_address),
             "zone": "a",
+            "version": self.software,
             "state": "draining" if self._is_leaving else "ready",
             "capacity": self._slots,
             "born": self.state.started_unix_ms,
@@ -264,15 +268,16 @@
         headers["x-weight-versions"] = str(version)
         headers["x-server-stamp"] = build_stamp(run.request_id, run.body)
         first = int(request.headers.get("last-event-id", "-1")) + 1
-        events = self._generate_events(run, model, version, first)
+        text_id = request.headers.get(TEXT_HEADER, run.request_id)
+        events = self._generate_events(run, text_id, model, version, first)
         return Response(200, events, "text/event-stream", headers)
 
     async def _generate_events(
-        self, run: Run, model: str, version: int, first: int
+        self, run: Run, text_id: str, model: str, version: int, first: int
     ) -> AsyncIterator[bytes]:
-        state = self.state
+        state, software = self.state, self.software
         try:
-            for number in range(first, count_events(run.request_id)):
+            for number in range(first, count_events(text_id)):
                 await asyncio.sleep(EVENT_INTERVAL_S * self.faults.slowness)
                 while self.faults.is_silent:
                     await asyncio.sleep(EVENT_INTERVAL_S)
@@ -280,7 +285,7 @@
                 if state.versions[model] != version:
                     version = state.versions[model]
                     line = f"x-weight-versions: {version}\n"
-                data = build_event(run.request_id, number, version)
+                data = build_event(text_id, number, version, software)
                 yield f"{line}id: {number}\ndata: {data}\n\n".encode()
             run.is_complete = True
         finally:
@@ -297,4 +302,4 @@
         return f"{self.state.running},{self.state.waiting},{self._slots}"
 
 
-__all__ = ["CRASHING_PREFIX", "Worker", "WorkerFaults"]
+__all__ = ["CRASHING_PREFIX", "TEXT_HEADER", "Worker", "WorkerFaults"]
