Continue the texts of items only at the software that began them

Texts were joined from engines of two software versions, whose output does not fit together: after broken runs, moves off slow engines and take-overs by other nodes.

Cause: nothing read the software version, so an engine was fit for a text if it had capacity and the weights.

Each text now records its origin (engine, incarnation, software), also where it is stored or handed over. It is placed and moved only among engines with that software; if none takes it within the time that it took to write, at most 1 s, or none is left, it starts again. Texts stored without an origin are not continued.

--- a/src/tamarackshelf/jobs/item_state.py
+++ b/src/tamarackshelf/jobs/item_state.py
@@ -6,7 +6,8 @@
 from dataclasses import dataclass, field
 
 from tamarackshelf.contracts.targets import ItemEvent
-from tamarackshelf.world.job import ItemProgress, ItemResult, JobItem
+from tamarackshelf.world import Target
+from tamarackshelf.world.job import ItemProgress, ItemResult, JobItem, TextOrigin
 
 
 class ItemStage(enum.Enum):
@@ -44,7 +45,7 @@
 
     The text consists of pieces, one of each event; the store holds the first
     `saved_pieces` of them. The item does not run before `not_before_s` on the event
-    loop's clock.
+    loop's clock. Until `continue_by_s`, its text waits for an engine to continue it.
     """
 
     item: JobItem
@@ -57,19 +58,35 @@
     saved_pieces: int = 0
     is_text_complete: bool = False
     run: CurrentRun | None = None
+    origin: TextOrigin | None = None
+    continue_by_s: float | None = None
 
     @property
     def has_text(self) -> bool:
         """Whether the item has any text."""
         return bool(self.pieces)
 
-    def add(self, event: ItemEvent) -> None:
-        """Append the next event; raise EventOutOfOrder when it is not the next one."""
+    @property
+    def software(self) -> str | None:
+        """The software version of engines that may continue the text.
+
+        It is None if there is no text.
+        """
+        return None if self.origin is None else self.origin.software
+
+    def add(self, event: ItemEvent, engine: Target) -> None:
+        """Append the next event, which `engine` wrote.
+
+        Raise EventOutOfOrder when it is not the next one.
+        """
         is_first = not self.pieces and self.last_event_id < 0
         if not is_first and event.event_id != self.last_event_id + 1:
             raise EventOutOfOrder(
                 f"event {event.event_id} does not follow event {self.last_event_id}"
             )
+        if not self.pieces:
+            self.origin = TextOrigin(engine.name, engine.incarnation, engine.software)
+        self.continue_by_s = None
         self.pieces.append(event.data)
         self.last_event_id = event.event_id
         self.versions.add(event.version)
@@ -81,9 +98,16 @@
         self.last_event_id = -1
         self.saved_pieces = 0
         self.is_text_complete = False
+        self.origin = self.continue_by_s = None
 
     def restore(self, progress: ItemProgress) -> None:
-        """Restore a text that an earlier owner stored or handed over."""
+        """Restore a text that an earlier owner stored or handed over.
+
+        Ignore an unfinished one without an origin, as no engine may continue it.
+        """
+        if progress.origin is None and not progress.is_whole:
+            return
+        self.origin = progress.origin
         self.pieces = list(progress.pieces)
         self.last_event_id = progress.last_event_id
         self.versions = set(progress.versions)
@@ -98,6 +122,7 @@
             self.last_event_id,
             tuple(sorted(self.versions)),
             self.is_text_complete,
+            self.origin,
         )
 
     def to_result(self, score: str) -> ItemResult:
--- a/src/tamarackshelf/jobs/stragglers.py
+++ b/src/tamarackshelf/jobs/stragglers.py
@@ -83,6 +83,7 @@
                     engine=run.engine,
                     min_version=job.job.min_version,
                     remaining_tokens=max(0, state.item.expected_tokens - done),
+                    software=state.software,
                 )
                 running.setdefault((run.service, job.job.model), []).append(item)
         for key, items in running.items():
@@ -111,9 +112,11 @@
                 )
                 if engine.limit_per_s is None
             ]
-            engine_name = place_item(engines, job.job.min_version, (run.engine,))
+            engine_name = place_item(
+                engines, job.job.min_version, (run.engine,), state.software
+            )
             if engine_name is None:
-                return
+                continue
             engines = [reserve_capacity(engine, engine_name) for engine in engines]
             reason = (
                 "the run waits for capacity of the engine"
@@ -193,4 +196,4 @@
         )
 
 
-__all__ = ["StragglerMitigation"]
+__all__ = ["DEFAULT_EVENT_S", "StragglerMitigation"]
--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -33,7 +33,7 @@
 from tamarackshelf.node.quarantine_peers import FleetQuarantinePeers
 from tamarackshelf.node.settings import NodeSettings
 from tamarackshelf.node.target_limits import TargetLimits
-from tamarackshelf.node.targets import TargetRegistry
+from tamarackshelf.node.targets import RECOVERY_GRACE_S, TargetRegistry
 from tamarackshelf.node.weights import WeightCoordinator
 from tamarackshelf.observe import Metrics, Timeline
 from tamarackshelf.policy.entries import EntryAnswer, choose_entries
@@ -139,6 +139,7 @@
             timeline, lambda: self.row_store.recovered_at_s, random.Random()
         )
         self.targets.is_connected = target_client.is_connected
+        self.targets.is_list_current = self._is_target_list_current
         self.targets.set_limits(limits)
         self.limits = limits
         scorer = Scorer(
@@ -453,6 +454,10 @@
         finally:
             self.runner.resume()
 
+    def _is_target_list_current(self) -> bool:
+        recovered_at_s = self.row_store.recovered_at_s
+        return self.row_store.is_up and _now_s() - recovered_at_s > RECOVERY_GRACE_S
+
     def _compute_valid_for_s(self) -> float:
         return min(ENTRIES_VALID_S, self._settings.entries_valid_max_s)
 
--- a/src/tamarackshelf/node/targets.py
+++ b/src/tamarackshelf/node/targets.py
@@ -143,6 +143,8 @@
         self.is_connected: Callable[[Target], bool] = lambda target: False
         # Returns the model that an engine is assigned to, or "" when it is not known.
         self.find_assigned_model: Callable[[str], str] = lambda engine: ""
+        # Returns whether the list shows every target as it is, but for short delays.
+        self.is_list_current: Callable[[], bool] = lambda: True
         self._limits: LimitView = NoLimits()
         self._timeline = timeline
         self._recovered_at_s = recovered_at_s
@@ -230,6 +232,11 @@
         """Return all targets, with the leaving and missing ones."""
         return [state.target for state in self._states.values()]
 
+    def has_software(self, service: str, software: str) -> bool:
+        """Return whether a target of the service that may get work has the software."""
+        available = self.list_available(service)
+        return any(state.target.software == software for state in available)
+
     def is_limited(self, name: str) -> bool:
         """Return whether a target is listed and believed to have a rate limit."""
         state = self._states.get(name)
@@ -451,6 +458,7 @@
                 serves_other_model=self.find_assigned_model(state.target.name)
                 not in ("", model),
                 limit_per_s=self._limits.find_limit(state.target),
+                software=state.target.software,
             )
             for state in states
             if not _explain_exclusion(state, healthy_share, now_s)
@@ -518,4 +526,10 @@
     return asyncio.get_running_loop().time()
 
 
-__all__ = ["AVOID_S", "LimitView", "TargetRegistry", "TargetState"]
+__all__ = [
+    "AVOID_S",
+    "RECOVERY_GRACE_S",
+    "LimitView",
+    "TargetRegistry",
+    "TargetState",
+]
--- a/src/tamarackshelf/policy/item_placement.py
+++ b/src/tamarackshelf/policy/item_placement.py
@@ -53,6 +53,8 @@
     engine: str
     min_version: int
     remaining_tokens: int
+    # Software that may continue the text, or None if there is no text yet.
+    software: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -74,6 +76,7 @@
     is_connected: bool = False
     serves_other_model: bool = False
     limit_per_s: float | None = None
+    software: str = ""
 
     @property
     def free(self) -> int:
@@ -109,11 +112,15 @@
 
 
 def place_item(
-    engines: Sequence[EngineCandidate], min_version: int, excluded: Collection[str] = ()
+    engines: Sequence[EngineCandidate],
+    min_version: int,
+    excluded: Collection[str] = (),
+    software: str | None = None,
 ) -> str | None:
     """Return the name of the cheapest usable engine for an item, or None.
 
-    An engine of unknown version counts as having `min_version`.
+    An engine of unknown version counts as having `min_version`. With `software`, only
+    engines with this version of their software are usable.
     """
     usable = [
         engine
@@ -121,6 +128,7 @@
         if engine.available > 0
         and engine.name not in excluded
         and (engine.version is None or engine.version >= min_version)
+        and software in (None, engine.software)
     ]
     if not usable:
         return None
@@ -164,6 +172,7 @@
             and engine.slowness * MOVE_FACTOR <= current.slowness
             and engine.version is not None
             and engine.version >= item.min_version
+            and item.software in (None, engine.software)
         ]
         if faster:
             available[min(faster, key=_cost).name] -= 1
--- a/src/tamarackshelf/world/job.py
+++ b/src/tamarackshelf/world/job.py
@@ -102,15 +102,32 @@
     score: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class TextOrigin:
+    """The engine that wrote a text's first event, and the version of its software.
+
+    Only engines with this software may continue the text.
+    """
+
+    engine: str
+    incarnation: int
+    software: str
+
+
 @dataclass(frozen=True, slots=True)
 class ItemProgress:
-    """The part of an item's text that has been generated so far."""
+    """The part of an item's text that has been generated so far.
+
+    `origin` is None if the text is empty, or if a release that did not record it stored
+    the text.
+    """
 
     item_id: str
     pieces: tuple[str, ...] = ()
     last_event_id: int = -1
     versions: tuple[int, ...] = ()
     is_whole: bool = False
+    origin: TextOrigin | None = None
 
 
 __all__ = [
@@ -122,4 +139,5 @@
     "JobState",
     "ModelDemand",
     "ScoreCall",
+    "TextOrigin",
 ]
--- a/tests/support/node.py
+++ b/tests/support/node.py
@@ -8,8 +8,10 @@
 import msgspec
 
 from tamarackshelf.contracts.targets import (
+    EngineReport,
     ItemEvent,
     OutcomeUnknown,
+    TargetChanged,
     TargetRecord,
 )
 from tamarackshelf.jobs.manager import JobManager
@@ -62,10 +64,12 @@
     return RoutingConfiguration(version, routes, services)
 
 
-def build_target(name, service, places=8, versions=None, incarnation=1):
+def build_target(name, service, places=8, versions=None, incarnation=1, software="a"):
     kind = TargetKind.ENGINE if versions else TargetKind.PLAIN
     address = Address("10.0.0.9", 1000 + int(name[1:]))
-    target = Target(name, service, kind, "dc", address, incarnation, places)
+    target = Target(
+        name, service, kind, "dc", address, incarnation, places, software=software
+    )
     return TargetRecord(target, versions=versions or {})
 
 
@@ -119,6 +123,8 @@
         self.queue_s = {}
         # Engines that produce no events and report no failure.
         self.silent = set()
+        # Engines that are not the ones that the list describes.
+        self.restarted = set()
         self.version = 1
 
     async def run_item(self, target, run):
@@ -146,6 +152,12 @@
         finally:
             self.running[item_id] = False
 
+    async def read_report(self, target, timeout_s):
+        await asyncio.sleep(0.002)
+        if target.name in self.restarted:
+            raise TargetChanged(f"{target.name} has restarted")
+        return EngineReport({"m": self.version}, False, 0)
+
     async def score(self, target, call, timeout_s):
         await asyncio.sleep(0.08)
         if self.score_faults:
