Continue an item's text only at the service that began it

A route may be split between services, and the software versions of two services have nothing to do with each other. The service was drawn anew for each run of an item. Its text now names the service, too; if the route no longer has it, the item starts again. Found by reading; no run showed it.

--- a/src/tamarackshelf/jobs/item_state.py
+++ b/src/tamarackshelf/jobs/item_state.py
@@ -85,7 +85,9 @@
                 f"event {event.event_id} does not follow event {self.last_event_id}"
             )
         if not self.pieces:
-            self.origin = TextOrigin(engine.name, engine.incarnation, engine.software)
+            self.origin = TextOrigin(
+                engine.service, engine.name, engine.incarnation, engine.software
+            )
         self.continue_by_s = None
         self.pieces.append(event.data)
         self.last_event_id = event.event_id
--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -225,7 +225,7 @@
             route = self._find_route(job, state)
             if route is None:
                 continue
-            service = pick_service(route.shares, self._targets.rng)
+            service = self._choose_service(state, route)
             key = (service, job.job.model)
             if key not in engines:
                 engines[key] = self._targets.list_engine_candidates(*key)
@@ -243,6 +243,13 @@
             ]
         self.stragglers.check(self.jobs.values(), self._due_s, now_s)
 
+    def _choose_service(self, state: ItemState, route: Route) -> str:
+        """Return the service that began an item's text if the route still has it."""
+        services = {share.service for share in route.shares}
+        if state.origin is not None and state.origin.service in services:
+            return state.origin.service
+        return pick_service(route.shares, self._targets.rng)
+
     def _must_restart(
         self,
         state: ItemState,
@@ -259,6 +266,8 @@
         origin = state.origin
         if origin is None:
             return False
+        if origin.service != service:
+            return True
         listed = self._targets.get(origin.engine)
         if (
             listed is not None
--- a/src/tamarackshelf/world/job.py
+++ b/src/tamarackshelf/world/job.py
@@ -106,9 +106,10 @@
 class TextOrigin:
     """The engine that wrote a text's first event, and the version of its software.
 
-    Only engines with this software may continue the text.
+    Only engines of the same service with this software may continue the text.
     """
 
+    service: str
     engine: str
     incarnation: int
     software: str
--- a/tests/jobs/test_software.py
+++ b/tests/jobs/test_software.py
@@ -213,7 +213,7 @@
     state.restore(ItemProgress("i", ("x", "y"), 1, (1,)))
     assert not state.has_text
     state.restore(
-        ItemProgress("i", ("x", "y"), 1, (1,), origin=TextOrigin("e", 1, "a"))
+        ItemProgress("i", ("x", "y"), 1, (1,), origin=TextOrigin("models", "e", 1, "a"))
     )
     assert (state.has_text, state.software) == (True, "a")
 
