Resume a caller's stream only at the software that began it

Within one response a broken stream was resumed at any target of the service.

The software of the target whose head the caller got is kept for the rest of the response; a run that goes on has to come from the incarnation that the list shows, by the engine's report. With no target of that software left, the response ends at once, without its end marker. tests/entry/test_streamer.py: with the checks off, 4 of its tests fail.

--- a/src/tamarackshelf/entry/streamer.py
+++ b/src/tamarackshelf/entry/streamer.py
@@ -22,11 +22,19 @@
 from tamarackshelf.observe import Metrics, Timeline
 from tamarackshelf.policy.quarantine import QuarantineStatus
 from tamarackshelf.policy.route_table import pick_service
+from tamarackshelf.world import TargetKind
 from tamarackshelf.world.route import Route
 
+# A live engine reports its state within a few milliseconds.
+VERIFY_TIMEOUT_S = 0.3
+
 TargetStream = AsyncGenerator[StreamHead | StreamEvent, None]
 
 
+class SoftwareUncertain(Exception):
+    """It is not certain which software the target of a stream has."""
+
+
 @dataclass(slots=True)
 class _Stream:
     """State of one caller's stream across its runs at targets.
@@ -43,6 +51,8 @@
     may_have_run: bool = False
     last_event_id: int | None = None
     service: str = ""
+    # Software of the target whose head the caller got; no other may go on.
+    software: str | None = None
     isolated_target: str = ""
     last_reason: str = "no target of the service is listed"
 
@@ -101,6 +111,16 @@
             state.in_flight += 1
             try:
                 head = await anext(events)
+                await self._verify_software(stream, state)
+            except SoftwareUncertain as error:
+                stream.may_have_run = True
+                stream.runs += 1
+                await events.aclose()
+                self._record_failure(stream, state, error)
+                self._release(stream)
+                if not stream.route.is_resumable:
+                    break
+                continue
             except NotRun as error:
                 self._record_failure(stream, state, error)
                 self._release(stream)
@@ -121,9 +141,28 @@
             stream.may_have_run = True
             assert isinstance(head, StreamHead)
             self._targets.record_success(name)
+            if head.status == 200:
+                stream.software = state.target.software
             return head, events, state
         raise self._build_error(stream)
 
+    async def _verify_software(self, stream: _Stream, state: TargetState) -> None:
+        """Check that a target that goes on is the one that the list describes.
+
+        It may have restarted under its name with other software. Only engines report
+        their incarnation. Raise SoftwareUncertain if the check fails.
+        """
+        target = state.target
+        is_first = stream.software is None and self._targets.is_list_current()
+        if is_first or target.kind is not TargetKind.ENGINE:
+            return
+        try:
+            await self._target_client.read_report(target, VERIFY_TIMEOUT_S)
+        except (NotRun, OutcomeUnknown) as error:
+            raise SoftwareUncertain(
+                f"{target.name} may have restarted with other software: {error}"
+            ) from error
+
     async def _relay(
         self, stream: _Stream, events: TargetStream, state: TargetState
     ) -> AsyncGenerator[bytes, None]:
@@ -185,7 +224,8 @@
 
         Raise QuarantinedNotRun or AnswerLost if the request is quarantined.
         """
-        stream.service = pick_service(stream.route.shares, self._targets.rng)
+        if stream.software is None:
+            stream.service = pick_service(stream.route.shares, self._targets.rng)
         tried = frozenset(stream.tried)
         status = self._quarantine.classify(stream.request)
         if status is QuarantineStatus.QUARANTINED:
@@ -193,8 +233,15 @@
                 stream.request, may_have_run=stream.may_have_run
             )
         if status is QuarantineStatus.CLEAR:
-            return self._targets.choose(stream.service, self._data_centre, tried)[0]
-        names, stream.last_reason = self._targets.list_isolatable(stream.service, tried)
+            state, reason = self._targets.choose(
+                stream.service, self._data_centre, tried, software=stream.software
+            )
+            if state is None:
+                stream.last_reason = reason
+            return state
+        names, stream.last_reason = self._targets.list_isolatable(
+            stream.service, tried, stream.software
+        )
         name = await self._quarantine.isolate(stream.request, names)
         stream.isolated_target = name
         return self._targets.get(name) if name else None
--- a/src/tamarackshelf/node/targets.py
+++ b/src/tamarackshelf/node/targets.py
@@ -391,10 +391,12 @@
         ]
 
     def list_isolatable(
-        self, service: str, tried: frozenset[str]
+        self, service: str, tried: frozenset[str], software: str | None = None
     ) -> tuple[tuple[str, ...], str]:
         """Return targets that may run a suspect request, least loaded first.
 
+        With `software`, only targets with this version of their software are returned.
+
         Return none, and the reason, while all other targets of the service are out: the
         request might crash the last one.
         """
@@ -406,7 +408,11 @@
         if len(usable) < 2 and len(self.list_available(service)) > 1:
             return (), f"only {len(usable)} targets are left for a suspect request"
         usable.sort(key=lambda candidate: candidate.load)
-        names = [candidate.target.name for candidate in usable]
+        names = [
+            candidate.target.name
+            for candidate in usable
+            if software in (None, candidate.target.software)
+        ]
         return tuple(name for name in names if name not in tried), ""
 
     def choose(
@@ -417,21 +423,28 @@
         kind: CallKind = CallKind.REQUEST,
         *,
         needs_capacity: bool = False,
+        software: str | None = None,
     ) -> tuple[TargetState | None, str]:
         """Return a target for a plain request, or None, and the reason.
 
+        With `software`, only targets with this version of their software are chosen.
         When all targets are full, choose the least loaded one, because targets queue a
         few requests themselves; with `needs_capacity`, choose none.
         """
         candidates = self.list_candidates(service, tried, kind)
-        decision = route(
-            candidates, TargetRequirements(service, data_centre=data_centre), self.rng
+        requirements = TargetRequirements(
+            service, data_centre=data_centre, software=software
         )
+        decision = route(candidates, requirements, self.rng)
         if decision.target is not None:
             return self._states.get(decision.target.name), decision.reason
         if needs_capacity or not decision.is_full:
             return None, decision.reason
-        allowed = [c for c in candidates if not c.ruled_out]
+        allowed = [
+            candidate
+            for candidate in candidates
+            if not candidate.ruled_out and software in (None, candidate.target.software)
+        ]
         least_loaded = min(allowed, key=lambda c: c.load)
         return self._states.get(least_loaded.target.name), decision.reason
 
--- a/src/tamarackshelf/policy/routing.py
+++ b/src/tamarackshelf/policy/routing.py
@@ -65,7 +65,8 @@
     """What a request requires of its target.
 
     `affinity` is the key of the prompt prefix, and a non-empty `only` names the single
-    target that may be chosen.
+    target that may be chosen. With `software`, only targets with this version of their
+    software may be chosen.
     """
 
     service: str
@@ -73,6 +74,7 @@
     data_centre: str = ""
     excluded: frozenset[str] = frozenset()
     only: str = ""
+    software: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -175,6 +177,8 @@
         return "already tried"
     if requirements.only and name != requirements.only:
         return "not the target granted to the request"
+    if requirements.software not in (None, candidate.target.software):
+        return "other software than that which began the stream"
     return ""
 
 
--- a/tests/entry/test_streamer.py
+++ b/tests/entry/test_streamer.py
@@ -14,6 +14,7 @@
     OutcomeUnknown,
     StreamEvent,
     StreamHead,
+    TargetChanged,
 )
 from tamarackshelf.entry.streamer import Streamer
 from tamarackshelf.errors import AnswerLost, NoTarget, Quarantined, QuarantinedNotRun
@@ -37,11 +38,17 @@
     def __init__(self, failures, has_crashed=False):
         self.failures = list(failures)
         self.has_crashed = has_crashed
+        # Targets that are not the ones that the list describes.
+        self.restarted = set()
         self.calls = []
 
     async def refuses_connections(self, target):
         return self.has_crashed
 
+    async def read_report(self, target, timeout_s):
+        if target.name in self.restarted:
+            raise TargetChanged(f"{target.name} has restarted")
+
     async def stream(self, target, request, timeout_s, *, after_event_id, at_most_once):
         self.calls.append((target.name, after_event_id, at_most_once))
         failure = self.failures.pop(0) if self.failures else None
@@ -180,3 +187,56 @@
     errors = run(scenario())
     assert len(targets.calls) <= 5
     assert isinstance(errors[-1], QuarantinedNotRun)
+
+
+def open_versioned_stream(run, failures, software, restarted=()):
+    """Open a stream at targets with the given software; return its bytes, end, calls.
+
+    The second of the calls' entries is the event after which the target goes on.
+    """
+    targets = FakeTargetClient(failures)
+    targets.restarted = set(restarted)
+
+    async def scenario():
+        timeline = Timeline("n", lambda: 0)
+        registry = TargetRegistry(timeline, lambda: float("-inf"), random.Random(3))
+        for name, version in software.items():
+            record = build_target(name, "app", versions={"m": 1}, software=version)
+            registry.put(record)
+        quarantine = build_quarantine(registry, targets)
+        streamer = Streamer(registry, targets, quarantine, "dc", timeline, Metrics())
+        request = ForwardedRequest("r", HOST, Request("POST", "/s/x"))
+        received, end = b"", "complete"
+        try:
+            _, events = await streamer.open(request, build_route(True), 5.0)
+            async for event in events:
+                received += event
+        except (AnswerLost, NoTarget) as error:
+            end = error
+        assert all(state.in_flight == 0 for state in registry.list_targets(["app"]))
+        return received, end
+
+    return *run(scenario()), targets.calls
+
+
+# A broken stream was continued by a target with other software.
+@pytest.mark.parametrize("broken_at", [0, 3])
+def test_stream_goes_on_at_the_software_that_began_it(run, broken_at):
+    software = {"t1": "a", "t2": "b", "t3": "a", "t4": "b"}
+    received, end, calls = open_versioned_stream(run, [broken_at], software)
+    assert (received, end) == (ALL_EVENTS, "complete")
+    assert len({software[name] for name, *_ in calls}) == 1
+
+
+def test_stream_ends_at_once_if_no_target_with_its_software_is_left(run):
+    received, end, calls = open_versioned_stream(run, [3], {"t1": "a", "t2": "b"})
+    assert isinstance(end, AnswerLost)
+    assert (received, len(calls)) == (b"0;1;2;", 1)
+
+
+def test_stream_does_not_go_on_at_a_target_that_restarted_unnoticed(run):
+    software = {"t1": "a", "t2": "a"}
+    received, end, calls = open_versioned_stream(run, [3], software, software)
+    assert isinstance(end, AnswerLost)
+    assert received == b"0;1;2;"
+    assert len(calls) == 2
