--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -17,6 +17,7 @@
     OutcomeUnknown,
     TargetClient,
 )
+from tamarackshelf.jobs.continuation import EngineUnverified, TextContinuation
 from tamarackshelf.jobs.item_state import (
     CurrentRun,
     EventOutOfOrder,
@@ -25,17 +26,15 @@
 )
 from tamarackshelf.jobs.owned_job import OwnedJob
 from tamarackshelf.jobs.scorer import RouteTableGetter, Scorer, ScoringFailed
-from tamarackshelf.jobs.stragglers import DEFAULT_EVENT_S, StragglerMitigation
+from tamarackshelf.jobs.stragglers import StragglerMitigation
 from tamarackshelf.node.targets import TargetRegistry, TargetState
 from tamarackshelf.observe import Metrics, Timeline
 from tamarackshelf.policy.item_placement import (
     EngineCandidate,
     WaitingItem,
     order_items,
-    place_item,
     reserve_capacity,
 )
-from tamarackshelf.policy.route_table import pick_service
 from tamarackshelf.store.job_store import HeadChanged, JobStore, StoredHead
 from tamarackshelf.tasks import start_task, stop_tasks
 from tamarackshelf.world import Target
@@ -52,10 +51,6 @@
 NEXT_EVENT_TIMEOUT_S = 1.3
 FULL_ENGINE_BACKOFF_S = 0.12
 FAILED_ITEM_DELAY_S = 0.05
-# Longest time that a text waits for an engine which may continue it.
-MAX_CONTINUE_WAIT_S = 1.0
-# A live engine reports its state within a few milliseconds.
-VERIFY_TIMEOUT_S = 0.5
 # Texts of unfinished items are stored at this interval, for a node that adopts the job.
 SAVE_INTERVAL_S = 1.5
 MIN_UNSAVED_PIECES = 8
@@ -67,10 +62,6 @@
     """Weights older than the job allows, or changed during a single-version text."""
 
 
-class EngineUnverified(Exception):
-    """It is not certain which software the engine of a run has."""
-
-
 class JobRunner:
     """Places items on engines, collects their texts and lists the results."""
 
@@ -96,6 +87,7 @@
         self._tasks: list[asyncio.Task[None]] = []
         self._due_s: dict[str, float] = {}
         self.is_paused = False
+        self._continuation = TextContinuation(targets, target_client, timeline, metrics)
         self.stragglers = StragglerMitigation(targets, get_route_table, timeline)
         targets.on_change(self._wake.set)
 
@@ -225,14 +217,12 @@
             route = self._find_route(job, state)
             if route is None:
                 continue
-            service = self._choose_service(state, route)
+            service = self._continuation.choose_service(state, route)
             key = (service, job.job.model)
             if key not in engines:
                 engines[key] = self._targets.list_engine_candidates(*key)
-            if self._must_restart(state, service, engines[key], job, now_s):
-                self._discard_text(job, state)
-            name = place_item(
-                engines[key], job.job.min_version, software=state.software
+            name = self._continuation.choose_engine(
+                state, service, engines[key], job.job.min_version, now_s
             )
             target = self._targets.get(name) if name is not None else None
             if target is None:
@@ -243,63 +233,6 @@
             ]
         self.stragglers.check(self.jobs.values(), self._due_s, now_s)
 
-    def _choose_service(self, state: ItemState, route: Route) -> str:
-        """Return the service that began an item's text if the route still has it."""
-        services = {share.service for share in route.shares}
-        if state.origin is not None and state.origin.service in services:
-            return state.origin.service
-        return pick_service(route.shares, self._targets.rng)
-
-    def _must_restart(
-        self,
-        state: ItemState,
-        service: str,
-        engines: list[EngineCandidate],
-        job: OwnedJob,
-        now_s: float,
-    ) -> bool:
-        """Return whether an item with text should start again from its beginning.
-
-        The text is kept while an engine with the software that wrote it may take it
-        soon: waiting longer than the text took to write costs more than it saves.
-        """
-        origin = state.origin
-        if origin is None:
-            return False
-        if origin.service != service:
-            return True
-        listed = self._targets.get(origin.engine)
-        if (
-            listed is not None
-            and listed.target.incarnation != origin.incarnation
-            and listed.target.software != origin.software
-        ):
-            # The engine may have restarted with other software before it wrote this.
-            return True
-        if not self._targets.has_software(service, origin.software):
-            return True
-        if place_item(engines, job.job.min_version, software=origin.software):
-            return False
-        if state.continue_by_s is None:
-            event_s = self._targets.fastest_event_s(service) or DEFAULT_EVENT_S
-            wait_s = min(MAX_CONTINUE_WAIT_S, len(state.pieces) * event_s)
-            state.continue_by_s = now_s + wait_s
-        return now_s >= state.continue_by_s
-
-    def _discard_text(self, job: OwnedJob, state: ItemState) -> None:
-        assert state.origin is not None
-        self._timeline.record(
-            "text_discarded",
-            state.item.item_id,
-            "no engine with the software that wrote the text can continue it now",
-            job=job.job_id,
-            pieces=len(state.pieces),
-            software=state.origin.software,
-            engine=state.origin.engine,
-        )
-        self._metrics.count("texts_discarded")
-        state.reset()
-
     def _list_waiting(self, now_s: float) -> list[WaitingItem]:
         waiting = []
         for job in self.jobs.values():
@@ -436,15 +369,15 @@
             next_event_timeout_s=NEXT_EVENT_TIMEOUT_S,
         )
         last_s: float | None = None
-        is_verified = run.after_event_id < 0 and self._targets.is_list_current()
+        needs_verification = self._continuation.needs_verification(state)
         async with contextlib.aclosing(
             self._target_client.run_item(target, run)
         ) as events:
             async for event in events:
                 self._check_version(job, state, target, route, event)
-                if not is_verified:
-                    await self._verify_incarnation(target)
-                    is_verified = True
+                if needs_verification:
+                    await self._continuation.verify(target)
+                    needs_verification = False
                 state.add(event, target)
                 self._targets.record_success(target.name)
                 now_s = _now_s()
@@ -456,18 +389,6 @@
         if not state.pieces:
             raise OutcomeUnknown(f"{target.name} ended the stream without any event")
 
-    async def _verify_incarnation(self, target: Target) -> None:
-        """Check that the engine of a run is the one that the list describes.
-
-        Raise EngineUnverified if it is not, or gives no answer.
-        """
-        try:
-            await self._target_client.read_report(target, VERIFY_TIMEOUT_S)
-        except (NotRun, OutcomeUnknown) as error:
-            raise EngineUnverified(
-                f"{target.name} may have restarted with other software: {error}"
-            ) from error
-
     def _check_version(
         self,
         job: OwnedJob,
--- a/src/tamarackshelf/jobs/stragglers.py
+++ b/src/tamarackshelf/jobs/stragglers.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable, Iterable, Mapping
 
+from tamarackshelf.jobs.continuation import DEFAULT_EVENT_S
 from tamarackshelf.jobs.item_state import CurrentRun, ItemStage
 from tamarackshelf.jobs.owned_job import OwnedJob
 from tamarackshelf.jobs.scorer import RouteTableGetter
@@ -31,8 +32,6 @@
 SILENCE_FACTOR = 6.0
 # Approximate number of tokens in one event, to estimate what a run still has to do.
 TOKENS_PER_PIECE = 50
-# Time of an event, assumed while none has been measured.
-DEFAULT_EVENT_S = 0.04
 # A job must lack engines for this long before each request for one more.
 ENGINE_REQUEST_DELAY_S = 0.5
 
@@ -196,4 +195,4 @@
         )
 
 
-__all__ = ["DEFAULT_EVENT_S", "StragglerMitigation"]
+__all__ = ["StragglerMitigation"]
--- a/tests/jobs/test_software.py
+++ b/tests/jobs/test_software.py
@@ -7,8 +7,9 @@
 import pytest
 
 from tamarackshelf.contracts.targets import OutcomeUnknown
+from tamarackshelf.jobs.continuation import MAX_CONTINUE_WAIT_S
 from tamarackshelf.jobs.item_state import ItemState
-from tamarackshelf.jobs.runner import MAX_CONTINUE_WAIT_S, NEXT_EVENT_TIMEOUT_S
+from tamarackshelf.jobs.runner import NEXT_EVENT_TIMEOUT_S
 from tamarackshelf.policy.item_placement import (
     EngineCandidate,
     RunningItem,
