Let streams that are resumed wait for the few targets of their software

In a release few targets of a version are left. A resumed stream that found them full or ejected was refused at once, while a new stream has all targets to try, and a target whose connection was reset was never tried again. A resumed stream now goes before new ones at its target (priority 4 where 5 is the default) and looks for a target for 0.6 s as long as one with its software is listed; with none it is refused at once.

--- a/src/tamarackshelf/entry/streamer.py
+++ b/src/tamarackshelf/entry/streamer.py
@@ -29,6 +29,11 @@
 
 # A live engine reports its state within a few milliseconds.
 VERIFY_TIMEOUT_S = 0.3
+# Longest time for which a stream that goes on looks for a target; a target whose
+# connection broke gets no new work for half of it.
+RESUME_WAIT_S = 0.6
+# Pause before it looks again.
+RESUME_PAUSE_S = 0.05
 
 TargetStream = AsyncGenerator[StreamHead | StreamEvent, None]
 
@@ -36,6 +41,10 @@
 class SoftwareUncertain(Exception):
     """It is not certain which software the target of a stream has."""
 
+    def __init__(self, cause: NotRun | OutcomeUnknown) -> None:
+        super().__init__(str(cause))
+        self.cause = cause
+
 
 @dataclass(slots=True)
 class _Stream:
@@ -130,10 +139,15 @@
 
         Raise NoTarget or AnswerLost if no target does.
         """
+        resume_by_s = _now_s() + RESUME_WAIT_S
         while _now_s() < stream.deadline_s and stream.runs < stream.route.max_attempts:
             state = await self._choose_target(stream)
             if state is None:
-                break
+                if not self._may_wait(stream, resume_by_s):
+                    break
+                stream.tried.clear()
+                await asyncio.sleep(RESUME_PAUSE_S)
+                continue
             name = state.target.name
             stream.tried.add(name)
             events = self._target_client.stream(
@@ -151,7 +165,7 @@
                 stream.may_have_run = True
                 stream.runs += 1
                 await events.aclose()
-                self._record_failure(stream, state, error)
+                self._record_failure(stream, state, error.cause)
                 self._release(stream)
                 if not stream.route.is_resumable:
                     break
@@ -181,6 +195,17 @@
             return head, events, state
         raise self._build_error(stream)
 
+    def _may_wait(self, stream: _Stream, resume_by_s: float) -> bool:
+        """Return whether a stream that goes on may wait for a target of its software.
+
+        Few targets may have it, and their capacity or a short ejection passes.
+        """
+        return (
+            stream.software is not None
+            and _now_s() < resume_by_s
+            and self._targets.has_software(stream.service, stream.software)
+        )
+
     async def _verify_software(self, stream: _Stream, state: TargetState) -> None:
         """Check that a target that goes on is the one that the list describes.
 
@@ -194,9 +219,7 @@
         try:
             await self._target_client.read_report(target, VERIFY_TIMEOUT_S)
         except (NotRun, OutcomeUnknown) as error:
-            raise SoftwareUncertain(
-                f"{target.name} may have restarted with other software: {error}"
-            ) from error
+            raise SoftwareUncertain(error) from error
 
     async def _relay(
         self, stream: _Stream, events: TargetStream, state: TargetState
--- a/src/tamarackshelf/platform/target_client.py
+++ b/src/tamarackshelf/platform/target_client.py
@@ -69,6 +69,9 @@
 # All items have the same priority: a worker interrupts the generation of less urgent
 # items for a more urgent one.
 ITEM_PRIORITY = "5"
+# Streams that are resumed go before new ones, whose priority is 5 by default: few
+# workers may have the software that began them.
+RESUMED_PRIORITY = "4"
 MAX_EVENT_BYTES = 1024 * 1024
 # A running worker accepts a connection, and a crashed one refuses it, in milliseconds.
 PROBE_TIMEOUT_S = 0.2
@@ -163,6 +166,8 @@
         path, headers = _build_request(target, request, timeout_s)
         if after_event_id is not None:
             headers["last-event-id"] = str(after_event_id)
+        if after_event_id is not None or request.resumption is not None:
+            headers.setdefault("x-request-priority", RESUMED_PRIORITY)
         try:
             async with self._call(
                 CallKind.REQUEST,
