--- a/src/tamarackshelf/node/stream_origins.py
+++ b/src/tamarackshelf/node/stream_origins.py
@@ -115,6 +115,9 @@
         """
         origin = StreamOrigin(attempt_id, service, software, self._wall_s())
         self.accept(origin)
+        # A look at all targets is too slow for each stream. One that began before this
+        # node noticed a second version is known by inference.
+        self._history.observe({service: [software]}, origin.at_s)
         if self._is_uniform(service) and self._targets.is_list_current():
             return
         homes = self._rank_homes(attempt_id)[:HOMES]
@@ -203,7 +206,6 @@
 
     def _is_uniform(self, service: str) -> bool:
         """Return whether the service has had a single version for ORIGIN_TTL_S."""
-        self._observe()
         return len(self._history.list_spans(service, self._oldest_s())) == 1
 
     def _observe(self) -> bool:
