Release the isolation of a target that vanished, and let grants expire in 5 s

A suspect that was granted a target which was unlisted meanwhile kept it for 30 s, and so did one whose caller left while its node asked; with three targets, suspects found none. A grant of a node now ends after 5 s, as runs in isolation end or make progress before. test_granted_target_that_vanished_is_released failed before.

--- a/src/tamarackshelf/entry/forwarder.py
+++ b/src/tamarackshelf/entry/forwarder.py
@@ -184,9 +184,12 @@
             reason = "other suspects are on all targets that are left"
         name = await self._quarantine.isolate(request, names)
         state = self._targets.get(name) if name else None
-        attempts.isolated_target = name
         if state is None:
             attempts.last_reason = reason
+            if name:
+                self._quarantine.release(request, name)
+            return None
+        attempts.isolated_target = name
         return state
 
     async def _send_isolated(
--- a/src/tamarackshelf/entry/streamer.py
+++ b/src/tamarackshelf/entry/streamer.py
@@ -302,7 +302,10 @@
         )
         name = await self._quarantine.isolate(stream.request, names)
         stream.isolated_target = name
-        return self._targets.get(name) if name else None
+        isolated = self._targets.get(name) if name else None
+        if isolated is None:
+            self._release(stream)
+        return isolated
 
     def _build_lost_run(self, stream: _Stream, state: TargetState) -> LostRun:
         return LostRun(
--- a/src/tamarackshelf/node/quarantine.py
+++ b/src/tamarackshelf/node/quarantine.py
@@ -58,6 +58,9 @@
 # unlisted after three missed heartbeats, which are 1.2 s apart.
 UNSETTLED_S = 5.0
 MAX_UNSETTLED = 1000
+# A node releases a target when a run ends or a stream's first event arrives. It may be
+# killed before, and the caller of a request may leave while its node asks.
+GRANT_TIMEOUT_S = 5.0
 UPKEEP_INTERVAL_S = 2.0
 # Rows that one round of upkeep writes or deletes at most.
 MAX_UPKEEP_ROWS = 200
@@ -180,7 +183,9 @@
 
     def answer_isolation(self, request: IsolationRequest) -> IsolationAnswer:
         """Grant a target as the arbiter."""
-        target = self._isolation.grant(request.fingerprint, request.targets, _now_s())
+        target = self._isolation.grant(
+            request.fingerprint, request.targets, _now_s(), GRANT_TIMEOUT_S
+        )
         return IsolationAnswer(target or "")
 
     def accept_release(self, release: IsolationRelease) -> None:
--- a/src/tamarackshelf/policy/quarantine.py
+++ b/src/tamarackshelf/policy/quarantine.py
@@ -173,16 +173,20 @@
         self._grants: dict[str, tuple[str, float]] = {}
 
     def grant(
-        self, fingerprint: str, targets: tuple[str, ...], now_s: float
+        self,
+        fingerprint: str,
+        targets: tuple[str, ...],
+        now_s: float,
+        timeout_s: float = ISOLATION_TIMEOUT_S,
     ) -> str | None:
         """Grant a target that no other suspect holds, and return it or None.
 
-        The grant expires after a timeout, in case it is never released.
+        The grant expires after `timeout_s`, in case it is never released.
         """
         for target in targets:
             holder, until_s = self._grants.get(target, ("", 0.0))
             if until_s <= now_s or holder == fingerprint:
-                self._grants[target] = (fingerprint, now_s + ISOLATION_TIMEOUT_S)
+                self._grants[target] = (fingerprint, now_s + timeout_s)
                 return target
         return None
 
--- a/tests/node/test_quarantine.py
+++ b/tests/node/test_quarantine.py
@@ -16,6 +16,7 @@
 from tamarackshelf.errors import AnswerLost, QuarantinedNotRun
 from tamarackshelf.net import Request
 from tamarackshelf.node.quarantine import RULES, UNSETTLED_S, LostRun
+from tamarackshelf.peers.isolation import IsolationRequest
 from tamarackshelf.policy.quarantine import (
     CRASH_RETENTION_S,
     Crash,
@@ -231,6 +232,30 @@
     assert run_with_nodes(run, scenario) is QuarantineStatus.SUSPECT
 
 
+# A target that vanished while it was granted stayed reserved for a finished request.
+def test_granted_target_that_vanished_is_released(run):
+    async def scenario(cluster):
+        node = cluster.nodes["n0"]
+        await node.send()
+        await asyncio.sleep(RULES.pause_s)
+        isolate, granted = node.quarantine.isolate, []
+
+        async def isolate_and_unlist(request, targets):
+            name = await isolate(request, targets)
+            node.registry.remove(name)
+            granted.append(name)
+            return name
+
+        node.quarantine.isolate = isolate_and_unlist
+        await node.send()
+        await asyncio.sleep(0.1)
+        asked = IsolationRequest("other", (granted[0],))
+        nodes = cluster.nodes.values()
+        return [node.quarantine.answer_isolation(asked).target for node in nodes]
+
+    assert "" not in run_with_nodes(run, scenario)
+
+
 def test_refusal_is_immediate_and_names_each_crash(run):
     async def scenario(cluster):
         await resend_until(cluster, random.Random(1), 20.0)
