Keep first runs of items whose engine cannot be verified

While the list is not current the engine of each first run is asked for its incarnation, and a run was dropped if it gave no answer: with a rate limit on the engines, or broken answers, items could run in vain for as long as the store was away. Such a text is kept now, marked as of uncertain origin, and only not continued. test_unverified_first_run_is_kept_but_its_text_is_not_continued failed before.

--- a/src/tamarackshelf/jobs/continuation.py
+++ b/src/tamarackshelf/jobs/continuation.py
@@ -70,25 +70,24 @@
         self._discard(state, reason or "no engine that may continue it takes it soon")
         return place_item(engines, min_version)
 
-    def needs_verification(self, state: ItemState) -> bool:
-        """Return whether the engine of an item's next run has to be verified.
+    async def verify(self, state: ItemState, target: Target) -> bool:
+        """Return whether the engine of a run is the one that the list describes.
 
-        An engine may restart under its name with other software, which the list shows
-        later, and much later while it is not current.
-        """
-        return state.has_text or not self._targets.is_list_current()
-
-    async def verify(self, target: Target) -> None:
-        """Check that the engine of a run is the one that the list describes.
-
-        Raise EngineUnverified if it is not, or gives no answer.
+        It may have restarted under its name with other software, which the list shows
+        later, and much later while it is not current. Raise EngineUnverified if that
+        may be so and the run continues a text.
         """
+        if not state.has_text and self._targets.is_list_current():
+            return True
         try:
             await self._target_client.read_report(target, VERIFY_TIMEOUT_S)
         except (NotRun, OutcomeUnknown) as error:
+            if not state.has_text:
+                return False
             raise EngineUnverified(
                 f"{target.name} may have restarted with other software: {error}"
             ) from error
+        return True
 
     def _explain_discard(self, state: ItemState, service: str) -> str:
         """Return why no engine may continue the text, or ""."""
@@ -97,6 +96,8 @@
             return ""
         if origin.service != service:
             return "the route no longer has the service that began the text"
+        if not origin.is_certain:
+            return "it is not certain which software began the text"
         listed = self._targets.get(origin.engine)
         if (
             listed is not None
--- a/src/tamarackshelf/jobs/item_state.py
+++ b/src/tamarackshelf/jobs/item_state.py
@@ -74,10 +74,11 @@
         """
         return None if self.origin is None else self.origin.software
 
-    def add(self, event: ItemEvent, engine: Target) -> None:
+    def add(self, event: ItemEvent, engine: Target, *, is_certain: bool = True) -> None:
         """Append the next event, which `engine` wrote.
 
-        Raise EventOutOfOrder when it is not the next one.
+        `is_certain` tells whether the engine is surely the listed one. Raise
+        EventOutOfOrder when the event is not the next one.
         """
         is_first = not self.pieces and self.last_event_id < 0
         if not is_first and event.event_id != self.last_event_id + 1:
@@ -86,7 +87,11 @@
             )
         if not self.pieces:
             self.origin = TextOrigin(
-                engine.service, engine.name, engine.incarnation, engine.software
+                service=engine.service,
+                engine=engine.name,
+                incarnation=engine.incarnation,
+                software=engine.software,
+                is_certain=is_certain,
             )
         self.continue_by_s = None
         self.pieces.append(event.data)
--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -369,16 +369,15 @@
             next_event_timeout_s=NEXT_EVENT_TIMEOUT_S,
         )
         last_s: float | None = None
-        needs_verification = self._continuation.needs_verification(state)
+        is_certain: bool | None = None
         async with contextlib.aclosing(
             self._target_client.run_item(target, run)
         ) as events:
             async for event in events:
                 self._check_version(job, state, target, route, event)
-                if needs_verification:
-                    await self._continuation.verify(target)
-                    needs_verification = False
-                state.add(event, target)
+                if is_certain is None:
+                    is_certain = await self._continuation.verify(state, target)
+                state.add(event, target, is_certain=is_certain)
                 self._targets.record_success(target.name)
                 now_s = _now_s()
                 if state.run is not None:
--- a/src/tamarackshelf/platform/records.py
+++ b/src/tamarackshelf/platform/records.py
@@ -112,8 +112,7 @@
     # Start time in Unix milliseconds; it changes when a worker with this id restarts.
     born: int = 0
     models: list[_LoadedModel] = []
-    # Version of the worker's software; the weight versions are those
-    # in `models`.
+    # Version of the worker's software; the weight versions are those in `models`.
     version: str = ""
     # The row's `sequence` is not decoded: it counts heartbeats, whereas `sequence` in a
     # worker's report counts orders.
--- a/src/tamarackshelf/world/job.py
+++ b/src/tamarackshelf/world/job.py
@@ -106,13 +106,15 @@
 class TextOrigin:
     """The engine that wrote a text's first event, and the version of its software.
 
-    Only engines of the same service with this software may continue the text.
+    Only engines of the same service with this software may continue the text; none may
+    if it is not certain that the engine had it.
     """
 
     service: str
     engine: str
     incarnation: int
     software: str
+    is_certain: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/jobs/test_software.py
+++ b/tests/jobs/test_software.py
@@ -190,6 +190,24 @@
     run_scenario(scenario)
 
 
+# Items ran in vain while the store was away and the engines gave no reports.
+def test_unverified_first_run_is_kept_but_its_text_is_not_continued(run_scenario):
+    async def scenario(cluster):
+        for node in cluster.nodes.values():
+            node.target_registry.is_list_current = lambda: False
+        job = build_job(items=2)
+        broken = job.items[0].item_id
+        cluster.engines.faults[broken] = 10
+        cluster.engines.restarted |= {"e1", "e2"}
+        await submit(cluster, job=job)
+        check_results(await read_all_results(cluster, "a", job), job, EVENTS)
+        runs = [run[2] for run in cluster.engines.runs if run[0] == broken]
+        assert runs == [-1, -1]
+        assert len(cluster.engines.runs) == 3
+
+    run_scenario(scenario)
+
+
 def test_text_of_an_engine_that_restarted_with_other_software_is_discarded(
     run_scenario,
 ):
