Drop a job from memory when its write of results meets its end

Cause: the answer to the owner's write of results was lost, another node stored the job's end, and the owner's repeated write met a changed head. The owner stopped listing, but went on answering reads from memory, which lacked the results that the lost write had stored.

Now the owner drops such a job, so that reads come from the store. The new test failed before: the owner's page was empty while the store held four results.

--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -477,7 +477,8 @@
     ) -> bool:
         """Apply a changed head; return whether results may still be listed under it.
 
-        The job is dropped when another node owns it now.
+        The job is dropped when another node owns it now, and when it is no longer open:
+        the store may hold more of its results than this node knows of.
         """
         if current is None:
             self._timeline.record(
@@ -489,8 +490,12 @@
             # Dropping the job cancels this task, so the drop runs in a task of its own.
             asyncio.get_running_loop().create_task(self.update_head(current))
             return False
+        if current.head.state is not JobState.OPEN:
+            reason = "a write of results met a job that is no longer open"
+            asyncio.get_running_loop().create_task(self.drop(job.job_id, reason))
+            return False
         job.stored = current
-        return current.head.state is JobState.OPEN
+        return True
 
 
 def _now_s() -> float:
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -16,6 +16,7 @@
 from tamarackshelf.errors import NotFound, StoreUnavailable
 from tamarackshelf.jobs.owned_job import OwnedJob
 from tamarackshelf.standin.row_store import MemoryRowStore
+from tamarackshelf.store.job_store import RESULT_TABLE
 from tests.support.node import Cluster, SimulatedEngines, build_job
 
 DUE_S = 7.5
@@ -306,6 +307,30 @@
     run_scenario(scenario)
 
 
+# An owner answered reads of an ended job from its memory, without the results of a write
+# whose answer had been lost.
+def test_results_of_a_write_without_an_answer_are_read_after_the_end(run_scenario):
+    async def scenario(cluster):
+        owner, other = cluster.nodes["a"], cluster.nodes["b"]
+        job = await submit(cluster)
+        owner.client.is_refused = True
+        await asyncio.sleep(2.0)
+        owner.client.lose_answers = 1
+        owner.client.is_refused = False
+        async with asyncio.timeout(3.0):
+            while not any(at.table == RESULT_TABLE for at in cluster.store.rows):
+                await asyncio.sleep(0.001)
+        owner.client.is_refused = True
+        await other.job_manager.end(job.job_id)
+        owner.client.is_refused = False
+        expected = await read_all_results(cluster, "b", job)
+        await asyncio.sleep(3.0)
+        page = await owner.job_manager.reader.read(job.job_id, 0, 0.0)
+        assert list(page.results) == expected
+
+    run_scenario(scenario)
+
+
 def test_settled_job_is_dropped_from_memory_and_stays_readable(run_scenario):
     async def scenario(cluster):
         job = await submit(cluster)
