Show that callers of nodes without paths to the targets are refused

Five nodes in memory, three of them cut off from all targets, silently or with refused connections: all 4 requests at each of these nodes are answered 503, none at the others.

--- a/tests/support/memory.py
+++ b/tests/support/memory.py
@@ -58,14 +58,18 @@
                 each.cancel()
             await asyncio.wait([task, removal])
 
-    async def open(self, origin, address, method, path, headers, body):
-        path, _, query = path.partition("?")
+    async def connect(self, origin, address, path):
+        """Run the hooks before a call; raise ConnectFailed if nothing listens."""
         if address not in self.handlers:
             raise ConnectFailed(f"nothing listens at {address}")
         for hook in list(self.before):
             await hook(origin, address, path)
         if address not in self.handlers:
             raise ConnectFailed(f"nothing listens at {address}")
+
+    async def open(self, origin, address, method, path, headers, body):
+        path, _, query = path.partition("?")
+        await self.connect(origin, address, path)
         self.calls.append((origin, address, path))
         request = Request(method, path, query, headers, body)
         try:
@@ -92,6 +96,16 @@
     async def close(self):
         """Do nothing; no connection is open."""
 
+    def has_idle_connection(self, address):
+        return False
+
+    def close_idle_connections(self, address):
+        """Do nothing; no connection is open."""
+
+    async def probe(self, address, timeout_s):
+        async with asyncio.timeout(timeout_s):
+            await self.network.connect(self.origin, address, "")
+
     async def request(self, address, method, path, **options):
         async with self.stream(address, method, path, **options) as answer:
             parts = [chunk async for chunk in answer.chunks()]
@@ -108,8 +122,9 @@
         body=b"",
         timeout_s=10.0,
         new_connection=False,
+        resend=True,
     ):
-        del new_connection
+        del new_connection, resend
         sent = {**self._headers, **(headers or {})}
         try:
             async with asyncio.timeout(timeout_s):
@@ -133,6 +148,12 @@
         self._address = address
         self._body = response.body
 
+    def disable_reuse(self):
+        """Do nothing; no connection is kept."""
+
+    def set_deadline(self, deadline_s):
+        """Do nothing; the body of a response comes in time."""
+
     async def chunks(self):
         if isinstance(self._body, bytes):
             yield self._body
