Relay calls to targets through peers while a node is cut off

Cause: a node had a single path to a target and took its own cut for faults of the targets. It ejected them all, refused, and stayed in the directory; jobs it owned ran no item.

Now a failed connection starts a round of probes that tells a cut from a fault of one target, and calls go through a peer that reaches the service (docs/design/0013-paths-to-targets.md).

--- a/src/tamarackshelf/cli/node.py
+++ b/src/tamarackshelf/cli/node.py
@@ -24,6 +24,7 @@
 from tamarackshelf.node.settings import InvalidSettings, NodeSettings
 from tamarackshelf.node.settings_watch import SettingsLoader, SettingsWatch
 from tamarackshelf.node.target_limits import TargetLimits
+from tamarackshelf.node.target_paths import TargetPaths
 from tamarackshelf.observe import Metrics, Timeline, set_up_bounded_logs
 from tamarackshelf.platform.caller_api import CallerApi
 from tamarackshelf.platform.directory import build_ready_handler, build_resolve_handler
@@ -89,20 +90,28 @@
     http = HttpClient(
         connect_timeout_s=CONNECT_TIMEOUT_S, max_body_bytes=MAX_PEER_BODY_BYTES
     )
-    targets_http = HttpClient(
-        connect_timeout_s=TARGET_CONNECT_TIMEOUT_S,
-        max_body_bytes=MAX_TARGET_BODY_BYTES,
+    # Calls that peers relay have the limits of calls to targets.
+    targets_http, relay_http = (
+        HttpClient(
+            connect_timeout_s=TARGET_CONNECT_TIMEOUT_S,
+            max_body_bytes=MAX_TARGET_BODY_BYTES,
+        )
+        for _ in range(2)
     )
     metrics = Metrics()
+    paths = TargetPaths(
+        targets_http, relay_http, timeline, metrics, lambda: int(time.time() * 1000)
+    )
     limits = TargetLimits(http, timeline, metrics)
     return NodeProgram(
         settings,
         PlatformRowStore(http, settings.store_address),
-        PlatformTargetClient(targets_http, limits),
+        PlatformTargetClient(paths, limits),
+        paths,
         limits,
         build_platform_tables(checks_fencing=settings.targets_check_fencing),
         HandlerFactories(_build_callers, build_resolve_handler, build_ready_handler),
-        (http, targets_http),
+        (http, targets_http, relay_http),
         timeline,
         metrics,
     )
--- a/src/tamarackshelf/contracts/targets.py
+++ b/src/tamarackshelf/contracts/targets.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, AsyncIterator
+from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -234,6 +235,60 @@
     orders_accepted: int
 
 
+@dataclass(frozen=True, slots=True)
+class TargetCall:
+    """One HTTP request to a target.
+
+    `request_id` is for logs. With `new_connection` no pooled connection is used; with
+    `resend` the request may be sent again after a pooled connection was lost.
+    """
+
+    kind: CallKind
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+    timeout_s: float
+    request_id: str = ""
+    new_connection: bool = False
+    resend: bool = True
+
+
+class TargetStream(Protocol):
+    """A target's response whose head was received; its body can be read once."""
+
+    status: int
+    headers: dict[str, str]
+
+    def disable_reuse(self) -> None:
+        """Keep the connection from being used for another request."""
+
+    def set_deadline(self, deadline_s: float) -> None:
+        """Set the deadline of the next chunk, in seconds of the event loop's clock."""
+
+    def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body; raise ConnectionLost if it ends before its end marker."""
+
+
+class TargetTransport(Protocol):
+    """Carries calls to targets, whichever way they take."""
+
+    def is_connected(self, target: Target) -> bool:
+        """Return whether there is an idle connection to the target."""
+
+    async def refuses_connections(self, target: Target) -> bool:
+        """Return whether no process listens at the target's address."""
+
+    def stream(
+        self, target: Target, call: TargetCall
+    ) -> AbstractAsyncContextManager[TargetStream]:
+        """Make a call and yield the target's response.
+
+        Raise ConnectFailed if no byte was sent and ConnectionLost if the response is
+        not complete.
+        """
+
+
 class OrderRefused(Exception):
     """The target refused the order.
 
@@ -327,10 +382,13 @@
     "StreamHead",
     "TargetResponse",
     "TargetBusy",
+    "TargetCall",
     "TargetChanged",
     "TargetClient",
     "TargetLimited",
     "TargetLoad",
     "TargetRecord",
+    "TargetStream",
+    "TargetTransport",
     "VersionOrder",
 ]
--- a/src/tamarackshelf/net/http_server.py
+++ b/src/tamarackshelf/net/http_server.py
@@ -21,6 +21,7 @@
 
 Handler = Callable[[Request], Awaitable[Response]]
 LimitsSource = Callable[[], "ServerLimits"]
+RequestFilter = Callable[[Request], bool]
 
 READ_SIZE_BYTES = 64 * 1024
 # HttpServer.close stops waiting for connections when none arrived for this long.
@@ -52,12 +53,13 @@
         handler: Handler,
         limits: ServerLimits | LimitsSource | None = None,
         *,
-        cancel_on_disconnect: bool = False,
+        cancel_on_disconnect: bool | RequestFilter = False,
     ) -> None:
         """Create a server that does not listen yet.
 
         `limits` are fixed limits or a function that returns the limits in force.
-        `cancel_on_disconnect` cancels a handler whose client closes the connection.
+        `cancel_on_disconnect` cancels a handler whose client closes the connection; it
+        may be a function that returns whether to do so for a request.
         """
         self._handler = handler
         self._limits = _build_limits_source(limits)
@@ -158,7 +160,7 @@
         limits: LimitsSource,
         *,
         close_after_response: bool,
-        cancel_on_disconnect: bool,
+        cancel_on_disconnect: bool | RequestFilter,
     ) -> None:
         self._reader = reader
         self._writer = writer
@@ -241,7 +243,8 @@
 
     async def _handle(self, request: Request) -> Response | None:
         """Call the handler; return None if the client disconnected meanwhile."""
-        if not self._cancel_on_disconnect:
+        cancels = self._cancel_on_disconnect
+        if not (cancels(request) if callable(cancels) else cancels):
             return await self._call_handler(request)
         loop = asyncio.get_running_loop()
         handler_task = loop.create_task(self._call_handler(request))
--- a/src/tamarackshelf/node/peer_api.py
+++ b/src/tamarackshelf/node/peer_api.py
@@ -28,6 +28,7 @@
     StreamOrigins,
 )
 from tamarackshelf.node.target_limits import TargetLimits
+from tamarackshelf.node.target_relay import TARGET_CALL_PATH, TargetRelay
 from tamarackshelf.peers.isolation import IsolationRelease, IsolationRequest
 from tamarackshelf.policy.quarantine import Crash
 from tamarackshelf.policy.rumours import Rumour
@@ -48,6 +49,7 @@
         limits: TargetLimits,
         quarantine: RequestQuarantine,
         origins: StreamOrigins,
+        relay: TargetRelay,
         get_gossip: GossipGetter,
     ) -> None:
         self._limits = limits
@@ -68,6 +70,7 @@
             RELEASE_PATH: self._release_isolation,
             ORIGIN_PATH: self._accept_origin,
             FIND_ORIGIN_PATH: self._find_origin,
+            TARGET_CALL_PATH: relay.answer,
         }
 
     async def handle(self, request: Request) -> Response:
@@ -135,4 +138,9 @@
         return Response(200, msgspec.json.encode(gossip.membership.rumours.all()))
 
 
-__all__ = ["PeerApi"]
+def is_target_call(request: Request) -> bool:
+    """Return whether a peer asks for a call to a target, which ends with its wish."""
+    return request.path == TARGET_CALL_PATH
+
+
+__all__ = ["PeerApi", "is_target_call"]
--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -27,13 +27,15 @@
 from tamarackshelf.node.configuration_view import ConfigurationView
 from tamarackshelf.node.fleet import Fleet
 from tamarackshelf.node.freeze import watch_for_freezes
-from tamarackshelf.node.peer_api import PeerApi
+from tamarackshelf.node.peer_api import PeerApi, is_target_call
 from tamarackshelf.node.peer_store import PeerStore
 from tamarackshelf.node.quarantine import RequestQuarantine
 from tamarackshelf.node.quarantine_peers import FleetQuarantinePeers
 from tamarackshelf.node.settings import NodeSettings
 from tamarackshelf.node.stream_origins import StreamOrigins
 from tamarackshelf.node.target_limits import TargetLimits
+from tamarackshelf.node.target_paths import TargetPaths
+from tamarackshelf.node.target_relay import TargetRelay
 from tamarackshelf.node.targets import RECOVERY_GRACE_S, TargetRegistry
 from tamarackshelf.node.weights import WeightCoordinator
 from tamarackshelf.observe import Metrics, Timeline
@@ -114,6 +116,7 @@
         settings: NodeSettings,
         direct_store: RowStore,
         target_client: TargetClient,
+        paths: TargetPaths,
         limits: TargetLimits,
         tables: PlatformTables,
         factories: HandlerFactories,
@@ -143,6 +146,10 @@
         self.targets.is_list_current = self._is_target_list_current
         self.targets.set_limits(limits)
         self.limits = limits
+        self.paths = paths
+        self.relay = TargetRelay(
+            self.targets, paths.open_direct, paths.verify_cut_off, timeline, metrics
+        )
         scorer = Scorer(
             self.targets,
             target_client,
@@ -226,9 +233,12 @@
             limits,
             self.quarantine,
             self.origins,
+            self.relay,
             self._get_gossip,
         )
-        self._peer_server = HttpServer(peer_api.handle, peer_limits)
+        self._peer_server = HttpServer(
+            peer_api.handle, peer_limits, cancel_on_disconnect=is_target_call
+        )
         self._seed_server = HttpServer(peer_api.handle, peer_limits)
         self._metrics_server = HttpServer(self._answer_metrics)
         self._tasks: list[asyncio.Task[None]] = []
@@ -282,6 +292,7 @@
         self.targets.find_assigned_model = self.weights.find_assigned_model
         self._subscribe_to_platform_rows(self.weights)
         self.limits.connect(fleet)
+        self.paths.connect(fleet, self.targets)
         self._connect_engine_requests(fleet, self.weights)
         await self._watches[NODE_TABLE].loaded.wait()
         await self.quarantine.start(
@@ -323,6 +334,7 @@
             "process_stops", self._settings.vm, "a planned stop was requested"
         )
         fleet = self.fleet
+        self.relay.is_stopping = True
         if fleet is not None:
             version = fleet.find_own_row_version()
             await fleet.leave()
@@ -344,6 +356,7 @@
     async def close(self) -> None:
         """Close everything at once, without handing over jobs."""
         await stop_tasks(*self._tasks)
+        await self.paths.close()
         await self.quarantine.close()
         await self.origins.close()
         await self.retention.close()
@@ -478,7 +491,7 @@
             return EntryAnswer((), 0.0)
         live = tuple(
             EntryVm(r.vm, r.data_centre, r.callers, r.peers, r.peers, r.peers, r.peers)
-            for r in self.fleet.list_live_nodes()
+            for r in self.paths.select_entries(self.fleet.list_live_nodes())
         )
         return choose_entries(live, caller, data_centre, self._compute_valid_for_s())
 
--- a/src/tamarackshelf/platform/target_client.py
+++ b/src/tamarackshelf/platform/target_client.py
@@ -27,19 +27,19 @@
     StreamEvent,
     StreamHead,
     TargetBusy,
+    TargetCall,
     TargetChanged,
     TargetLoad,
     TargetResponse,
+    TargetStream,
+    TargetTransport,
     VersionOrder,
 )
 from tamarackshelf.net import (
     ClientResponse,
     ConnectFailed,
     ConnectionLost,
-    ConnectRefused,
-    HttpClient,
     ResponseOverdue,
-    StreamedResponse,
 )
 from tamarackshelf.world import Target
 from tamarackshelf.world.job import ScoreCall
@@ -73,8 +73,6 @@
 # workers may have the software that began them.
 RESUMED_PRIORITY = "4"
 MAX_EVENT_BYTES = 1024 * 1024
-# A running worker accepts a connection, and a crashed one refuses it, in milliseconds.
-PROBE_TIMEOUT_S = 0.2
 
 
 class _ReportedModel(msgspec.Struct):
@@ -99,26 +97,19 @@
 
 
 class PlatformTargetClient:
-    """TargetClient implementation that calls the platform's workers over HTTP."""
+    """TargetClient implementation that speaks the workers' HTTP protocol."""
 
-    def __init__(self, http: HttpClient, gate: CallGate) -> None:
-        self._http = http
+    def __init__(self, transport: TargetTransport, gate: CallGate) -> None:
+        self._transport = transport
         self._gate = gate
 
     def is_connected(self, target: Target) -> bool:
         """Return whether the pool holds a usable connection to the target."""
-        return self._http.has_idle_connection(target.address)
+        return self._transport.is_connected(target)
 
     async def refuses_connections(self, target: Target) -> bool:
         """Return whether no process listens at the worker's address."""
-        try:
-            await self._http.probe(target.address, PROBE_TIMEOUT_S)
-        except ConnectRefused:
-            return True
-        except ConnectFailed:
-            # The worker may be cut off.
-            return False
-        return False
+        return await self._transport.refuses_connections(target)
 
     async def forward(
         self,
@@ -374,7 +365,7 @@
         *,
         at_most_once: bool = False,
         resend: bool = True,
-    ) -> AsyncIterator[StreamedResponse]:
+    ) -> AsyncIterator[TargetStream]:
         """Send a request to a worker and yield the response; all calls pass here.
 
         With `at_most_once` a new connection is used and the request is never resent.
@@ -383,16 +374,18 @@
         sent_at_s = await self._gate.admit(target, kind)
         # A request that is resent on a new connection may count as two.
         is_single = at_most_once or self._gate.is_limited(target)
-        async with self._http.stream(
-            target.address,
+        call = TargetCall(
+            kind,
             method,
             path,
-            headers=headers,
-            body=body,
-            timeout_s=timeout_s,
+            headers,
+            body,
+            timeout_s,
+            request_id=headers.get(REQUEST_ID_HEADER, ""),
             new_connection=is_single,
             resend=resend and not is_single,
-        ) as response:
+        )
+        async with self._transport.stream(target, call) as response:
             _check_request_id(target, headers.get(REQUEST_ID_HEADER, ""), response)
             # Another worker sends 421 if the address was assigned to it.
             if response.status != 421:
@@ -402,7 +395,7 @@
 
 
 async def _check_item_response(
-    target: Target, item_id: str, response: StreamedResponse
+    target: Target, item_id: str, response: TargetStream
 ) -> None:
     if response.status == 200:
         return
@@ -422,9 +415,7 @@
     return error_class(f"{target.name}: {error}")
 
 
-def _check_request_id(
-    target: Target, request_id: str, response: StreamedResponse
-) -> None:
+def _check_request_id(target: Target, request_id: str, response: TargetStream) -> None:
     """Raise OutcomeUnknown if the response belongs to another request."""
     echoed = response.headers.get(REQUEST_ID_HEADER)
     if echoed is not None and echoed != request_id:
@@ -453,14 +444,14 @@
     return path, headers
 
 
-async def _read_events(response: StreamedResponse) -> AsyncIterator[_RawEvent]:
+async def _read_events(response: TargetStream) -> AsyncIterator[_RawEvent]:
     async for block in _read_blocks(response):
         event = _parse_event(block)
         if event is not None:
             yield event
 
 
-async def _read_blocks(response: StreamedResponse) -> AsyncIterator[bytes]:
+async def _read_blocks(response: TargetStream) -> AsyncIterator[bytes]:
     """Yield the bytes of each event without the blank line that ends it.
 
     Raise ConnectionLost if an event is too large or the last event is incomplete.
--- /dev/null
+++ b/src/tamarackshelf/policy/reachability.py
@@ -0,0 +1,50 @@
+"""Verdict of a node on its paths to the targets of a service."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+# Rounds of probes in a row that must succeed before a node that was cut off uses its
+# own paths again, so that it does not flap on a link that recovers slowly.
+SOUND_ROUNDS = 2
+
+
+@dataclass(slots=True)
+class ServicePaths:
+    """What a node knows of its own paths to the targets of one service.
+
+    `is_confirmed` is set when a peer reached a target that this node did not reach.
+    Times are those of the event loop's clock.
+    """
+
+    is_cut_off: bool = False
+    is_confirmed: bool = False
+    checked_at_s: float = float("-inf")
+    changed_at_s: float = float("-inf")
+    sound_rounds: int = 0
+
+    def record_round(self, reached: int, probed: int, now_s: float) -> bool:
+        """Apply a round of connection probes; return whether the verdict changed.
+
+        A node is cut off when it reached none of the probed targets. It is sound again
+        after it reached most of them in SOUND_ROUNDS rounds, or in one round if no peer
+        had reached them either.
+        """
+        self.checked_at_s = now_s
+        if not probed:
+            return False
+        if not self.is_cut_off:
+            if reached:
+                return False
+            self.is_cut_off, self.is_confirmed, self.sound_rounds = True, False, 0
+        else:
+            is_sound = reached * 2 > probed
+            self.sound_rounds = self.sound_rounds + 1 if is_sound else 0
+            if self.sound_rounds < (SOUND_ROUNDS if self.is_confirmed else 1):
+                return False
+            self.is_cut_off = False
+        self.changed_at_s = now_s
+        return True
+
+
+__all__ = ["SOUND_ROUNDS", "ServicePaths"]
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -307,8 +307,8 @@
     run_scenario(scenario)
 
 
-# An owner answered reads of an ended job from its memory, without the results of a write
-# whose answer had been lost.
+# An owner answered reads of an ended job from its memory, without the results of a
+# write whose answer had been lost.
 def test_results_of_a_write_without_an_answer_are_read_after_the_end(run_scenario):
     async def scenario(cluster):
         owner, other = cluster.nodes["a"], cluster.nodes["b"]
--- a/tests/node/test_peer_api.py
+++ b/tests/node/test_peer_api.py
@@ -20,6 +20,7 @@
     StreamOrigins,
 )
 from tamarackshelf.node.target_limits import TargetLimits
+from tamarackshelf.node.target_relay import TARGET_CALL_PATH, TargetRelay
 from tamarackshelf.observe import Metrics
 from tamarackshelf.standin.row_store import MemoryRowStore
 from tests.support.node import Cluster, SimulatedEngines, build_quarantine
@@ -34,6 +35,7 @@
     RELEASE_PATH,
     ORIGIN_PATH,
     FIND_ORIGIN_PATH,
+    TARGET_CALL_PATH,
     "/v1/sync",
 )
 BODIES = {
@@ -59,6 +61,7 @@
         TargetLimits(None, node.timeline, Metrics()),
         build_quarantine(node.target_registry, cluster.engines),
         StreamOrigins(node.target_registry, None, node.timeline, Metrics(), time.time),
+        TargetRelay(node.target_registry, None, None, node.timeline, Metrics()),
         RejectingGossip,
     )
 
--- /dev/null
+++ b/tests/node/test_target_relay.py
@@ -0,0 +1,151 @@
+"""Relayed calls over real sockets: streams, broken responses and hang-ups."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import random
+
+import pytest
+
+from tamarackshelf.contracts.targets import CallKind, TargetCall, TargetRecord
+from tamarackshelf.net import ConnectionLost, HttpClient, HttpServer
+from tamarackshelf.node.peer_api import is_target_call
+from tamarackshelf.node.target_relay import (
+    PeerDeclined,
+    TargetNotReached,
+    TargetRelay,
+    open_relayed,
+)
+from tamarackshelf.node.targets import TargetRegistry
+from tamarackshelf.observe import Metrics, Timeline
+from tamarackshelf.world import Target, TargetKind
+from tests.conftest import find_free_address
+from tests.support.node import build_paths
+
+HEAD = b"HTTP/1.1 200 OK\r\nx-stamp: s\r\ntransfer-encoding: chunked\r\n\r\n"
+CALL = TargetCall(CallKind.REQUEST, "POST", "/x", {"x-request-id": "r"}, b"b", 2.0, "r")
+# A hang-up must reach the target within this time.
+HANG_UP_LIMIT_S = 0.5
+
+
+@contextlib.asynccontextmanager
+async def run_relay(serve, *, is_cut_off=False, restarted=False):
+    """Run a target and a peer that relays; yield a client, the peer and the target."""
+    address, peer = find_free_address(), find_free_address()
+    server = await asyncio.start_server(serve, address.host, address.port)
+    timeline, http = Timeline("p", lambda: 0), HttpClient()
+    registry = TargetRegistry(timeline, lambda: float("-inf"), random.Random(1))
+    target = Target("i-1", "app", TargetKind.PLAIN, "dc", address, 1, 8)
+    listed = Target("i-1", "app", TargetKind.PLAIN, "dc", address, 1 + restarted, 8)
+    registry.put(TargetRecord(listed))
+
+    async def verify(_):
+        return is_cut_off
+
+    paths = build_paths(http, timeline)
+    relay = TargetRelay(registry, paths.open_direct, verify, timeline, Metrics())
+    peer_server = HttpServer(relay.answer, cancel_on_disconnect=is_target_call)
+    await peer_server.start(peer)
+    try:
+        yield HttpClient(), peer, target, server
+    finally:
+        await peer_server.abort()
+        await http.close()
+        server.close()
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+async def test_stream_is_relayed_piece_by_piece():
+    first_read = asyncio.Event()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + chunk(b"one"))
+        await first_read.wait()
+        writer.write(chunk(b"two") + chunk(b""))
+        await writer.drain()
+
+    async with (
+        run_relay(serve) as (http, peer, target, _),
+        open_relayed(http, peer, target, CALL) as response,
+    ):
+        assert (response.status, response.headers["x-stamp"]) == (200, "s")
+        pieces = []
+        async for piece in response.chunks():
+            pieces.append(piece)
+            first_read.set()
+        assert pieces == [b"one", b"two"]
+
+
+async def test_response_that_the_target_breaks_off_is_not_complete():
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + chunk(b"one"))
+        await writer.drain()
+        writer.close()
+
+    async with run_relay(serve) as (http, peer, target, _):
+        with pytest.raises(ConnectionLost):
+            async with open_relayed(http, peer, target, CALL) as response:
+                assert [piece async for piece in response.chunks()] == []
+
+
+async def test_request_that_the_target_reset_is_not_called_unsent():
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.transport.abort()
+
+    async with run_relay(serve) as (http, peer, target, _):
+        with pytest.raises(ConnectionLost):
+            async with open_relayed(http, peer, target, CALL):
+                pass
+
+
+# The target of a caller that hangs up must not work on for the relaying node.
+async def test_hang_up_reaches_the_target_before_it_responds():
+    begun, ended = asyncio.Event(), asyncio.Event()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        begun.set()
+        with contextlib.suppress(ConnectionError):
+            while await reader.read(100):
+                pass
+        ended.set()
+
+    async with run_relay(serve) as (http, peer, target, _):
+
+        async def call():
+            async with open_relayed(http, peer, target, CALL):
+                pass
+
+        task = asyncio.create_task(call())
+        await begun.wait()
+        task.cancel()
+        async with asyncio.timeout(HANG_UP_LIMIT_S):
+            await ended.wait()
+
+
+@pytest.mark.parametrize(
+    ("options", "error"),
+    [
+        ({"is_cut_off": True}, PeerDeclined),
+        ({}, TargetNotReached),
+        ({"restarted": True}, PeerDeclined),
+    ],
+    ids=["peer cut off", "target down", "another start of the target"],
+)
+async def test_call_that_was_not_sent_says_why(options, error):
+    async def serve(reader, writer):
+        raise AssertionError("a connection was accepted")
+
+    async with run_relay(serve, **options) as (http, peer, target, server):
+        server.close()
+        await server.wait_closed()
+        with pytest.raises(error):
+            async with open_relayed(http, peer, target, CALL):
+                pass
--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -25,6 +25,7 @@
 from tamarackshelf.world.job import JobItem, ScoreCall
 from tests.conftest import find_free_address
 from tests.platform.test_target_client import FakeGate
+from tests.support.node import build_paths
 
 MAX_BODY_BYTES = 2 * 1024 * 1024
 # Bytes that the sockets and the reader's buffer hold beyond what was read.
@@ -143,7 +144,9 @@
     async with EndlessServer(start, repeat, pause_s) as server:
         error = await call_endless_server(
             server,
-            lambda http, target: call(PlatformTargetClient(http, FakeGate()), target),
+            lambda http, target: call(
+                PlatformTargetClient(build_paths(http), FakeGate()), target
+            ),
         )
         reason = f"{call.__name__}: {error!r} from {error.__cause__!r}"
         assert isinstance(error, OutcomeUnknown | NotRun), reason
--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -28,6 +28,7 @@
 from tamarackshelf.world import Target, TargetKind
 from tamarackshelf.world.job import JobItem
 from tests.conftest import find_free_address
+from tests.support.node import build_paths
 
 SIGNED = b"X-Request-Id: r1\r\nX-Server-Stamp: s.1\r\n"
 EVENTS = b"id: 0\ndata: a\n\nid: 1\ndata: b\n\nx-weight-versions: 6\nid: 2\ndata: c\n\n"
@@ -72,7 +73,9 @@
     target = Target("i-1", "app", TargetKind.PLAIN, "dc", address, 1, 8)
     http = HttpClient()
     try:
-        return await use(PlatformTargetClient(http, gate or FakeGate()), target), seen
+        return await use(
+            PlatformTargetClient(build_paths(http), gate or FakeGate()), target
+        ), seen
     finally:
         await http.close()
         server.close()
--- a/tests/support/cut_off.py
+++ b/tests/support/cut_off.py
@@ -12,6 +12,8 @@
 from tamarackshelf.entry.forwarder import Forwarder
 from tamarackshelf.errors import ShelfError
 from tamarackshelf.net import ConnectFailed, ConnectRefused, Request, Response
+from tamarackshelf.node.target_paths import TargetPaths
+from tamarackshelf.node.target_relay import TargetRelay
 from tamarackshelf.node.targets import TargetRegistry
 from tamarackshelf.observe import Metrics, Timeline
 from tamarackshelf.platform.target_client import PlatformTargetClient
@@ -28,6 +30,7 @@
 
 RUN_S = 0.04
 CONNECT_TIMEOUT_S = 0.2
+GOSSIP_S = 0.3
 PATH = "/score/x"
 
 
@@ -44,6 +47,22 @@
         """Do nothing; no target names a limit."""
 
 
+class FakeGossip:
+    """Stand-in for GossipTask; rumours reach the other nodes after GOSSIP_S."""
+
+    def __init__(self, listeners):
+        self._listeners = listeners
+
+    def on_rumour(self, prefix, listener):
+        self._listeners.append((prefix, listener))
+
+    def publish(self, rumour):
+        loop = asyncio.get_running_loop()
+        for prefix, listener in self._listeners:
+            if rumour.subject.startswith(prefix):
+                loop.call_later(GOSSIP_S, listener, rumour)
+
+
 class CutOffNode:
     """The parts of one node that forward requests."""
 
@@ -56,8 +75,19 @@
         for record in cluster.targets.values():
             self.registry.put(record)
         self.fleet = FakeFleet(name, cluster.records, cluster.dead)
+        self.fleet.gossip = FakeGossip(cluster.rumour_listeners)
         http = MemoryHttp(cluster.network, name)
-        self.target_client = PlatformTargetClient(http, OpenGate())
+        metrics = Metrics()
+        self.paths = TargetPaths(http, http, self.timeline, metrics, _wall_ms)
+        self.relay = TargetRelay(
+            self.registry,
+            self.paths.open_direct,
+            self.paths.verify_cut_off,
+            self.timeline,
+            metrics,
+        )
+        cluster.network.add(self.relay.answer, cluster.records[name].peers)
+        self.target_client = PlatformTargetClient(self.paths, OpenGate())
         self.forwarder = Forwarder(
             self.registry,
             self.target_client,
@@ -68,10 +98,10 @@
         )
 
     async def start(self):
-        """Do nothing; the forwarder has no tasks of its own."""
+        self.paths.connect(self.fleet, self.registry)
 
     async def stop(self):
-        """Do nothing; the forwarder has no tasks of its own."""
+        await self.paths.close()
 
     async def send(self, request_id, path=PATH, timeout_s=1.5):
         """Forward a caller's request and return its status, or its error's status."""
@@ -100,6 +130,7 @@
         self.dead = set()
         self.refuses = refuses
         self.arrivals = []
+        self.rumour_listeners = []
         self.records = {
             name: NodeRecord(name, 1, "dc", new_address(), new_address())
             for name in nodes
@@ -145,4 +176,8 @@
         return serve
 
 
+def _wall_ms():
+    return int(asyncio.get_running_loop().time() * 1000)
+
+
 __all__ = ["CutOffCluster", "CutOffNode"]
--- a/tests/support/node.py
+++ b/tests/support/node.py
@@ -20,6 +20,7 @@
 from tamarackshelf.net import ClientResponse, ConnectFailed, ConnectionLost
 from tamarackshelf.node import peer_jobs
 from tamarackshelf.node.quarantine import RequestQuarantine
+from tamarackshelf.node.target_paths import TargetPaths
 from tamarackshelf.node.targets import TargetRegistry
 from tamarackshelf.observe import Metrics, Timeline
 from tamarackshelf.policy.route_table import RouteTable
@@ -73,6 +74,12 @@
     return TargetRecord(target, versions=versions or {})
 
 
+def build_paths(http, timeline=None):
+    """Return the paths of a node that has no peers, so that all calls are direct."""
+    timeline = timeline or Timeline("n", lambda: 0)
+    return TargetPaths(http, http, timeline, Metrics(), lambda: 0)
+
+
 def build_quarantine(registry, target_client, vm="n", wall_s=lambda: 1e9):
     """Return a node's quarantine that is not connected to other nodes."""
     timeline = Timeline(vm, lambda: 0)
@@ -316,6 +323,7 @@
     "SimulatedEngines",
     "build_configuration",
     "build_job",
+    "build_paths",
     "build_quarantine",
     "build_target",
 ]
