Hand the order lease over when its holder is cut off from the engines

Orders are not relayed, as engines tell holders apart by their VM. So the holder releases the lease once the next one may order without waiting for its expiry, and nodes that are cut off do not take it. Both new tests failed before.

--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -289,6 +289,7 @@
         )
         self.weights.get_configuration = lambda: self.configuration_view.configuration
         self.weights.measure_demand = self.jobs.measure_demand
+        self.weights.select_reaching = self.paths.select_reaching
         self.targets.find_assigned_model = self.weights.find_assigned_model
         self._subscribe_to_platform_rows(self.weights)
         self.limits.connect(fleet)
--- a/src/tamarackshelf/node/target_paths.py
+++ b/src/tamarackshelf/node/target_paths.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator, Callable, Sequence
+from collections.abc import AsyncIterator, Callable, Sequence, Set
 from dataclasses import dataclass, replace
 
 from tamarackshelf.contracts.targets import CallKind, TargetCall, TargetStream
@@ -113,6 +113,13 @@
         reaching = [r for r in records if not services <= self._find_cut_off(r.vm)]
         return reaching or list(records)
 
+    def select_reaching(
+        self, records: Sequence[NodeRecord], services: Set[str]
+    ) -> list[NodeRecord]:
+        """Return the nodes that are cut off from none of the services, or else all."""
+        reaching = [r for r in records if not services & self._find_cut_off(r.vm)]
+        return reaching or list(records)
+
     async def verify_cut_off(self, target: Target) -> bool:
         """Probe the paths after a failed connection and return the verdict."""
         await self._check(target.service, f"{target.name} could not be reached")
--- a/src/tamarackshelf/node/weights.py
+++ b/src/tamarackshelf/node/weights.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence, Set
 from dataclasses import dataclass, field
 from functools import partial
 
@@ -30,7 +30,13 @@
     record_order_outcome,
 )
 from tamarackshelf.store.failover import FailoverStore
-from tamarackshelf.store.fleet_rows import StoredLease, acquire_lease, read_lease
+from tamarackshelf.store.fleet_rows import (
+    NodeRecord,
+    StoredLease,
+    acquire_lease,
+    read_lease,
+    release_lease,
+)
 from tamarackshelf.tasks import start_task, stop_tasks
 from tamarackshelf.world.job import ModelDemand
 from tamarackshelf.world.route import RoutingConfiguration
@@ -96,6 +102,10 @@
         self.announced_versions: dict[str, int] = {}
         self.get_configuration: Callable[[], RoutingConfiguration | None] = lambda: None
         self.measure_demand: Callable[[], Mapping[str, ModelDemand]] = dict
+        # Returns the nodes that reach the engines of these services, or all if none do.
+        self.select_reaching: Callable[
+            [Sequence[NodeRecord], Set[str]], Sequence[NodeRecord]
+        ] = lambda nodes, services: nodes
         self._store = store
         self._fleet = fleet
         self._targets = targets
@@ -104,6 +114,7 @@
         self._timeline = timeline
         self._lease: StoredLease | None = None
         self._orders_allowed_at_s = 0.0
+        self._last_order_at_s = float("-inf")
         self._lease_checked_at_s = float("-inf")
         self._state = _CoordinatorState()
         self._orders_in_progress: dict[str, asyncio.Task[None]] = {}
@@ -149,7 +160,9 @@
             if self._fleet.is_leaving or not self._has_outdated_engine():
                 continue
             try:
-                if await self._ensure_lease():
+                if self._lease is not None and self._is_cut_off():
+                    await self._give_up_lease(self._lease)
+                elif await self._ensure_lease():
                     self._order_outdated_engines()
             except RowStoreError as error:
                 self._timeline.record("lease_unknown", LEASE_NAME, str(error))
@@ -223,6 +236,34 @@
             del engine_requests[key]
         return list(engine_requests)
 
+    def _is_cut_off(self) -> bool:
+        """Return whether other nodes reach the engines and this one does not."""
+        own, nodes = self._fleet.own, self._fleet.list_live_nodes()
+        return own in nodes and own not in self._select_reaching(nodes)
+
+    def _select_reaching(self, nodes: Sequence[NodeRecord]) -> Sequence[NodeRecord]:
+        configuration = self.get_configuration()
+        services = configuration.services.values() if configuration else ()
+        engines = {service.name for service in services if service.models}
+        return self.select_reaching(nodes, engines)
+
+    async def _give_up_lease(self, lease: StoredLease) -> None:
+        """Release the lease, as this node does not reach the engines and others do.
+
+        Wait until the next holder may order at once, so that orders of two holders
+        never appear to alternate.
+        """
+        if _now_s() < self._last_order_at_s + self.lease_s + LEASE_MARGIN_S:
+            return
+        await release_lease(self._store, LEASE_NAME, lease)
+        self._lease = None
+        self._timeline.record(
+            "lease_released",
+            LEASE_NAME,
+            "this node is cut off from the engines",
+            fencing=lease.record.fencing_number,
+        )
+
     async def _ensure_lease(self) -> bool:
         """Take the lease if possible; return whether this node may give orders now."""
         now_s = _now_s()
@@ -232,7 +273,8 @@
             return False
         self._lease_checked_at_s = now_s
         own = self._fleet.own
-        names = [record.vm for record in self._fleet.list_live_nodes()]
+        nodes = self._select_reaching(self._fleet.list_live_nodes())
+        names = [record.vm for record in nodes]
         if not names or rank_owners(names, LEASE_NAME)[0] != own.vm:
             return False
         current = await read_lease(self._store, LEASE_NAME)
@@ -369,6 +411,7 @@
         order = VersionOrder(
             model, version, self._fleet.own.vm, lease.record.fencing_number, order_count
         )
+        self._last_order_at_s = _now_s()
         if await self._target_client.order_version(target, order, CALL_TIMEOUT_S):
             order_count += 1
             await asyncio.sleep(EXPECTED_LOAD_S)
--- a/src/tamarackshelf/store/fleet_rows.py
+++ b/src/tamarackshelf/store/fleet_rows.py
@@ -117,6 +117,19 @@
     return StoredLease(record, done.version)
 
 
+async def release_lease(store: RowStore, name: str, lease: StoredLease) -> None:
+    """Leave the lease without a holder, unless it has changed since it was read."""
+    key = RowKey(LEASE_TABLE, "", name)
+    record = replace(lease.record, holder="", holder_incarnation=0)
+    write = RowWrite(key, msgspec.msgpack.encode(record))
+    condition = RowCondition(key, lease.version)
+    try:
+        await store.commit(RowTransaction((condition,), (write,)))
+    except RowConflict:
+        # Another node holds it, or an earlier attempt without an answer released it.
+        return
+
+
 def decode_node(value: bytes) -> NodeRecord:
     """Decode a node's row; raise msgspec.DecodeError if it is invalid."""
     return msgspec.msgpack.decode(value, type=NodeRecord)
@@ -141,5 +154,6 @@
     "decode_node",
     "read_lease",
     "register_node",
+    "release_lease",
     "unregister_node",
 ]
--- a/tests/node/test_weights.py
+++ b/tests/node/test_weights.py
@@ -70,6 +70,7 @@
         self.store = MemoryRowStore()
         self.engines = FakeEngines()
         self.dead = set()
+        self.cut_off = set()
         self.clients = {}
         address = Address("10.0.0.1", 1)
         self.records = {
@@ -95,8 +96,13 @@
         services = {"models": Service("models", 10, ("m", "n"))}
         configuration = RoutingConfiguration(1, (), services)
         coordinator.get_configuration = lambda: configuration
+        coordinator.select_reaching = self._select_reaching
         return coordinator
 
+    def _select_reaching(self, records, services):
+        assert services == {"models"}
+        return [r for r in records if r.vm not in self.cut_off] or records
+
 
 @pytest.fixture
 def run_scenario(run):
@@ -270,6 +276,49 @@
     run_scenario(scenario)
 
 
+# No engine got a new version while the holder was cut off from the engines.
+def test_holder_that_is_cut_off_from_the_engines_hands_the_lease_over(run_scenario):
+    async def scenario(environment, coordinators):
+        announce_everywhere(coordinators, "m", 2)
+        await asyncio.sleep(5)
+        holder = environment.engines.orders[0][2].holder
+        last_s = environment.engines.orders[-1][0]
+        environment.cut_off.add(holder)
+        announce_everywhere(coordinators, "m", 3)
+        await asyncio.sleep(6)
+        newer = [entry for entry in environment.engines.orders if entry[2].version == 3]
+        assert newer
+        assert all(entry[2].holder != holder for entry in newer)
+        assert newer[0][0] - last_s >= LEASE_S
+        assert newer[0][2].fencing_number > 1
+        # The new holder keeps the lease when the cut has ended.
+        environment.cut_off.clear()
+        announce_everywhere(coordinators, "m", 4)
+        await asyncio.sleep(5)
+        assert environment.engines.orders[-1][2].holder == newer[0][2].holder
+        assert environment.engines.orders[-1][2].version == 4
+
+    run_scenario(scenario)
+
+
+# The release may fail at the store, which then still names the cut-off holder.
+def test_lease_is_released_again_when_the_store_refused_its_release(run_scenario):
+    async def scenario(environment, coordinators):
+        announce_everywhere(coordinators, "m", 2)
+        await asyncio.sleep(5)
+        holder = environment.engines.orders[0][2].holder
+        environment.cut_off.add(holder)
+        environment.store.is_down = True
+        announce_everywhere(coordinators, "m", 3)
+        await asyncio.sleep(3)
+        environment.store.is_down = False
+        await asyncio.sleep(8)
+        assert environment.engines.orders[-1][2].version == 3
+        assert environment.engines.orders[-1][2].holder != holder
+
+    run_scenario(scenario)
+
+
 def test_engine_request_loads_the_model_on_one_more_engine(run_scenario):
     async def scenario(environment, coordinators):
         announce_everywhere(coordinators, "m", 2)
