--- a/src/tamarackshelf/node/target_paths.py
+++ b/src/tamarackshelf/node/target_paths.py
@@ -381,9 +381,9 @@
         if not rumour.value or is_old:
             self._peer_verdicts.pop(vm, None)
             return
-        services = frozenset(rumour.value.split(","))
+        services, known = frozenset(rumour.value.split(",")), self._find_cut_off(vm)
         self._peer_verdicts[vm] = _PeerVerdict(services, _now_s())
-        for service in services & self._list_services():
+        for service in (services - known) & self._list_services():
             self._check_after_rumour(service, vm)
 
     def _check_after_rumour(self, service: str, vm: str) -> None:
