Use open connections to targets while new ones are refused

In a cut that refuses connections the open ones live on; closing them gave up what a node could still do by itself. A silent cut still closes them, as they hang.

--- a/src/tamarackshelf/node/target_paths.py
+++ b/src/tamarackshelf/node/target_paths.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import enum
 from collections.abc import AsyncIterator, Callable, Sequence, Set
 from dataclasses import dataclass, replace
 
@@ -47,6 +48,14 @@
 MAX_PEERS_PER_CALL = 3
 
 
+class _Probe(enum.Enum):
+    """The outcome of a connection attempt."""
+
+    REACHED = "reached"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
 @dataclass(frozen=True, slots=True)
 class _PeerVerdict:
     """The services from which a peer said that it is cut off, at `heard_at_s`."""
@@ -154,7 +163,7 @@
         deadline_s = _now_s() + call.timeout_s
         async with contextlib.AsyncExitStack() as stack:
             response: TargetStream | None = None
-            if not self.is_cut_off(target.service):
+            if not self.is_cut_off(target.service) or self._has_open(target, call):
                 try:
                     response = await stack.enter_async_context(
                         self.open_direct(target, call)
@@ -228,6 +237,11 @@
             f"cut off from {target.name}, and relayed by none: {reason}"
         )
 
+    def _has_open(self, target: Target, call: TargetCall) -> bool:
+        """Return whether a connection lives on that may carry the call in a cut."""
+        is_refused = self._services[target.service].is_refused
+        return is_refused and not call.new_connection and self.is_connected(target)
+
     def _record_relay(
         self, target: Target, call: TargetCall, peer: str, outcome: str
     ) -> None:
@@ -322,25 +336,31 @@
     async def _probe(self, service: str, targets: list[Target], reason: str) -> None:
         """Probe targets and apply the verdict; a first success is enough if sound."""
         paths = self._services.setdefault(service, ServicePaths())
-        reached = 0
-        tasks = [asyncio.ensure_future(self._reaches(target)) for target in targets]
+        results: list[_Probe] = []
+        tasks = [
+            asyncio.ensure_future(self._probe_target(target)) for target in targets
+        ]
         try:
             for next_result in asyncio.as_completed(tasks):
-                reached += await next_result
-                if reached and not paths.is_cut_off:
+                results.append(await next_result)
+                if results[-1] is _Probe.REACHED and not paths.is_cut_off:
                     break
         finally:
             for task in tasks:
                 task.cancel()
-        if paths.record_round(reached, len(targets), _now_s()):
+        reached = results.count(_Probe.REACHED)
+        refused = results.count(_Probe.REFUSED)
+        if paths.record_round(reached, len(targets), _now_s(), refused):
             self._record_verdict(service, paths, reached, len(targets), reason)
 
-    async def _reaches(self, target: Target) -> bool:
+    async def _probe_target(self, target: Target) -> _Probe:
         try:
             await self._http.probe(target.address, PROBE_TIMEOUT_S)
+        except ConnectRefused:
+            return _Probe.REFUSED
         except (ConnectFailed, TimeoutError):
-            return False
-        return True
+            return _Probe.FAILED
+        return _Probe.REACHED
 
     def _record_verdict(
         self, service: str, paths: ServicePaths, reached: int, probed: int, reason: str
@@ -352,13 +372,14 @@
             reason,
             reached=reached,
             probed=probed,
+            refused=paths.is_refused,
             confirmed=paths.is_confirmed,
             peers_cut_off=sum(
                 service in self._find_cut_off(vm) for vm in self._peer_verdicts
             ),
         )
-        if paths.is_cut_off and self._targets is not None:
-            # What is still open may hang, or stay open while new connections fail.
+        if paths.is_cut_off and not paths.is_refused and self._targets is not None:
+            # What is still open hangs.
             for state in self._targets.list_targets([service]):
                 self._http.close_idle_connections(state.target.address)
         self._publish()
@@ -399,7 +420,7 @@
     async def _verify_paths(self, service: str, reason: str) -> None:
         """Probe a single target, and others only if that fails."""
         targets = self._pick_targets(service)
-        if targets and await self._reaches(targets[0]):
+        if targets and await self._probe_target(targets[0]) is _Probe.REACHED:
             self._services[service].checked_at_s = _now_s()
         else:
             await self._probe(service, targets, reason)
--- a/src/tamarackshelf/policy/reachability.py
+++ b/src/tamarackshelf/policy/reachability.py
@@ -13,17 +13,22 @@
 class ServicePaths:
     """What a node knows of its own paths to the targets of one service.
 
-    `is_confirmed` is set when a peer reached a target that this node did not reach.
+    `is_confirmed` is set when a peer reached a target that this node did not reach, and
+    `is_refused` when the connections of a cut were refused: those that are open live
+    on.
     Times are those of the event loop's clock.
     """
 
     is_cut_off: bool = False
     is_confirmed: bool = False
+    is_refused: bool = False
     checked_at_s: float = float("-inf")
     changed_at_s: float = float("-inf")
     sound_rounds: int = 0
 
-    def record_round(self, reached: int, probed: int, now_s: float) -> bool:
+    def record_round(
+        self, reached: int, probed: int, now_s: float, refused: int = 0
+    ) -> bool:
         """Apply a round of connection probes; return whether the verdict changed.
 
         A node is cut off when it reached none of the probed targets. It is sound again
@@ -33,6 +38,7 @@
         self.checked_at_s = now_s
         if not probed:
             return False
+        self.is_refused = refused == probed
         if not self.is_cut_off:
             if reached:
                 return False
--- a/tests/node/test_target_paths.py
+++ b/tests/node/test_target_paths.py
@@ -208,3 +208,20 @@
         assert statuses == [200] * 4
 
     run_cluster(run, scenario)
+
+
+# Connections may live on while new ones are refused; those that hang must not be used.
+@pytest.mark.parametrize("refuses", [False, True], ids=["silent", "refuse"])
+def test_open_connection_is_used_only_if_new_ones_are_refused(run, refuses):
+    async def scenario(cluster):
+        await cut_off(cluster, "a")
+        node = cluster.nodes["a"]
+        address = cluster.targets["t1"].target.address
+        node.http.idle.add(address)
+        cluster.network.calls.clear()
+        async with node.paths.stream(cluster.targets["t1"].target, build_call()):
+            pass
+        used_own = ("a", address, "/x") in cluster.network.calls
+        assert used_own is refuses
+
+    run_cluster(run, scenario, refuses=refuses)
--- a/tests/policy/test_reachability.py
+++ b/tests/policy/test_reachability.py
@@ -41,3 +41,11 @@
 def test_cut_that_no_peer_confirmed_ends_with_the_first_sound_round():
     paths = ServicePaths()
     assert apply(paths, 0, 1, 2) == [True, False, True]
+
+
+def test_cut_is_refused_only_while_all_probes_are_refused():
+    paths = ServicePaths()
+    paths.record_round(0, 3, 1.0, refused=3)
+    assert paths.is_refused
+    paths.record_round(0, 3, 2.0, refused=2)
+    assert not paths.is_refused
--- a/tests/support/cut_off.py
+++ b/tests/support/cut_off.py
@@ -76,7 +76,7 @@
             self.registry.put(record)
         self.fleet = FakeFleet(name, cluster.records, cluster.dead)
         self.fleet.gossip = FakeGossip(cluster.rumour_listeners)
-        http = MemoryHttp(cluster.network, name)
+        self.http = http = MemoryHttp(cluster.network, name)
         metrics = Metrics()
         self.paths = TargetPaths(http, http, self.timeline, metrics, _wall_ms)
         self.relay = TargetRelay(
--- a/tests/support/memory.py
+++ b/tests/support/memory.py
@@ -67,9 +67,12 @@
         if address not in self.handlers:
             raise ConnectFailed(f"nothing listens at {address}")
 
-    async def open(self, origin, address, method, path, headers, body):
+    async def open(
+        self, origin, address, method, path, headers, body, *, is_open=False
+    ):
         path, _, query = path.partition("?")
-        await self.connect(origin, address, path)
+        if not is_open:
+            await self.connect(origin, address, path)
         self.calls.append((origin, address, path))
         request = Request(method, path, query, headers, body)
         try:
@@ -92,15 +95,17 @@
         self.network = network
         self.origin = origin
         self._headers = headers or {}
+        # Addresses to which a connection is open; calls there skip the hooks `before`.
+        self.idle = set()
 
     async def close(self):
         """Do nothing; no connection is open."""
 
     def has_idle_connection(self, address):
-        return False
+        return address in self.idle
 
     def close_idle_connections(self, address):
-        """Do nothing; no connection is open."""
+        self.idle.discard(address)
 
     async def probe(self, address, timeout_s):
         async with asyncio.timeout(timeout_s):
@@ -124,12 +129,13 @@
         new_connection=False,
         resend=True,
     ):
-        del new_connection, resend
+        del resend
+        is_open = address in self.idle and not new_connection
         sent = {**self._headers, **(headers or {})}
         try:
             async with asyncio.timeout(timeout_s):
                 response = await self.network.open(
-                    self.origin, address, method, path, sent, body
+                    self.origin, address, method, path, sent, body, is_open=is_open
                 )
         except TimeoutError:
             raise ConnectionLost("no answer before the deadline") from None
