--- a/tests/support/cut_off.py
+++ b/tests/support/cut_off.py
@@ -129,6 +129,9 @@
         self.cut = set()
         self.dead = set()
         self.refuses = refuses
+        # Targets that say in their answers that they leave, and that refuse requests.
+        self.leaving = set()
+        self.refusing = set()
         self.arrivals = []
         self.rumour_listeners = []
         self.records = {
@@ -169,8 +172,13 @@
         async def serve(request):
             request_id = request.headers["x-request-id"]
             await asyncio.sleep(RUN_S)
-            headers = {"x-request-id": request_id, "x-server-stamp": name}
+            headers = {"x-request-id": request_id}
+            if name in self.leaving:
+                headers["server-leaving"] = "1"
             self.arrivals.append((name, request_id))
+            if name in self.refusing:
+                return Response(503, headers={**headers, "x-not-run": "1"})
+            headers["x-server-stamp"] = name
             return Response(200, b"ok", headers=headers)
 
         return serve
