Give no work to a target whose responses say that it leaves

Cause: nothing read the header Server-Leaving. The class of fault: a fact about a target that only the list could tell, and the list grows old.

The adapter reads it in its one door for all calls, relayed ones too. The fact belongs to one start of the target: a renewed heartbeat, an older list or a row that lapsed and came back does not lift it, another incarnation does. It goes into the record's is_leaving, which all ways to a target ask already.

--- a/src/tamarackshelf/contracts/targets.py
+++ b/src/tamarackshelf/contracts/targets.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import enum
-from collections.abc import AsyncGenerator, AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -301,7 +301,17 @@
 
 
 class TargetClient(Protocol):
-    """Calls to targets in the protocol that the targets use."""
+    """Calls to targets in the protocol that the targets use.
+
+    `on_leaving` is called when a response of a target says that the target leaves.
+    """
+
+    on_leaving: Callable[[Target], None]
+
+    def observe_response(
+        self, target: Target, status: int, headers: dict[str, str]
+    ) -> None:
+        """Note what the head of a target's response says about the target."""
 
     def is_connected(self, target: Target) -> bool:
         """Return whether there is an idle connection to the target."""
--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -27,6 +27,7 @@
 from tamarackshelf.node.configuration_view import ConfigurationView
 from tamarackshelf.node.fleet import Fleet
 from tamarackshelf.node.freeze import watch_for_freezes
+from tamarackshelf.node.leaving_targets import LeavingTargets
 from tamarackshelf.node.peer_api import PeerApi, is_target_call
 from tamarackshelf.node.peer_store import PeerStore
 from tamarackshelf.node.quarantine import RequestQuarantine
@@ -68,7 +69,7 @@
 # when it starts. The clocks of the VMs differ by less than this.
 ENGINE_REQUEST_TTL_MS = 5_000
 FEED_PACING_INTERVAL_S = 1.0
-FORGET_LIMITS_INTERVAL_S = 10.0
+FORGET_TARGETS_INTERVAL_S = 10.0
 # Share of the store's reads per second that feed polls without changes may use; the
 # rest is for jobs.
 FEED_READ_SHARE = 0.25
@@ -148,8 +149,15 @@
         self.limits = limits
         self.paths = paths
         self.relay = TargetRelay(
-            self.targets, paths.open_direct, paths.verify_cut_off, timeline, metrics
+            self.targets,
+            paths.open_direct,
+            paths.verify_cut_off,
+            target_client.observe_response,
+            timeline,
+            metrics,
         )
+        self.leaving_targets = LeavingTargets(self.targets)
+        target_client.on_leaving = self.leaving_targets.record
         scorer = Scorer(
             self.targets,
             target_client,
@@ -294,6 +302,7 @@
         self._subscribe_to_platform_rows(self.weights)
         self.limits.connect(fleet)
         self.paths.connect(fleet, self.targets)
+        self.leaving_targets.connect(fleet)
         self._connect_engine_requests(fleet, self.weights)
         await self._watches[NODE_TABLE].loaded.wait()
         await self.quarantine.start(
@@ -314,7 +323,7 @@
                 "freeze_watch", lambda: watch_for_freezes(self._verify_after_freeze)
             ),
             start_task("feed_pace", self._pace_feeds),
-            start_task("limit_upkeep", self._forget_limits),
+            start_task("target_upkeep", self._forget_old_targets),
         ]
 
     def apply_settings(self, settings: NodeSettings) -> None:
@@ -460,11 +469,12 @@
                     watch.wait_s = wait_s
             await asyncio.sleep(FEED_PACING_INTERVAL_S)
 
-    async def _forget_limits(self) -> None:
-        """Forget the limits of targets that are no longer listed."""
+    async def _forget_old_targets(self) -> None:
+        """Forget what was known of targets that are no longer listed."""
         while True:
-            await asyncio.sleep(FORGET_LIMITS_INTERVAL_S)
+            await asyncio.sleep(FORGET_TARGETS_INTERVAL_S)
             self.limits.retain(self.targets.list_all())
+            self.leaving_targets.discard_old()
 
     async def _verify_after_freeze(self, gap_s: float) -> None:
         """Pause all runs after a freeze until the ownership of the jobs is verified."""
--- a/src/tamarackshelf/node/target_relay.py
+++ b/src/tamarackshelf/node/target_relay.py
@@ -35,6 +35,7 @@
 # Calls that a node relays at the same time; more would take its memory and link.
 MAX_RELAYED_CALLS = 256
 
+ResponseObserver = Callable[[Target, int, dict[str, str]], None]
 DirectOpener = Callable[
     [Target, TargetCall], contextlib.AbstractAsyncContextManager[TargetStream]
 ]
@@ -135,7 +136,8 @@
     """Makes calls to targets for peers that are cut off from them, never onwards.
 
     `is_cut_off` returns whether this node is cut off from a service as well, after it
-    has verified its paths.
+    has verified its paths. `observe` gets the head of each response, as what it says
+    of the target binds this node, too.
     """
 
     def __init__(
@@ -143,6 +145,7 @@
         targets: TargetRegistry,
         open_direct: DirectOpener,
         is_cut_off: Callable[[Target], Awaitable[bool]],
+        observe: ResponseObserver,
         timeline: Timeline,
         metrics: Metrics,
     ) -> None:
@@ -150,6 +153,7 @@
         self._targets = targets
         self._open_direct = open_direct
         self._is_cut_off = is_cut_off
+        self._observe = observe
         self._timeline = timeline
         self._metrics = metrics
         self._calls = 0
@@ -173,6 +177,7 @@
             if answer is None:
                 raise
             return answer
+        self._observe(target, response.status, response.headers)
         self._metrics.count("calls_relayed_for_peers")
         head = msgspec.msgpack.encode((response.status, response.headers))
         headers = {
--- a/src/tamarackshelf/node/targets.py
+++ b/src/tamarackshelf/node/targets.py
@@ -6,7 +6,7 @@
 import statistics
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Protocol
 
@@ -46,6 +46,9 @@
 # only for this long: it may have left, and a target that left may receive new work for
 # two seconds at most.
 MISSING_TARGET_USE_S = 1.4
+# What a target said about leaving is kept this long after it was unlisted: its row may
+# lapse and come back while the store is unreachable.
+LEAVING_MEMORY_S = 600.0
 
 
 class LimitView(Protocol):
@@ -150,6 +153,8 @@
         self._recovered_at_s = recovered_at_s
         self._states: dict[str, TargetState] = {}
         self._listeners: list[Callable[[], None]] = []
+        # When this node learned, other than by its row, that a target's start leaves.
+        self._leaving: dict[tuple[str, int], float] = {}
 
     def set_limits(self, limits: LimitView) -> None:
         """Set what is known of the targets' rate limits."""
@@ -162,6 +167,8 @@
     def put(self, record: TargetRecord) -> None:
         """Add or update a listed target; discard the state of another incarnation."""
         name = record.target.name
+        if (name, record.target.incarnation) in self._leaving:
+            record = replace(record, is_leaving=True)
         state = self._states.get(name)
         if state is None or state.target.incarnation != record.target.incarnation:
             self._timeline.record(
@@ -174,9 +181,7 @@
             )
             state = self._states[name] = TargetState(record)
         elif record.is_leaving and not state.record.is_leaving:
-            self._timeline.record(
-                "target_leaving", name, "the target reports that it leaves"
-            )
+            self._timeline.record("target_leaving", name, "its row says so")
         state.record = record
         state.missing_since_s = None
         self._notify_listeners()
@@ -206,6 +211,32 @@
             if missing_s is not None and _now_s() - missing_s >= RECOVERY_GRACE_S:
                 self._remove(name)
 
+    def record_leaving(self, name: str, incarnation: int, reason: str) -> bool:
+        """Record that a start of a target leaves, whatever its row says from now on.
+
+        Return False if that was known.
+        """
+        key = name, incarnation
+        if key in self._leaving:
+            return False
+        self._leaving[key] = _now_s()
+        state = self._states.get(name)
+        if state is not None and state.target.incarnation == incarnation:
+            state.record = replace(state.record, is_leaving=True)
+        self._timeline.record("target_leaving", name, reason, incarnation=incarnation)
+        self._notify_listeners()
+        return True
+
+    def list_leaving(self) -> set[tuple[str, int]]:
+        """Return the names and starts recorded as leaving, and forget old ones."""
+        oldest_s = _now_s() - LEAVING_MEMORY_S
+        self._leaving = {
+            (name, incarnation): at_s
+            for (name, incarnation), at_s in self._leaving.items()
+            if at_s > oldest_s or name in self._states
+        }
+        return set(self._leaving)
+
     def get(self, name: str) -> TargetState | None:
         """Return the state of a target, or None when it is not listed."""
         return self._states.get(name)
--- a/src/tamarackshelf/platform/target_client.py
+++ b/src/tamarackshelf/platform/target_client.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import re
-from collections.abc import AsyncGenerator, AsyncIterator
+from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from dataclasses import dataclass
 
 import msgspec
@@ -49,6 +49,8 @@
 WEIGHT_VERSIONS_HEADER = "x-weight-versions"
 # Requests per second that the worker takes from all nodes together, as a decimal.
 LIMIT_HEADER = "server-limit"
+# "1" in all responses of a worker that leaves.
+LEAVING_HEADER = "server-leaving"
 # Headers that apply to a single connection or that this service sets itself.
 UNFORWARDED_HEADERS = frozenset(
     {
@@ -100,6 +102,7 @@
     """TargetClient implementation that speaks the workers' HTTP protocol."""
 
     def __init__(self, transport: TargetTransport, gate: CallGate) -> None:
+        self.on_leaving: Callable[[Target], None] = lambda target: None
         self._transport = transport
         self._gate = gate
 
@@ -107,6 +110,14 @@
         """Return whether the pool holds a usable connection to the target."""
         return self._transport.is_connected(target)
 
+    def observe_response(
+        self, target: Target, status: int, headers: dict[str, str]
+    ) -> None:
+        """Note whether a response says that the worker leaves."""
+        # Another worker sends 421 if the address was assigned to it.
+        if status != 421 and headers.get(LEAVING_HEADER) == "1":
+            self.on_leaving(target)
+
     async def refuses_connections(self, target: Target) -> bool:
         """Return whether no process listens at the worker's address."""
         return await self._transport.refuses_connections(target)
@@ -386,6 +397,7 @@
             resend=resend and not is_single,
         )
         async with self._transport.stream(target, call) as response:
+            self.observe_response(target, response.status, response.headers)
             _check_request_id(target, headers.get(REQUEST_ID_HEADER, ""), response)
             # Another worker sends 421 if the address was assigned to it.
             if response.status != 421:
--- a/tests/node/test_target_relay.py
+++ b/tests/node/test_target_relay.py
@@ -44,7 +44,14 @@
         return is_cut_off
 
     paths = build_paths(http, timeline)
-    relay = TargetRelay(registry, paths.open_direct, verify, timeline, Metrics())
+    relay = TargetRelay(
+        registry,
+        paths.open_direct,
+        verify,
+        lambda target, status, headers: None,
+        timeline,
+        Metrics(),
+    )
     peer_server = HttpServer(relay.answer, cancel_on_disconnect=is_target_call)
     await peer_server.start(peer)
     try:
--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import pytest
 
@@ -17,6 +18,7 @@
     ItemRejected,
     ItemRun,
     NamedLimit,
+    NotRun,
     OrderRefused,
     OutcomeUnknown,
     TargetBusy,
@@ -26,7 +28,7 @@
 from tamarackshelf.net import HttpClient, Request
 from tamarackshelf.platform.target_client import PlatformTargetClient
 from tamarackshelf.world import Target, TargetKind
-from tamarackshelf.world.job import JobItem
+from tamarackshelf.world.job import JobItem, ScoreCall
 from tests.conftest import find_free_address
 from tests.support.node import build_paths
 
@@ -232,3 +234,65 @@
     with pytest.raises((TargetChanged, OutcomeUnknown)):
         forward(raw, gate)
     assert gate.limits == []
+
+
+async def _forward(calls, target):
+    http = Request("POST", "/a", "", {"x-request-id": "r1"}, b"")
+    request = ForwardedRequest("r1", "h.example", http)
+    await calls.forward(target, request, 2.0, at_most_once=False)
+
+
+async def _stream(calls, target):
+    http = Request("POST", "/a", "", {"x-request-id": "r1"}, b"")
+    request = ForwardedRequest("r1", "h.example", http)
+    events = calls.stream(target, request, 2.0, after_event_id=None, at_most_once=True)
+    async for _ in events:
+        pass
+
+
+async def _run_item(calls, target):
+    item = JobItem("r1", "/i/1", {"X-Model": "m"}, b"body", "g", 100)
+    async for _ in calls.run_item(target, ItemRun(item, "h.example", -1, 2.0, 1.0)):
+        pass
+
+
+async def _score(calls, target):
+    await calls.score(target, ScoreCall("r1", "h.example", "/s", b""), 2.0)
+
+
+async def _order(calls, target):
+    await calls.order_version(target, VersionOrder("m", 2, "n", 1, 0), 1.0)
+
+
+async def _report(calls, target):
+    await calls.read_report(target, 1.0)
+
+
+# A target that leaves says so in any response, and it was noticed in none.
+@pytest.mark.parametrize("use", [_forward, _stream, _run_item, _score, _order, _report])
+@pytest.mark.parametrize("status", [200, 500, 503])
+def test_any_response_may_say_that_its_worker_leaves(use, status):
+    not_run = b"X-Not-Run: 1\r\n" if status == 503 else b""
+    head = SIGNED + b"Server-Leaving: 1\r\n" + not_run
+    assert find_leaving(use, build_response(status, head, EVENTS)) == ["i-1"]
+
+
+@pytest.mark.parametrize(
+    ("status", "header"),
+    [(200, b""), (200, b"Server-Leaving: 0\r\n"), (421, b"Server-Leaving: 1\r\n")],
+    ids=["without", "zero", "another worker"],
+)
+def test_worker_that_stays_is_not_taken_for_one_that_leaves(status, header):
+    assert find_leaving(_forward, build_response(status, SIGNED + header, b"")) == []
+
+
+def find_leaving(use, raw):
+    leaving = []
+
+    async def use_and_observe(calls, target):
+        calls.on_leaving = lambda each: leaving.append(each.name)
+        with contextlib.suppress(NotRun, OutcomeUnknown, OrderRefused, ItemFailed):
+            await use(calls, target)
+
+    asyncio.run(call(raw, use_and_observe))
+    return leaving
--- a/tests/support/cut_off.py
+++ b/tests/support/cut_off.py
@@ -12,6 +12,7 @@
 from tamarackshelf.entry.forwarder import Forwarder
 from tamarackshelf.errors import ShelfError
 from tamarackshelf.net import ConnectFailed, ConnectRefused, Request, Response
+from tamarackshelf.node.leaving_targets import LeavingTargets
 from tamarackshelf.node.target_paths import TargetPaths
 from tamarackshelf.node.target_relay import TargetRelay
 from tamarackshelf.node.targets import TargetRegistry
@@ -79,15 +80,18 @@
         self.http = http = MemoryHttp(cluster.network, name)
         metrics = Metrics()
         self.paths = TargetPaths(http, http, self.timeline, metrics, _wall_ms)
+        self.target_client = PlatformTargetClient(self.paths, OpenGate())
+        self.leaving_targets = LeavingTargets(self.registry)
+        self.target_client.on_leaving = self.leaving_targets.record
         self.relay = TargetRelay(
             self.registry,
             self.paths.open_direct,
             self.paths.verify_cut_off,
+            self.target_client.observe_response,
             self.timeline,
             metrics,
         )
         cluster.network.add(self.relay.answer, cluster.records[name].peers)
-        self.target_client = PlatformTargetClient(self.paths, OpenGate())
         self.forwarder = Forwarder(
             self.registry,
             self.target_client,
@@ -99,6 +103,7 @@
 
     async def start(self):
         self.paths.connect(self.fleet, self.registry)
+        self.leaving_targets.connect(self.fleet)
 
     async def stop(self):
         await self.paths.close()
