Refuse to take a stream up when no home can tell who began it

After a kill of all nodes the first one that was back knew no live peer.

Now the homes that must testify are counted over all listed nodes, live or not, and a node that is alone has to have run since before versions mixed.

--- a/src/tamarackshelf/node/stream_origins.py
+++ b/src/tamarackshelf/node/stream_origins.py
@@ -195,12 +195,23 @@
         unaware_count = sum(
             a is not None and a.keeps_since_s <= mixed_s for a in answers
         )
-        if unaware_count < min(MIN_UNAWARE_HOMES, len(homes)):
+        if unaware_count < self._count_needed_homes():
             return None, f"only {unaware_count} homes know that no origin was told"
+        if self._keeps_since_s > mixed_s and not answers:
+            return None, "this node began after the stream may have"
         return self._infer(attempt_id, service, sole), (
             "the stream began while the service had a single version"
         )
 
+    def _count_needed_homes(self) -> int:
+        """Return how many homes must know of no origin before it is inferred.
+
+        Nodes that this one considers dead count, too: after a kill of all nodes the
+        first one that is back knows no live peer.
+        """
+        listed = 0 if self._fleet is None else self._fleet.count_listed_nodes() - 1
+        return min(MIN_UNAWARE_HOMES, listed)
+
     def _infer(self, attempt_id: str, service: str, software: str) -> StreamOrigin:
         return StreamOrigin(attempt_id, service, software, self._wall_s())
 
--- a/tests/node/test_stream_origins.py
+++ b/tests/node/test_stream_origins.py
@@ -77,6 +77,10 @@
         for registry in self.registries.values():
             registry.remove(name)
 
+    def unlist_targets(self, *names):
+        for name in names:
+            self.unlist_target(name)
+
     async def request(self, address, method, path, *, body, timeout_s):
         await asyncio.sleep(0.001)
         name = next(n for n, r in self.records.items() if r.peers == address)
@@ -235,6 +239,69 @@
     assert run_cluster(scenario) == (None if second else "a")
 
 
+# After a kill of all nodes the first one that was back knew no peer, and took the
+# version that had once been alone for the one that began the stream.
+@pytest.mark.parametrize("leaves_s", [None, -1.0, 0.0, 1.0])
+@pytest.mark.parametrize("kills", [1, 2])
+def test_node_that_knows_no_peer_after_a_kill_of_all_does_not_guess(
+    run_cluster, kills, leaves_s
+):
+    """The old version's targets leave `leaves_s` after the kill, or not at all."""
+
+    async def scenario(cluster):
+        cluster.list_target("t3", "b")
+        await asyncio.sleep(5.0)
+        await cluster.nodes["n0"].record("s1", SERVICE, "b")
+        if leaves_s is not None and leaves_s <= 0.0:
+            cluster.unlist_targets("t1", "t2")
+            await asyncio.sleep(-leaves_s)
+        for _ in range(kills):
+            for name in list(cluster.nodes):
+                await cluster.kill(name)
+            cluster.dead.discard("n1")
+            await cluster.start("n1")
+        if leaves_s is not None and leaves_s > 0.0:
+            await asyncio.sleep(leaves_s)
+            cluster.unlist_targets("t1", "t2")
+        return await find(cluster, "n1", "s1")
+
+    assert run_cluster(scenario) is None
+
+
+# A version that came and went within a moment around the kill was not in the store.
+@pytest.mark.parametrize("slow_s", [0.0, 0.1])
+def test_version_whose_first_stream_was_served_is_known_after_a_kill_of_all(
+    run_cluster, slow_s
+):
+    async def scenario(cluster):
+        cluster.list_target("t3", "b")
+        await asyncio.sleep(slow_s)
+        await cluster.nodes["n0"].record("s1", SERVICE, "b")
+        for name in list(cluster.nodes):
+            await cluster.kill(name)
+        cluster.unlist_target("t3")
+        for name in list(cluster.nodes):
+            cluster.dead.discard(name)
+            await cluster.start(name)
+        await asyncio.sleep(1.0)
+        return await find(cluster, "n1", "s1")
+
+    assert run_cluster(scenario) is None
+
+
+# The serving node had just listed the new version, and the resuming one not yet.
+def test_homes_are_asked_before_a_single_version_is_taken_for_the_origin(run_cluster):
+    async def scenario(cluster):
+        cluster.registries["n0"].put(
+            build_target("t3", SERVICE, versions={"m": 1}, software="b")
+        )
+        await cluster.nodes["n0"].record("s1", SERVICE, "b")
+        await cluster.kill("n0")
+        return await find(cluster, "n1", "s1")
+
+    assert run_cluster(scenario) == "b"
+
+
 def test_list_that_is_not_current_is_not_trusted(run_cluster):
     """The serving node knows of the second version, the resuming one does not."""
 
--- a/tests/support/node.py
+++ b/tests/support/node.py
@@ -191,6 +191,9 @@
     def peers(self):
         return [r for r in self.list_live_nodes() if r.vm != self.own.vm]
 
+    def count_listed_nodes(self):
+        return len(self._records)
+
     async def check_alive(self, vm, incarnation):
         await asyncio.sleep(0.001)
         record = self._records.get(vm)
