Ask the homes of a stream before inferring its origin from a single version

A node that had not listed the second version yet, while the one that served the stream had, inferred the first one and joined texts of two versions. The homes had been told and were not asked.

--- a/src/tamarackshelf/node/stream_origins.py
+++ b/src/tamarackshelf/node/stream_origins.py
@@ -174,6 +174,14 @@
         self._observe()
         # The versions of several services of one route say nothing about the stream.
         service = next(iter(services)) if len(services) == 1 else ""
+        answers: list[OriginAnswer | None] = []
+        if attempt_id:
+            # Another node may have listed a second version a moment earlier.
+            homes = self._rank_homes(attempt_id)[:ASKED_HOMES]
+            answers = await asyncio.gather(*(self._ask(h, attempt_id) for h in homes))
+        known = [a.origin for a in answers if a is not None and a.origin is not None]
+        if known:
+            return known[0], "a home of the stream's origin knows it"
         if self._is_uniform(service) and self._targets.is_list_current():
             spans = self._history.list_spans(service, self._oldest_s())
             return self._infer(attempt_id, service, spans[0].software), (
@@ -181,11 +189,6 @@
             )
         if not attempt_id:
             return None, "the caller does not name the attempt that began the stream"
-        homes = self._rank_homes(attempt_id)[:ASKED_HOMES]
-        answers = await asyncio.gather(*(self._ask(home, attempt_id) for home in homes))
-        known = [a.origin for a in answers if a is not None and a.origin is not None]
-        if known:
-            return known[0], "a home of the stream's origin knows it"
         sole = self._history.find_sole(service, self._oldest_s())
         if sole is None:
             return None, "several versions may have begun the stream"
