Store a software version before the first stream of it at a node

A version whose span no owner had written yet, because all nodes were killed within a second of its coming, was unknown to the nodes that started, and they took the other one for the only one.

--- a/src/tamarackshelf/node/stream_origins.py
+++ b/src/tamarackshelf/node/stream_origins.py
@@ -92,6 +92,9 @@
         self._history = SoftwareHistory()
         self._origins: OrderedDict[str, StreamOrigin] = OrderedDict()
         self._keeps_since_s = wall_s()
+        # Versions whose spans the store holds, and when a failed write is repeated.
+        self._stored: set[tuple[str, str]] = set()
+        self._store_again_s = float("-inf")
         self._fleet: Fleet | None = None
         self._store: RowStore | None = None
         self._upkeep: asyncio.Task[None] | None = None
@@ -110,15 +113,17 @@
     async def record(self, attempt_id: str, service: str, software: str) -> None:
         """Record a stream's origin before the caller gets its first event.
 
-        While the service may have several versions, wait until the homes have it, but
-        not longer than PEER_TIMEOUT_S.
+        Wait until the store knows the version, and while the service may have several
+        ones until the homes have the origin, each for PEER_TIMEOUT_S at most.
         """
         origin = StreamOrigin(attempt_id, service, software, self._wall_s())
         self.accept(origin)
         # A look at all targets is too slow for each stream. One that began before this
         # node noticed a second version is known by inference.
         self._history.observe({service: [software]}, origin.at_s)
-        if self._is_uniform(service) and self._targets.is_list_current():
+        is_stored = await self._ensure_stored(service, software)
+        is_uniform = self._is_uniform(service) and self._targets.is_list_current()
+        if is_stored and is_uniform:
             return
         homes = self._rank_homes(attempt_id)[:HOMES]
         answers = await asyncio.gather(
@@ -294,12 +299,37 @@
                 last_s = min(self._wall_s(), span.last_s + RENEW_INTERVAL_S)
                 span = replace(span, last_s=last_s)
                 self._history.merge(span)
+                self._stored.add((span.service, span.software))
         return True
 
-    async def _write_spans(self, store: RowStore) -> None:
-        """Store the spans of the services that this node owns by rendezvous hashing."""
-        assert self._fleet is not None
-        names = [record.vm for record in self._fleet.list_live_nodes()]
+    async def _ensure_stored(self, service: str, software: str) -> bool:
+        """Store the span of a version before its first stream at this node.
+
+        A version that came and went around a kill of all nodes would leave no trace.
+        Return False if the store did not confirm it.
+        """
+        if (service, software) in self._stored:
+            return True
+        if self._store is None or self._wall_s() < self._store_again_s:
+            return False
+        spans = [
+            span
+            for span in self._history.list_spans(service, self._oldest_s())
+            if span.software == software
+        ]
+        try:
+            async with asyncio.timeout(PEER_TIMEOUT_S):
+                await self._commit_spans(self._store, spans)
+        except (RowStoreError, TimeoutError) as error:
+            self._store_again_s = self._wall_s() + UPKEEP_INTERVAL_S
+            reason = str(error) or "the store did not answer in time"
+            self._timeline.record("software_not_stored", SOFTWARE_TABLE, reason)
+            return False
+        return True
+
+    async def _commit_spans(
+        self, store: RowStore, spans: Collection[SoftwareSpan]
+    ) -> None:
         writes = tuple(
             RowWrite(
                 RowKey(
@@ -307,13 +337,24 @@
                 ),
                 msgspec.msgpack.encode(span),
             )
+            for span in spans
+        )
+        await store.commit(RowTransaction((), writes))
+        self._stored |= {(span.service, span.software) for span in spans}
+
+    async def _write_spans(self, store: RowStore) -> None:
+        """Store the spans of the services that this node owns by rendezvous hashing."""
+        assert self._fleet is not None
+        names = [record.vm for record in self._fleet.list_live_nodes()]
+        spans = [
+            span
             for span in self._history.list_all()
             if find_owner(names, span.service) == self._fleet.own.vm
-        )
-        if not writes:
+        ]
+        if not spans:
             return
         try:
-            await store.commit(RowTransaction((), writes))
+            await self._commit_spans(store, spans)
         except RowStoreError as error:
             self._timeline.record("software_not_stored", SOFTWARE_TABLE, str(error))
 
