--- a/src/tamarackshelf/node/target_paths.py
+++ b/src/tamarackshelf/node/target_paths.py
@@ -8,6 +8,8 @@
 from collections.abc import AsyncIterator, Callable, Sequence, Set
 from dataclasses import dataclass, replace
 
+import msgspec
+
 from tamarackshelf.contracts.targets import CallKind, TargetCall, TargetStream
 from tamarackshelf.net import ConnectFailed, ConnectionLost, ConnectRefused, HttpClient
 from tamarackshelf.node.fleet import Fleet
@@ -56,11 +58,22 @@
     FAILED = "failed"
 
 
+@dataclass(frozen=True, slots=True)
+class CutOffNews:
+    """The services from which a node is cut off, as the value of its rumour.
+
+    It may still reach those in `refused` on connections that are open.
+    """
+
+    services: frozenset[str] = frozenset()
+    refused: frozenset[str] = frozenset()
+
+
 @dataclass(frozen=True, slots=True)
 class _PeerVerdict:
-    """The services from which a peer said that it is cut off, at `heard_at_s`."""
+    """What a peer said of its paths, at `heard_at_s`."""
 
-    services: frozenset[str]
+    news: CutOffNews
     heard_at_s: float
 
 
@@ -262,18 +275,22 @@
 
         All nodes prefer the same peers for a target, which then reuse connections to
         it, and those in its data centre, as the call crosses data centres only once.
+        Peers that are cut off but may have open connections come last.
         """
         if self._fleet is None:
             return []
         now_s = _now_s()
+        service = target.service
         by_name = {
             peer.vm: peer
             for peer in self._fleet.peers()
-            if target.service not in self._find_cut_off(peer.vm)
+            if service not in self._find_cut_off(peer.vm)
+            or service in self._find_news(peer.vm).refused
         }
         return sorted(
             (by_name[name] for name in rank_owners(by_name, target.name)),
             key=lambda peer: (
+                service in self._find_cut_off(peer.vm),
                 self._avoided_peers.get(peer.vm, 0.0) > now_s,
                 peer.data_centre != target.data_centre,
             ),
@@ -281,14 +298,17 @@
 
     def _find_cut_off(self, vm: str) -> frozenset[str]:
         """Return the services from which a node, or this one, is cut off."""
+        return self._find_news(vm).services
+
+    def _find_news(self, vm: str) -> CutOffNews:
         if self._fleet is not None and vm == self._fleet.own.vm:
-            return frozenset(
-                s for s, paths in self._services.items() if paths.is_cut_off
-            )
+            lost = {name: p for name, p in self._services.items() if p.is_cut_off}
+            refused = frozenset(name for name, p in lost.items() if p.is_refused)
+            return CutOffNews(frozenset(lost), refused)
         verdict = self._peer_verdicts.get(vm)
         if verdict is None or _now_s() - verdict.heard_at_s > CUT_OFF_TTL_S:
-            return frozenset()
-        return verdict.services
+            return CutOffNews()
+        return verdict.news
 
     def _list_services(self) -> frozenset[str]:
         if self._targets is None:
@@ -388,7 +408,8 @@
         if self._fleet is None:
             return
         vm = self._fleet.own.vm
-        self._published = ",".join(sorted(self._find_cut_off(vm)))
+        news = self._find_news(vm)
+        self._published = msgspec.json.encode(news).decode() if news.services else ""
         self._published_at_s = _now_s()
         self._fleet.gossip.publish(
             Rumour(f"{CUT_OFF_PREFIX}{vm}", self._wall_ms(), self._published)
@@ -402,9 +423,14 @@
         if not rumour.value or is_old:
             self._peer_verdicts.pop(vm, None)
             return
-        services, known = frozenset(rumour.value.split(",")), self._find_cut_off(vm)
-        self._peer_verdicts[vm] = _PeerVerdict(services, _now_s())
-        for service in (services - known) & self._list_services():
+        try:
+            news = msgspec.json.decode(rumour.value, type=CutOffNews)
+        except msgspec.DecodeError as error:
+            self._timeline.record("rumour_unreadable", rumour.subject, str(error))
+            return
+        known = self._find_cut_off(vm)
+        self._peer_verdicts[vm] = _PeerVerdict(news, _now_s())
+        for service in (news.services - known) & self._list_services():
             self._check_after_rumour(service, vm)
 
     def _check_after_rumour(self, service: str, vm: str) -> None:
--- a/tests/node/test_target_paths.py
+++ b/tests/node/test_target_paths.py
@@ -8,6 +8,7 @@
 
 from tamarackshelf.contracts.targets import CallKind, TargetCall
 from tamarackshelf.net import ConnectFailed, Response
+from tamarackshelf.policy.rumours import Rumour
 from tests.support.cut_off import CutOffCluster
 
 REFUSE_LIMIT_S = 0.5
@@ -225,3 +226,30 @@
         assert used_own is refuses
 
     run_cluster(run, scenario, refuses=refuses)
+
+
+# All nodes were cut off; those whose open connections lived on could have served.
+def test_peer_with_open_connections_relays_when_no_other_one_can(run):
+    async def scenario(cluster):
+        await cut_off(cluster, *"abd")
+        cluster.refuses = True
+        for record in cluster.targets.values():
+            cluster.nodes["e"].http.idle.add(record.target.address)
+        await cut_off(cluster, "c", "e")
+        cluster.arrivals.clear()
+        statuses = [await cluster.nodes["a"].send(f"r{n}") for n in range(4)]
+        assert statuses == [200] * 4
+
+    run_cluster(run, scenario)
+
+
+def test_unreadable_rumour_of_a_cut_is_ignored(run):
+    async def scenario(cluster):
+        node = cluster.nodes["a"]
+        node.fleet.gossip.publish(Rumour("cut-off:b", 10**6, "app,models"))
+        await asyncio.sleep(1.0)
+        records = list(cluster.records.values())
+        assert node.paths.select_entries(records) == records
+        assert list_events(node, "rumour_unreadable")
+
+    run_cluster(run, scenario)
