Cut nodes off from all workers in the soak, and let workers leave unlisted

The store lists the workers to each node at addresses of its own, so that a node can lose its paths without the others.

--- a/tests/soak/checkers.py
+++ b/tests/soak/checkers.py
@@ -8,6 +8,7 @@
 from tests.soak.callers import NOT_RUN_STATUSES
 from tests.soak.history import (
     ALL_NODES,
+    CUT_KIND,
     NEVER_S,
     Arrival,
     History,
@@ -47,6 +48,9 @@
 # STABLE_WINDOW_S after the last of these crashes.
 ALLOWED_CRASHES = 3
 ALLOWED_RETRIES = 3
+# First tries that may fail at nodes that are cut off, besides one in fifty of all.
+ALLOWED_CUT_FAILURES = 10
+RESTART_KINDS = ("kill", "pause", "stop")
 PLANNED_KINDS = ("stop", "hang_up", "configuration")
 # maxAttempts of the routes: the node gives an item up after this many responses with
 # status 500.
@@ -252,6 +256,76 @@
             )
 
 
+def check_departing_targets_get_no_requests(history: History) -> Iterator[Violation]:
+    """Check that nodes heed a worker's own word that it leaves.
+
+    A request that a caller sent later than DRAIN_S after its node had passed on such a
+    response must not reach the worker, unless the node was disturbed since.
+    """
+    calls = {call.request_id: call for call in history.calls}
+    first_told_s: dict[tuple[str, str], float] = {}
+    for run in history.runs:
+        call = calls.get(run.request_id)
+        said_s = history.said_leaving_s.get(run.worker, NEVER_S)
+        # What a worker received before may be answered without the word.
+        if call is not None and run.received_s >= said_s and call.status:
+            key = (run.worker, call.node)
+            first_told_s[key] = min(first_told_s.get(key, NEVER_S), call.ended_s)
+    for run in history.runs:
+        call = calls.get(run.request_id)
+        if call is None:
+            continue
+        told_s = first_told_s.get((run.worker, call.node), NEVER_S)
+        is_restarted = any(
+            d.affected in (call.node, ALL_NODES)
+            and d.kind in RESTART_KINDS
+            and d.until_s >= told_s
+            and d.from_s <= call.sent_s
+            for d in history.disruptions
+        )
+        late_s = call.sent_s - told_s
+        if late_s > DRAIN_S and not is_restarted:
+            yield (
+                f"{run.request_id} at {call.node} reached {run.worker} {late_s:.1f} s "
+                "after the node had passed on that it leaves"
+            )
+
+
+def check_callers_of_cut_off_nodes_are_served(history: History) -> Iterator[Violation]:
+    """Check that nodes without paths to the workers serve callers as others do."""
+    cuts = [d for d in history.disruptions if d.kind == CUT_KIND]
+    others = [d for d in history.disruptions if d.kind != CUT_KIND]
+    outcomes: dict[bool, list[bool]] = {True: [], False: []}
+    for call in history.calls:
+        since_s = call.sent_s - STABLE_WINDOW_S
+        is_disturbed = any(
+            d.from_s <= call.ended_s and d.until_s >= since_s for d in others
+        )
+        active = [d for d in cuts if d.from_s <= since_s and d.until_s >= call.ended_s]
+        if is_disturbed or not active:
+            continue
+        is_cut_off = any(d.affected == call.node for d in active)
+        is_partly_cut_off = not is_cut_off and any(
+            d.affected == call.node
+            and d.from_s <= call.ended_s
+            and d.until_s >= since_s
+            for d in cuts
+        )
+        if not is_partly_cut_off:
+            outcomes[is_cut_off].append(200 <= call.status < 300)
+    cut_off, sound = outcomes[True], outcomes[False]
+    if not cut_off or not sound:
+        return
+    failed = len(cut_off) - sum(cut_off)
+    served_share, sound_share = sum(cut_off) / len(cut_off), sum(sound) / len(sound)
+    allowed = ALLOWED_CUT_FAILURES + (len(cut_off) + len(sound)) / 50
+    if failed > allowed and served_share < sound_share * 2 / 3:
+        yield (
+            f"nodes that were cut off served {sum(cut_off)} of {len(cut_off)} "
+            f"requests, the others {sum(sound)} of {len(sound)}"
+        )
+
+
 def check_orders_are_fenced(history: History) -> Iterator[Violation]:
     """Check that a worker's fencing numbers never fall and that each has one holder."""
     highest: dict[str, int] = {}
@@ -397,6 +471,8 @@
     check_accepted_jobs_are_kept,
     check_ended_jobs_send_no_items,
     check_leaving_targets_get_no_requests,
+    check_departing_targets_get_no_requests,
+    check_callers_of_cut_off_nodes_are_served,
     check_orders_are_fenced,
     check_limits_are_kept,
     check_crashing_requests_are_stopped,
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -37,6 +37,8 @@
 FINISH_LIMIT_S = 10.0
 ENGINE_SLOTS = 4
 PLAIN_SLOTS = 6
+# The paths of node n to the workers are at 127.block.(FIRST_PATH_BLOCK + n).
+FIRST_PATH_BLOCK = 10
 # The platform gives a starting node at most three seed nodes.
 MAX_SEED_NODES = 3
 # A worker that a request crashed starts again after this time.
@@ -64,6 +66,7 @@
         self.stopping_nodes: set[str] = set()
         self.departed_workers: set[str] = set()
         self.crashed_workers: set[str] = set()
+        self.cut_nodes: set[str] = set()
         self.configuration_version = 1
         self._random = Random(seed)
         self._software = "abcdefgh"[:software]
@@ -72,11 +75,11 @@
         self._callers: list[asyncio.Task[None]] = []
         self._worker_restarts: set[asyncio.Task[None]] = set()
         self._restart_task: asyncio.Task[None] | None = None
-        store_address = Address(f"{self._host}.0.1", 9000)
-        self._store_address = store_address
         self.store_links: dict[str, Proxy] = {}
         self.caller_links: dict[str, Proxy] = {}
         self.worker_links: dict[str, Proxy] = {}
+        # The paths of each node to all workers.
+        self.node_links: dict[str, list[Proxy]] = {}
         self.nodes: list[NodeProcess] = []
         for n in range(nodes):
             self._add_node(f"n{n + 1}", f"{self._host}.1.{n + 1}", folder)
@@ -99,7 +102,12 @@
 
         Raise AssertionError if a node is not ready within RECOVERY_LIMIT_S.
         """
-        await self.store.start(self._store_address)
+        for number in range(1, len(self.nodes) + 1):
+            await self.store.start(
+                self._store_address(number),
+                f"{self._host}.4.",
+                f"{self._host}.{FIRST_PATH_BLOCK + number}.",
+            )
         configuration = build_configuration(self.configuration_version)
         self.store.rows.put("op", "config", configuration)
         for proxy in self._list_proxies():
@@ -218,7 +226,8 @@
         seeds = [f"{self._host}.1.{n}" for n in range(1, MAX_SEED_NODES + 1)]
         node = NodeProcess(name, host, seeds, store_link, folder)
         self.nodes.append(node)
-        self.store_links[name] = Proxy(store_link, self._store_address)
+        self.store_links[name] = Proxy(store_link, self._store_address(number))
+        self.node_links[name] = []
         caller_address = Address(f"{self._host}.3.{number}", 8144)
         self.caller_links[name] = Proxy(caller_address, node.caller_address)
 
@@ -233,6 +242,10 @@
         worker.software = self._software[number % len(self._software)]
         self.workers.append(worker)
         self.worker_links[name] = Proxy(listed_address, self._server_address(worker))
+        for node_number, node in enumerate(self.nodes, 1):
+            path_host = f"{self._host}.{FIRST_PATH_BLOCK + node_number}.{number}"
+            path = Proxy(Address(path_host, listed_address.port), listed_address)
+            self.node_links[node.name].append(path)
 
     def _handle_crash(self, worker: Worker) -> None:
         restart = self.crash_worker(worker, WORKER_RESTART_S)
@@ -240,13 +253,17 @@
         self._worker_restarts.add(task)
         task.add_done_callback(self._worker_restarts.discard)
 
+    def _store_address(self, node_number: int) -> Address:
+        return Address(f"{self._host}.0.{node_number}", 9000)
+
     def _server_address(self, worker: Worker) -> Address:
         host, port = worker.listed_address.host, worker.listed_address.port
         return Address(host.replace(f"{self._host}.4.", f"{self._host}.5."), port)
 
     def _list_proxies(self) -> list[Proxy]:
         links = (self.store_links, self.caller_links, self.worker_links)
-        return [proxy for each in links for proxy in each.values()]
+        proxies = [proxy for each in links for proxy in each.values()]
+        return proxies + [path for paths in self.node_links.values() for path in paths]
 
     async def _wait_ready(self) -> list[str]:
         until_s = now_s() + RECOVERY_LIMIT_S
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import signal
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -11,11 +12,11 @@
 
 from tests.soak.callers import build_configuration
 from tests.soak.deployment import Deployment
-from tests.soak.history import ALL_NODES, now_s
+from tests.soak.history import ALL_NODES, CUT_KIND, now_s
 from tests.soak.nodes import GRACE_S, NodeProcess
+from tests.soak.proxy import Proxy
 
 if TYPE_CHECKING:
-    from tests.soak.proxy import Proxy
     from tests.soak.workers import Worker
 
 RESTART_DELAY_S = 0.7
@@ -87,13 +88,51 @@
     ]
 
 
+def plan_cuts(seed: int, window_s: float, count: int) -> list[PlannedFault]:
+    """Return `count` random cuts of nodes from all workers, in a stream of their own.
+
+    They are long, as callers' failures count only from STABLE_WINDOW_S after their
+    start, and may overlap.
+    """
+    random = Random(f"cuts-{seed}")
+    return [
+        PlannedFault(
+            kind=random.choice(list(CUT_ACTIONS)),
+            at_s=random.uniform(0.0, window_s / 4),
+            duration_s=random.uniform(window_s / 2, window_s),
+            selector=random.getrandbits(30),
+        )
+        for _ in range(count)
+    ]
+
+
+def plan_departures(seed: int, window_s: float, count: int) -> list[PlannedFault]:
+    """Return `count` random departures of workers that only their responses tell."""
+    random = Random(f"departures-{seed}")
+    return [
+        PlannedFault(
+            kind="worker_leave_unlisted",
+            at_s=random.uniform(0.0, window_s / 2),
+            duration_s=random.uniform(window_s / 4, window_s / 2),
+            selector=random.getrandbits(30),
+        )
+        for _ in range(count)
+    ]
+
+
 async def inject_faults(deployment: Deployment, faults: list[PlannedFault]) -> None:
     """Inject each fault at its time and return when the last one has ended."""
     started_s = now_s()
 
     async def wait_and_inject(fault: PlannedFault) -> None:
         await asyncio.sleep(max(0.0, started_s + fault.at_s - now_s()))
-        actions = {**FAULT_ACTIONS, **LIMIT_ACTIONS, **UPGRADE_ACTIONS}
+        actions = {
+            **FAULT_ACTIONS,
+            **LIMIT_ACTIONS,
+            **UPGRADE_ACTIONS,
+            **CUT_ACTIONS,
+            "worker_leave_unlisted": _make_worker_leave_unlisted,
+        }
         await actions[fault.kind](deployment, fault)
 
     await asyncio.gather(*(wait_and_inject(fault) for fault in faults))
@@ -273,6 +312,50 @@
         await worker.leave()
 
 
+async def _make_worker_leave_unlisted(
+    deployment: Deployment, fault: PlannedFault
+) -> None:
+    worker = _select_worker(deployment, fault)
+    peers = [w for w in deployment.workers if w.service == worker.service]
+    remaining = [w for w in peers if w.name not in deployment.departed_workers]
+    if worker not in remaining or len(remaining) < 2:
+        return
+    deployment.departed_workers.add(worker.name)
+    with deployment.record_disruption("worker:leave", worker.name, fault.duration_s):
+        await worker.leave_unlisted(fault.duration_s)
+
+
+def _cut_nodes(share: float, how: Callable[[Proxy], None]) -> FaultAction:
+    """Return an action that cuts a share of the nodes off from all workers.
+
+    New connections are refused, and `how` is applied to the open ones.
+    """
+
+    async def inject(deployment: Deployment, fault: PlannedFault) -> None:
+        first = fault.selector % len(deployment.nodes)
+        nodes = [*deployment.nodes[first:], *deployment.nodes[:first]]
+        names = [node.name for node in nodes[: round(share * len(nodes))]]
+        if deployment.cut_nodes & set(names):
+            return
+        deployment.cut_nodes |= set(names)
+        with contextlib.ExitStack() as stack:
+            for name in names:
+                stack.enter_context(
+                    deployment.record_disruption(CUT_KIND, name, fault.duration_s)
+                )
+                for path in deployment.node_links[name]:
+                    path.stop_listening()
+                    how(path)
+            await asyncio.sleep(fault.duration_s)
+            for name in names:
+                for path in deployment.node_links[name]:
+                    path.reset_all()
+                    await path.start()
+        deployment.cut_nodes -= set(names)
+
+    return inject
+
+
 def _worker_fault(engine_only: bool, **changes: object) -> FaultAction:
     async def inject(deployment: Deployment, fault: PlannedFault) -> None:
         worker = (
@@ -359,6 +442,13 @@
     return inject
 
 
+CUT_ACTIONS: dict[str, FaultAction] = {
+    "nodes_cut_reset": _cut_nodes(0.5, Proxy.reset_all),
+    "nodes_cut_silent": _cut_nodes(0.5, Proxy.silence_all),
+    "nodes_cut_refused": _cut_nodes(0.5, lambda path: None),
+    "most_nodes_cut": _cut_nodes(0.75, Proxy.reset_all),
+}
+
 # Limits far below the usual load of a worker; 0.0 admits no request at all.
 LIMITS_PER_S = (0.0, 0.5, 1.0, 2.5, 6.0)
 LIMIT_ACTIONS: dict[str, FaultAction] = {
@@ -370,6 +460,8 @@
     "FAULT_ACTIONS",
     "PlannedFault",
     "inject_faults",
+    "plan_cuts",
+    "plan_departures",
     "plan_faults",
     "plan_limits",
 ]
--- a/tests/soak/history.py
+++ b/tests/soak/history.py
@@ -8,6 +8,8 @@
 NEVER_S = float("inf")
 # What a disruption of all nodes at once affects.
 ALL_NODES = "all nodes"
+# The kind of disruption that cuts a node off from all workers.
+CUT_KIND = "node:cut_from_workers"
 
 
 @dataclass(slots=True)
@@ -149,7 +151,8 @@
     """Everything that was observed in a run, all that the checkers read.
 
     Times are those of the event loop. `scores` holds the body of each score call by its
-    id, and `leaving_since_s` the time at which each leaving worker began to leave.
+    id, `leaving_since_s` the time at which the row of each leaving worker said so, and
+    `said_leaving_s` since when the responses of a worker alone say so.
     """
 
     runs: list[Run] = field(default_factory=list)
@@ -161,6 +164,7 @@
     scores: dict[str, bytes] = field(default_factory=dict)
     disruptions: list[Disruption] = field(default_factory=list)
     leaving_since_s: dict[str, float] = field(default_factory=dict)
+    said_leaving_s: dict[str, float] = field(default_factory=dict)
     faults_ended_s: float = NEVER_S
     unexpected_exits: list[str] = field(default_factory=list)
     unready_nodes: list[str] = field(default_factory=list)
@@ -180,6 +184,7 @@
 
 __all__ = [
     "ALL_NODES",
+    "CUT_KIND",
     "NEVER_S",
     "Arrival",
     "Disruption",
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -62,6 +62,11 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def stop_listening(self) -> None:
+        """Refuse new connections; those that are open live on."""
+        if self._listener is not None:
+            self._listener.close()
+
     def reset_all(self) -> None:
         """Reset every open connection."""
         for writer in list(self._writers):
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -17,6 +17,8 @@
 from tests.soak.deployment import Deployment
 from tests.soak.faults import (
     inject_faults,
+    plan_cuts,
+    plan_departures,
     plan_faults,
     plan_limits,
     plan_upgrades,
@@ -35,7 +37,9 @@
 
     `limits` is the number of times that workers name a rate limit, `crashing` the
     number of clients whose request crashes the workers, `software` the number of
-    versions of the workers' software.
+    versions of the workers' software. `cuts` is the number of times that nodes are cut
+    off from all workers, `departures` the number of workers that say only in their
+    responses that they leave.
     """
 
     nodes: int = 4
@@ -48,6 +52,8 @@
     limits: int = 0
     crashing: int = 0
     software: int = 1
+    cuts: int = 0
+    departures: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -86,6 +92,8 @@
     faults = [
         *plan_faults(seed, size.window_s, size.faults),
         *plan_limits(seed, size.window_s, size.limits),
+        *plan_cuts(seed, size.window_s, size.cuts),
+        *plan_departures(seed, size.window_s, size.departures),
         *plan_upgrades(seed, size.window_s, UPGRADES if size.software > 1 else 0),
     ]
     failure = ""
@@ -137,6 +145,9 @@
     limits: int = 0,
     crashing: int = 0,
     software: int = 1,
+    clients: int = 6,
+    cuts: int = 0,
+    departures: int = 0,
 ) -> None:
     """Run seeds in parallel and print a line for each; exit with 1 on a violation."""
     folder = folder or tempfile.mkdtemp(prefix="soak-")
@@ -148,6 +159,9 @@
         limits=limits,
         crashing=crashing,
         software=software,
+        clients=clients,
+        cuts=cuts,
+        departures=departures,
     )
     violation_counts: Counter[str] = Counter()
     with ProcessPoolExecutor(jobs) as pool:
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import base64
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
@@ -33,6 +34,9 @@
 SILENCE_S = 60.0
 READ_ONLY_TABLES = ("op", "servers")
 
+# Translates a row's value for the node that reads it.
+Translation = Callable[[bytes], bytes]
+
 
 @dataclass(slots=True)
 class StoreFaults:
@@ -56,20 +60,31 @@
     def __init__(self) -> None:
         self.rows = MemoryRowStore()
         self.faults = StoreFaults()
-        self._server = HttpServer(self._handle, cancel_on_disconnect=True)
+        self._servers: list[HttpServer] = []
         self._late_writes: set[asyncio.Task[None]] = set()
 
-    async def start(self, address: Address) -> None:
-        """Start listening."""
-        await self._server.start(address)
+    async def start(self, address: Address, host: str, workers_host: str) -> None:
+        """Listen for a node, whose list of workers has `workers_host` for `host`.
+
+        So each node calls the workers at addresses of its own.
+        """
+        old, new = host.encode(), workers_host.encode()
+
+        async def handle(request: Request) -> Response:
+            return await self._handle(request, lambda value: value.replace(old, new))
+
+        server = HttpServer(handle, cancel_on_disconnect=True)
+        self._servers.append(server)
+        await server.start(address)
 
     async def close(self) -> None:
         """Stop listening and drop the writes that have not taken effect yet."""
         for task in self._late_writes:
             task.cancel()
-        await self._server.abort()
+        for server in self._servers:
+            await server.abort()
 
-    async def _handle(self, request: Request) -> Response:
+    async def _handle(self, request: Request, translate: Translation) -> Response:
         await asyncio.sleep(RESPONSE_DELAY_S + self.faults.extra_s)
         if self.faults.is_silent:
             await asyncio.sleep(SILENCE_S)
@@ -78,13 +93,13 @@
         if request.path == "/v1/rows-tx":
             return await self._transact(request)
         if request.path == "/v1/rows-get":
-            return to_json_response(_to_page(self._read(request)))
+            return to_json_response(_to_page(self._read(request), translate))
         if request.path == "/v1/rows-parts":
             table, after = request.parameter("table"), request.parameter("after")
             parts = {at.part for at in self.rows.rows if at.table == table}
             return to_json_response({"parts": sorted(p for p in parts if p > after)})
         if request.path == "/v1/rows-feed":
-            return await self._feed(request)
+            return await self._feed(request, translate)
         return Response(404)
 
     async def _transact(self, request: Request) -> Response:
@@ -126,7 +141,7 @@
             RowQuery(table, part, request.parameter("from"), limit)
         )
 
-    async def _feed(self, request: Request) -> Response:
+    async def _feed(self, request: Request, translate: Translation) -> Response:
         wait_s = int(request.parameter("waitMs", "0")) / 1000
         after = int(request.parameter("after", "0"))
         query = FeedQuery(request.parameter("table"), after, wait_s)
@@ -137,7 +152,9 @@
         if self.faults.is_down:
             return Response(503)
         records = [
-            _to_record(c.at, c.value or b"", c.version, is_deleted=c.value is None)
+            _to_record(
+                c.at, translate(c.value or b""), c.version, is_deleted=c.value is None
+            )
             for c in page.changes
         ]
         return to_json_response(
@@ -180,9 +197,10 @@
     return RowKey(entry["table"], entry["part"], entry["key"])
 
 
-def _to_page(page: Any) -> dict[str, Any]:
+def _to_page(page: Any, translate: Translation) -> dict[str, Any]:
+    rows = tuple(StoredRow(r.at, translate(r.value), r.version) for r in page.rows)
     return {
-        **_to_answer(page.rows, page.version),
+        **_to_answer(rows, page.version),
         "hasMore": page.has_more,
         "serverTimeMs": page.store_ms,
     }
--- a/tests/soak/test_checkers.py
+++ b/tests/soak/test_checkers.py
@@ -9,6 +9,7 @@
 from tests.soak.checkers import CHECKERS, find_violations
 from tests.soak.history import (
     ALL_NODES,
+    CUT_KIND,
     Arrival,
     Disruption,
     History,
@@ -191,6 +192,47 @@
     history.leaving_since_s["e1"] = -0.5
 
 
+def send_to_departing_worker(history):
+    """The node passed on at 10.1 s that the worker leaves."""
+    history.said_leaving_s["d1"] = 9.0
+    add_call(history, "r2", "n1", 12.5)
+
+
+def refuse_at_cut_off_node(history):
+    history.disruptions.append(Disruption(CUT_KIND, "n2", 20.0, 60.0))
+    for number in range(15):
+        add_call(history, f"s{number}", "n1", 30.0 + number)
+        add_call(history, f"c{number}", "n2", 30.0 + number, status=503)
+
+
+def add_call(history, request_id, node, sent_s, status=200):
+    is_served = status == 200
+    history.calls.append(
+        replace(
+            CALL,
+            request_id=request_id,
+            node=node,
+            sent_s=sent_s,
+            ended_s=sent_s + 0.1,
+            status=status,
+            answer=build_plain_body(request_id, b"body"),
+            stamp=build_stamp(request_id, b"body"),
+        )
+    )
+    if is_served:
+        run = Run(
+            "d1",
+            request_id,
+            "/once/x",
+            b"body",
+            sent_s,
+            sent_s,
+            sent_s,
+            is_complete=True,
+        )
+        history.runs.append(run)
+
+
 def lower_fencing_number(history):
     history.orders.append(Order("e1/1", "n1", 4, 3.0))
 
@@ -275,6 +317,8 @@
     return_other_item_body: "check_accepted_jobs_are_kept",
     run_after_job_end: "check_ended_jobs_send_no_items",
     send_to_leaving_worker: "check_leaving_targets_get_no_requests",
+    send_to_departing_worker: "check_departing_targets_get_no_requests",
+    refuse_at_cut_off_node: "check_callers_of_cut_off_nodes_are_served",
     lower_fencing_number: "check_orders_are_fenced",
     share_fencing_number: "check_orders_are_fenced",
     exceed_limit: "check_limits_are_kept",
@@ -288,6 +332,14 @@
 }
 
 
+def test_request_to_a_departing_worker_after_a_restart_of_its_node_is_no_violation(
+    history,
+):
+    send_to_departing_worker(history)
+    history.disruptions.append(Disruption("kill", "n1", 12.0, 12.7))
+    assert find_violations(history) == []
+
+
 def test_correct_history_has_no_violation(history):
     assert find_violations(history) == []
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,6 +16,8 @@
 LIMIT_SEEDS = (1, 6)
 CRASHING_SEEDS = (2, 5)
 SOFTWARE_SEEDS = (1, 3)
+CUT_SEEDS = (3,)
+DEPARTURE_SEEDS = (1,)
 
 
 @pytest.mark.parametrize("seed", [*CI_SEEDS, *REGRESSIONS])
@@ -50,6 +52,22 @@
     assert result.jobs_accepted > 0
 
 
+# Nodes that had lost the paths to all workers refused their callers.
+@pytest.mark.parametrize("seed", CUT_SEEDS)
+def test_nodes_that_are_cut_off_from_the_workers_serve_their_callers(seed, tmp_path):
+    result = run_in_time(seed, tmp_path, SoakSize(faults=0, cuts=2, clients=30))
+    assert result.violations == [], result.format()
+    assert result.calls_served > 0
+
+
+# Workers that said only in their responses that they leave got requests as before.
+@pytest.mark.parametrize("seed", DEPARTURE_SEEDS)
+def test_workers_that_say_they_leave_get_no_more_requests(seed, tmp_path):
+    result = run_in_time(seed, tmp_path, SoakSize(faults=0, departures=2, clients=30))
+    assert result.violations == [], result.format()
+    assert result.calls_served > 0
+
+
 def run_in_time(seed, folder, size):
     async def run_with_timeout():
         async with asyncio.timeout(SOAK_TIMEOUT_S):
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -95,6 +95,7 @@
         # Called when a request crashes the worker.
         self.on_crash: Callable[[Worker], None] = lambda worker: None
         self._is_leaving = False
+        self._says_leaving = False
         self._free_slots = asyncio.Semaphore(slots)
         self._server: HttpServer | None = None
         self._heartbeat: asyncio.Task[None] | None = None
@@ -132,6 +133,14 @@
         await self.crash()
         self._store.rows.put("servers", self.name, None)
 
+    async def leave_unlisted(self, stay_s: float) -> None:
+        """Say in responses that the worker leaves, but not in the row; then stop."""
+        self._says_leaving = True
+        self._history.said_leaving_s[self.name] = now_s()
+        await asyncio.sleep(stay_s)
+        await self.crash()
+        self._store.rows.put("servers", self.name, None)
+
     async def _send_heartbeats(self) -> None:
         while True:
             if not (self._store.faults.is_down or self._store.faults.is_silent):
@@ -170,6 +179,8 @@
         response = await self._respond(request)
         if self.faults.limit_per_s is not None:
             response.headers["server-limit"] = str(self.faults.limit_per_s)
+        if self._is_leaving or self._says_leaving:
+            response.headers["server-leaving"] = "1"
         return response
 
     async def _respond(self, request: Request) -> Response:
