Let news of a node's paths survive a clock that is set back

A rumour of the end of a cut whose version, the wall clock, was lower than that of its start was ignored, and callers were kept away from the node for up to 12 s more. What nodes tell each other of their paths moves to a module of its own.

--- a/src/tamarackshelf/node/target_paths.py
+++ b/src/tamarackshelf/node/target_paths.py
@@ -6,13 +6,12 @@
 import contextlib
 import enum
 from collections.abc import AsyncIterator, Callable, Sequence, Set
-from dataclasses import dataclass, replace
-
-import msgspec
+from dataclasses import replace
 
 from tamarackshelf.contracts.targets import CallKind, TargetCall, TargetStream
 from tamarackshelf.net import ConnectFailed, ConnectionLost, ConnectRefused, HttpClient
 from tamarackshelf.node.fleet import Fleet
+from tamarackshelf.node.peer_paths import CutOffNews, PeerPaths
 from tamarackshelf.node.target_relay import (
     PeerDeclined,
     TargetNotReached,
@@ -22,13 +21,10 @@
 from tamarackshelf.observe import Metrics, Timeline
 from tamarackshelf.policy.ownership import rank_owners
 from tamarackshelf.policy.reachability import ServicePaths
-from tamarackshelf.policy.rumours import Rumour
 from tamarackshelf.store.fleet_rows import NodeRecord
 from tamarackshelf.tasks import start_task, stop_tasks
 from tamarackshelf.world import Target
 
-# A rumour with this prefix names the services from which a node is cut off, or none.
-CUT_OFF_PREFIX = "cut-off:"
 # A running target accepts a connection, and a crashed one refuses it, in milliseconds.
 PROBE_TIMEOUT_S = 0.2
 # Targets of a service that one round probes at most.
@@ -40,10 +36,6 @@
 HEARD_CHECK_INTERVAL_S = 2.0
 # Interval of probes while this node is cut off.
 RECHECK_INTERVAL_S = 0.5
-# A node repeats the rumour of its cut at this interval; others forget it after
-# CUT_OFF_TTL_S without a repetition.
-REPEAT_INTERVAL_S = 4.0
-CUT_OFF_TTL_S = 12.0
 # A peer that did not relay a call gets none for this long, if there are others.
 PEER_AVOID_S = 2.0
 # Peers that are asked to relay one call at most.
@@ -58,25 +50,6 @@
     FAILED = "failed"
 
 
-@dataclass(frozen=True, slots=True)
-class CutOffNews:
-    """The services from which a node is cut off, as the value of its rumour.
-
-    It may still reach those in `refused` on connections that are open.
-    """
-
-    services: frozenset[str] = frozenset()
-    refused: frozenset[str] = frozenset()
-
-
-@dataclass(frozen=True, slots=True)
-class _PeerVerdict:
-    """What a peer said of its paths, at `heard_at_s`."""
-
-    news: CutOffNews
-    heard_at_s: float
-
-
 class TargetPaths:
     """TargetTransport that goes through a peer while this node is cut off.
 
@@ -97,21 +70,18 @@
         self._peer_http = peer_http
         self._timeline = timeline
         self._metrics = metrics
-        self._wall_ms = wall_ms
+        self._peer_paths = PeerPaths(timeline, wall_ms, self._check_after_news)
         self._fleet: Fleet | None = None
         self._targets: TargetRegistry | None = None
         self._services: dict[str, ServicePaths] = {}
-        self._peer_verdicts: dict[str, _PeerVerdict] = {}
         self._avoided_peers: dict[str, float] = {}
         self._checks: dict[str, asyncio.Task[None]] = {}
-        self._published = ""
-        self._published_at_s = float("-inf")
         self._recheck_task: asyncio.Task[None] | None = None
 
     def connect(self, fleet: Fleet, targets: TargetRegistry) -> None:
         """Use the peers of this node, and exchange with them who is cut off."""
         self._fleet, self._targets = fleet, targets
-        fleet.gossip.on_rumour(CUT_OFF_PREFIX, self._receive_rumour)
+        self._peer_paths.connect(fleet)
         self._recheck_task = start_task("target_paths", self._recheck)
 
     async def close(self) -> None:
@@ -132,14 +102,16 @@
         services = self._list_services()
         if not services:
             return list(records)
-        reaching = [r for r in records if not services <= self._find_cut_off(r.vm)]
+        find = self._peer_paths.find
+        reaching = [r for r in records if not services <= find(r.vm).services]
         return reaching or list(records)
 
     def select_reaching(
         self, records: Sequence[NodeRecord], services: Set[str]
     ) -> list[NodeRecord]:
         """Return the nodes that are cut off from none of the services, or else all."""
-        reaching = [r for r in records if not services & self._find_cut_off(r.vm)]
+        find = self._peer_paths.find
+        reaching = [r for r in records if not services & find(r.vm).services]
         return reaching or list(records)
 
     async def verify_cut_off(self, target: Target) -> bool:
@@ -281,35 +253,22 @@
             return []
         now_s = _now_s()
         service = target.service
-        by_name = {
-            peer.vm: peer
-            for peer in self._fleet.peers()
-            if service not in self._find_cut_off(peer.vm)
-            or service in self._find_news(peer.vm).refused
-        }
+        peers = {peer.vm: peer for peer in self._fleet.peers()}
+        news = {vm: self._peer_paths.find(vm) for vm in peers}
+        usable = [
+            vm
+            for vm in peers
+            if service not in news[vm].services or service in news[vm].refused
+        ]
         return sorted(
-            (by_name[name] for name in rank_owners(by_name, target.name)),
+            (peers[vm] for vm in rank_owners(usable, target.name)),
             key=lambda peer: (
-                service in self._find_cut_off(peer.vm),
+                service in news[peer.vm].services,
                 self._avoided_peers.get(peer.vm, 0.0) > now_s,
                 peer.data_centre != target.data_centre,
             ),
         )
 
-    def _find_cut_off(self, vm: str) -> frozenset[str]:
-        """Return the services from which a node, or this one, is cut off."""
-        return self._find_news(vm).services
-
-    def _find_news(self, vm: str) -> CutOffNews:
-        if self._fleet is not None and vm == self._fleet.own.vm:
-            lost = {name: p for name, p in self._services.items() if p.is_cut_off}
-            refused = frozenset(name for name, p in lost.items() if p.is_refused)
-            return CutOffNews(frozenset(lost), refused)
-        verdict = self._peer_verdicts.get(vm)
-        if verdict is None or _now_s() - verdict.heard_at_s > CUT_OFF_TTL_S:
-            return CutOffNews()
-        return verdict.news
-
     def _list_services(self) -> frozenset[str]:
         if self._targets is None:
             return frozenset()
@@ -394,9 +353,7 @@
             probed=probed,
             refused=paths.is_refused,
             confirmed=paths.is_confirmed,
-            peers_cut_off=sum(
-                service in self._find_cut_off(vm) for vm in self._peer_verdicts
-            ),
+            peers_cut_off=self._peer_paths.count_cut_off(service),
         )
         if paths.is_cut_off and not paths.is_refused and self._targets is not None:
             # What is still open hangs.
@@ -405,36 +362,16 @@
         self._publish()
 
     def _publish(self) -> None:
-        if self._fleet is None:
-            return
-        vm = self._fleet.own.vm
-        news = self._find_news(vm)
-        self._published = msgspec.json.encode(news).decode() if news.services else ""
-        self._published_at_s = _now_s()
-        self._fleet.gossip.publish(
-            Rumour(f"{CUT_OFF_PREFIX}{vm}", self._wall_ms(), self._published)
-        )
-
-    def _receive_rumour(self, rumour: Rumour) -> None:
-        vm = rumour.subject.removeprefix(CUT_OFF_PREFIX)
-        if self._fleet is None or vm == self._fleet.own.vm:
-            return
-        is_old = self._wall_ms() - rumour.version > CUT_OFF_TTL_S * 1000
-        if not rumour.value or is_old:
-            self._peer_verdicts.pop(vm, None)
-            return
-        try:
-            news = msgspec.json.decode(rumour.value, type=CutOffNews)
-        except msgspec.DecodeError as error:
-            self._timeline.record("rumour_unreadable", rumour.subject, str(error))
-            return
-        known = self._find_cut_off(vm)
-        self._peer_verdicts[vm] = _PeerVerdict(news, _now_s())
-        for service in (news.services - known) & self._list_services():
-            self._check_after_rumour(service, vm)
+        lost = {
+            name: paths for name, paths in self._services.items() if paths.is_cut_off
+        }
+        refused = frozenset(name for name, paths in lost.items() if paths.is_refused)
+        self._peer_paths.publish(CutOffNews(frozenset(lost), refused))
 
-    def _check_after_rumour(self, service: str, vm: str) -> None:
+    def _check_after_news(self, service: str, vm: str) -> None:
         """Verify this node's own paths: what cut off a peer may have cut it off too."""
+        if service not in self._list_services():
+            return
         paths = self._services.setdefault(service, ServicePaths())
         task = self._checks.get(service)
         is_recent = _now_s() - paths.checked_at_s < HEARD_CHECK_INTERVAL_S
@@ -459,10 +396,8 @@
             for service in lost:
                 targets = self._pick_targets(service)
                 await self._probe(service, targets, "probes of the targets succeed")
-            now_s = _now_s()
-            if self._published and now_s - self._published_at_s >= REPEAT_INTERVAL_S:
-                self._publish()
-            _drop_expired(self._avoided_peers, now_s)
+            self._peer_paths.repeat()
+            _drop_expired(self._avoided_peers, _now_s())
 
 
 def _drop_expired(until_s: dict[str, float], now_s: float) -> None:
@@ -474,4 +409,4 @@
     return asyncio.get_running_loop().time()
 
 
-__all__ = ["CUT_OFF_PREFIX", "TargetPaths"]
+__all__ = ["TargetPaths"]
--- a/tests/node/test_target_paths.py
+++ b/tests/node/test_target_paths.py
@@ -253,3 +253,16 @@
         assert list_events(node, "rumour_unreadable")
 
     run_cluster(run, scenario)
+
+
+# The rumour of the end of a cut was older than that of its start, and ignored.
+def test_end_of_a_cut_is_heard_although_the_clock_was_set_back(run):
+    async def scenario(cluster):
+        records = list(cluster.records.values())
+        await cut_off(cluster, "a")
+        cluster.clock_offset_ms = -2000
+        cluster.cut.clear()
+        await asyncio.sleep(2.0)
+        assert cluster.nodes["e"].paths.select_entries(records) == records
+
+    run_cluster(run, scenario)
--- a/tests/support/cut_off.py
+++ b/tests/support/cut_off.py
@@ -49,15 +49,22 @@
 
 
 class FakeGossip:
-    """Stand-in for GossipTask; rumours reach the other nodes after GOSSIP_S."""
+    """Stand-in for GossipTask; rumours reach the other nodes after GOSSIP_S.
 
-    def __init__(self, listeners):
+    `newest` holds the version of the newest rumour by subject, for all nodes.
+    """
+
+    def __init__(self, listeners, newest):
         self._listeners = listeners
+        self._newest = newest
 
     def on_rumour(self, prefix, listener):
         self._listeners.append((prefix, listener))
 
     def publish(self, rumour):
+        if self._newest.get(rumour.subject, -1) >= rumour.version:
+            return
+        self._newest[rumour.subject] = rumour.version
         loop = asyncio.get_running_loop()
         for prefix, listener in self._listeners:
             if rumour.subject.startswith(prefix):
@@ -76,10 +83,10 @@
         for record in cluster.targets.values():
             self.registry.put(record)
         self.fleet = FakeFleet(name, cluster.records, cluster.dead)
-        self.fleet.gossip = FakeGossip(cluster.rumour_listeners)
+        self.fleet.gossip = FakeGossip(cluster.rumour_listeners, cluster.newest_rumours)
         self.http = http = MemoryHttp(cluster.network, name)
         metrics = Metrics()
-        self.paths = TargetPaths(http, http, self.timeline, metrics, _wall_ms)
+        self.paths = TargetPaths(http, http, self.timeline, metrics, cluster.wall_ms)
         self.target_client = PlatformTargetClient(self.paths, OpenGate())
         self.leaving_targets = LeavingTargets(self.registry)
         self.target_client.on_leaving = self.leaving_targets.record
@@ -139,6 +146,8 @@
         self.refusing = set()
         self.arrivals = []
         self.rumour_listeners = []
+        self.newest_rumours = {}
+        self.clock_offset_ms = 0
         self.records = {
             name: NodeRecord(name, 1, "dc", new_address(), new_address())
             for name in nodes
@@ -160,6 +169,9 @@
         for node in self.nodes.values():
             await node.stop()
 
+    def wall_ms(self):
+        return int(asyncio.get_running_loop().time() * 1000) + self.clock_offset_ms
+
     def is_target(self, address):
         return address in self._targets_by_address
 
@@ -189,8 +201,4 @@
         return serve
 
 
-def _wall_ms():
-    return int(asyncio.get_running_loop().time() * 1000)
-
-
 __all__ = ["CutOffCluster", "CutOffNode"]
