Keep the order lease for its duration after a restart of a holder that is cut off

A process that had just taken over its VM's lease did not know when its predecessor gave an order, and could release the lease to a node that orders at once: orders of two holders within the lease's duration (ONE). Found by reading; the new test failed before.

--- a/src/tamarackshelf/node/weights.py
+++ b/src/tamarackshelf/node/weights.py
@@ -318,6 +318,8 @@
         With `must_wait`, it may order only when an earlier holder's lease has expired.
         """
         self._lease = lease
+        # An earlier process of this VM may have given an order until now.
+        self._last_order_at_s = _now_s()
         wait_s = self.lease_s + LEASE_MARGIN_S if must_wait else 0.0
         self._orders_allowed_at_s = _now_s() + wait_s
         self._timeline.record(
--- a/tests/node/test_weights.py
+++ b/tests/node/test_weights.py
@@ -8,7 +8,12 @@
 
 import pytest
 
-from tamarackshelf.contracts.targets import EngineReport, OrderRefused, OutcomeUnknown
+from tamarackshelf.contracts.targets import (
+    EngineReport,
+    NotRun,
+    OrderRefused,
+    OutcomeUnknown,
+)
 from tamarackshelf.node.targets import TargetRegistry
 from tamarackshelf.node.weights import LEASE_NAME, WeightCoordinator
 from tamarackshelf.observe import Timeline
@@ -33,9 +38,12 @@
         self.fencing_numbers = {}
         self.orders = []
         self.answers_to_lose = 0
+        self.is_unreachable = False
 
     async def read_report(self, target, timeout_s):
         await asyncio.sleep(0.002)
+        if self.is_unreachable:
+            raise NotRun("no connection")
         return EngineReport(
             dict(self.versions.get(target.name, {"m": 1, "n": 1})),
             False,
@@ -319,6 +327,30 @@
     run_scenario(scenario)
 
 
+# A process that had just restarted did not know when its predecessor gave an order.
+def test_restarted_holder_that_is_cut_off_keeps_the_lease_for_its_duration(
+    run_scenario,
+):
+    async def scenario(environment, coordinators):
+        client = environment.store.connect()
+        free = await read_lease(client, LEASE_NAME)
+        first = rank_owners(sorted(environment.records), LEASE_NAME)[0]
+        await acquire_lease(client, LEASE_NAME, free, first, 1)
+        environment.records[first] = replace(environment.records[first], incarnation=2)
+        coordinators[first]._fleet.own = environment.records[first]
+        environment.engines.is_unreachable = True
+        announce_everywhere(coordinators, "m", 2)
+        await asyncio.sleep(1.0)
+        environment.cut_off.add(first)
+        environment.engines.is_unreachable = False
+        await asyncio.sleep(6.0)
+        at_s, _, order = environment.engines.orders[0]
+        assert order.holder != first
+        assert at_s >= LEASE_S
+
+    run_scenario(scenario)
+
+
 def test_engine_request_loads_the_model_on_one_more_engine(run_scenario):
     async def scenario(environment, coordinators):
         announce_everywhere(coordinators, "m", 2)
