Continue a stream only with the events that follow, from a signed stream

Callers saw: events of another run after an error's status, a 200 without the worker's signature, the text of an error or events that came twice or left a gap in the middle of a stream, and a stream that ended as complete with an error's text.

Cause: the streamer took each head with status 200 for the stream's continuation, and each event for the next one. It passed a first answer of another status on before its body was there, and when that body broke off it opened the stream at the next target behind the head that the caller already had. An error in place of a continuation ended the whole stream although other workers would have gone on.

Now: a head begins or continues a stream only with status 200 and a signature, and continues it only with the content type of the first head. Events must follow the one before (asked with n, a run begins at n + 1, also when the caller asks); blocks without an id at the start of a continuation are left out. Other answers are read whole; the next target is tried while the route allows it, and the last error is the caller's answer if no stream had begun.

--- a/src/tamarackshelf/entry/streamer.py
+++ b/src/tamarackshelf/entry/streamer.py
@@ -38,12 +38,21 @@
 TargetStream = AsyncGenerator[StreamHead | StreamEvent, None]
 
 
-class SoftwareUncertain(Exception):
-    """It is not certain which software the target of a stream has."""
+class RunUnusable(Exception):
+    """A run that must not begin the caller's stream or continue it."""
 
-    def __init__(self, cause: NotRun | OutcomeUnknown) -> None:
-        super().__init__(str(cause))
-        self.cause = cause
+
+@dataclass(frozen=True, slots=True)
+class _ErrorAnswer:
+    """A target's complete answer that is no stream."""
+
+    head: StreamHead
+    body: bytes
+    state: TargetState
+
+    async def replay(self) -> AsyncGenerator[StreamHead | StreamEvent, None]:
+        """Yield the body."""
+        yield StreamEvent(-1, self.body)
 
 
 @dataclass(slots=True)
@@ -51,7 +60,9 @@
     """State of one caller's stream across its runs at targets.
 
     `runs` counts the attempts that ran or may have run. `isolated_target` is the target
-    on which the present run is isolated from other suspects.
+    on which the present run is isolated from other suspects. `content_type` is that of
+    the head that the caller got, or None before it; `last_error` is the answer of the
+    last target that failed before it.
     """
 
     request: ForwardedRequest
@@ -64,7 +75,9 @@
     service: str = ""
     # Software of the target whose head the caller got; no other may go on.
     software: str | None = None
+    content_type: str | None = None
     isolated_target: str = ""
+    last_error: _ErrorAnswer | None = None
     last_reason: str = "no target of the service is listed"
 
 
@@ -98,6 +111,7 @@
         have run. The events raise AnswerLost if the stream cannot be completed.
         """
         stream = _Stream(request, route, _now_s() + timeout_s)
+        stream.last_event_id = _parse_last_event_id(request)
         if route.is_resumable and request.resumption is not None:
             await self._take_up(stream, request.resumption)
         head, events, state = await self._open_at_target(stream)
@@ -159,13 +173,12 @@
             )
             state.in_flight += 1
             try:
-                head = await anext(events)
-                await self._verify_software(stream, state)
-            except SoftwareUncertain as error:
+                answer = await self._begin_run(stream, state, events)
+            except RunUnusable as error:
                 stream.may_have_run = True
                 stream.runs += 1
                 await events.aclose()
-                self._record_failure(stream, state, error.cause)
+                self._record_failure(stream, state, error)
                 self._release(stream)
                 if not stream.route.is_resumable:
                     break
@@ -188,12 +201,46 @@
                 continue
             stream.runs += 1
             stream.may_have_run = True
-            assert isinstance(head, StreamHead)
             self._targets.record_success(name)
-            if head.status == 200:
+            if isinstance(answer, StreamHead):
                 stream.software = state.target.software
-            return head, events, state
-        raise self._build_error(stream)
+                stream.content_type = answer.headers.get("content-type", "")
+                return answer, events, state
+            stream.last_reason = f"{name} returned {answer.head.status}"
+            is_final = answer.head.status < 500 or not stream.route.is_resumable
+            if is_final and stream.content_type is None:
+                return answer.head, answer.replay(), state
+            self._release(stream)
+            state.in_flight -= 1
+            stream.last_error = answer if answer.head.is_signed else None
+        error_answer = stream.last_error
+        if error_answer is None or stream.content_type is not None:
+            raise self._build_error(stream)
+        error_answer.state.in_flight += 1
+        return error_answer.head, error_answer.replay(), error_answer.state
+
+    async def _begin_run(
+        self, stream: _Stream, state: TargetState, events: TargetStream
+    ) -> StreamHead | _ErrorAnswer:
+        """Wait for the head of a run; if it is not that of a stream, for all of it.
+
+        Raise RunUnusable, NotRun or OutcomeUnknown.
+        """
+        head = await anext(events)
+        assert isinstance(head, StreamHead)
+        await self._verify_software(stream, state)
+        name = state.target.name
+        if head.status < 400 and not head.is_signed:
+            raise RunUnusable(f"{name} returned {head.status} without its signature")
+        if head.status != 200:
+            parts = [e.data async for e in events if isinstance(e, StreamEvent)]
+            return _ErrorAnswer(head, b"".join(parts), state)
+        content_type = head.headers.get("content-type", "")
+        if stream.content_type not in (None, content_type):
+            raise RunUnusable(
+                f"{name} continues {stream.content_type!r} with {content_type!r}"
+            )
+        return head
 
     def _may_wait(self, stream: _Stream, resume_by_s: float) -> bool:
         """Return whether a stream that goes on may wait for a target of its software.
@@ -210,7 +257,7 @@
         """Check that a target that goes on is the one that the list describes.
 
         It may have restarted under its name with other software. Only engines report
-        their incarnation. Raise SoftwareUncertain if the check fails.
+        their incarnation. Raise RunUnusable if the check fails.
         """
         target = state.target
         is_first = stream.software is None and self._targets.is_list_current()
@@ -219,7 +266,7 @@
         try:
             await self._target_client.read_report(target, VERIFY_TIMEOUT_S)
         except (NotRun, OutcomeUnknown) as error:
-            raise SoftwareUncertain(error) from error
+            raise RunUnusable(str(error)) from error
 
     async def _relay(
         self, stream: _Stream, events: TargetStream, state: TargetState
@@ -234,27 +281,25 @@
         try:
             while True:
                 try:
-                    async with contextlib.aclosing(events):
-                        async for event in events:
-                            if isinstance(event, StreamEvent):
-                                if event.event_id >= 0:
-                                    stream.last_event_id = event.event_id
-                                event_count += 1
-                                # A run that made progress does not show what ended it.
-                                self._release(stream)
-                                yield event.data
+                    async with contextlib.aclosing(_follow(stream, events)) as run:
+                        async for data in run:
+                            event_count += 1
+                            # A run that made progress does not show what ended it.
+                            self._release(stream)
+                            yield data
                     outcome = "whole"
                     self._quarantine.record_answer(stream.request)
                     return
+                except RunUnusable as error:
+                    self._record_failure(stream, state, error)
+                    self._release(stream)
+                    if not stream.route.is_resumable:
+                        raise self._build_error(stream) from error
                 except OutcomeUnknown as error:
                     await self._record_lost_run(stream, state, error)
                     if not stream.route.is_resumable:
                         raise self._build_error(stream) from error
-                head, events, state = await self._open_at_target(stream)
-                if head.status != 200:
-                    state.in_flight -= 1
-                    await events.aclose()
-                    raise self._build_error(stream)
+                _, events, state = await self._open_at_target(stream)
         except AnswerLost:
             outcome = "broken_off"
             raise
@@ -353,6 +398,42 @@
         )
 
 
+async def _follow(stream: _Stream, events: TargetStream) -> AsyncGenerator[bytes, None]:
+    """Yield the events of a run that follow the last event of the stream.
+
+    Blocks without an id before the first event of a continuation are not the caller's:
+    they may be the text of an error. Raise RunUnusable if an event does not follow the
+    one before, or if a continuation consists of such blocks.
+    """
+    is_continuation = stream.last_event_id is not None
+    is_skipping = False
+    async with contextlib.aclosing(events):
+        async for event in events:
+            if not isinstance(event, StreamEvent):
+                continue
+            last_id = stream.last_event_id
+            if event.event_id < 0:
+                if is_continuation:
+                    is_skipping = True
+                    continue
+            elif last_id is not None and event.event_id != last_id + 1:
+                raise RunUnusable(
+                    f"event {event.event_id} does not follow event {last_id}"
+                )
+            else:
+                stream.last_event_id = event.event_id
+                is_continuation = is_skipping = False
+            yield event.data
+    if is_skipping:
+        raise RunUnusable("the continuation has no event")
+
+
+def _parse_last_event_id(request: ForwardedRequest) -> int | None:
+    """Return the event after which the caller asks the stream to go on."""
+    text = request.http.headers.get("last-event-id", "")
+    return int(text) if text.isascii() and text.isdigit() else None
+
+
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
 
