Break a response to an HTTP/1.0 client off with a reset

Callers of HTTP/1.0 saw: a stream that no worker continued, or that a planned stop cut, ended like a complete one.

Cause: such a response is framed by the end of its connection, and asyncio's abort sends an ordinary FIN when nothing is unread; a cancelled response was closed ordinarily in any case.

With SO_LINGER 0 the close is a reset. Clients of HTTP/1.1 miss the end marker, as before, and keep the bytes that they were sent.

--- a/src/tamarackshelf/net/http_server.py
+++ b/src/tamarackshelf/net/http_server.py
@@ -16,7 +16,7 @@
     Response,
     to_error_response,
 )
-from tamarackshelf.net.sockets import set_keep_alive
+from tamarackshelf.net.sockets import reset_on_close, set_keep_alive
 from tamarackshelf.world import Address
 
 Handler = Callable[[Request], Awaitable[Response]]
@@ -342,15 +342,26 @@
                 self._write(h11.Data(data=chunk))
                 await self._writer.drain()
         except (ShelfError, ConnectionError):
-            # Without the end marker the client sees that the response is incomplete.
-            self.abort()
+            self._break_off()
             raise ConnectionError("the handler's response failed midway") from None
+        except BaseException:
+            self._break_off()
+            raise
         finally:
             if isinstance(chunks, AsyncGenerator):
                 await chunks.aclose()
         self._write(h11.EndOfMessage())
         await self._writer.drain()
 
+    def _break_off(self) -> None:
+        """Close the connection so that the client sees an incomplete response.
+
+        The end marker is missing; a client of HTTP/1.0 expects none and needs a reset.
+        """
+        if (self._http.their_http_version or b"") < b"1.1":
+            reset_on_close(self._writer)
+        self.abort()
+
     def _write(self, *events: h11.Event) -> None:
         data = b"".join(self._http.send(event) or b"" for event in events)
         self._writer.write(data)
--- a/src/tamarackshelf/net/sockets.py
+++ b/src/tamarackshelf/net/sockets.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import socket
+import struct
 
 # An idle connection to a dead peer fails after about 4 s: KEEP_ALIVE_IDLE_S plus
 # KEEP_ALIVE_PROBES times KEEP_ALIVE_INTERVAL_S.
@@ -33,4 +34,13 @@
             sock.setsockopt(level, option, value)
 
 
-__all__ = ["set_keep_alive"]
+def reset_on_close(writer: asyncio.StreamWriter) -> None:
+    """Let the connection end with a reset instead of an ordinary close."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None:
+        with contextlib.suppress(OSError):
+            linger = struct.pack("ii", 1, 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
+__all__ = ["reset_on_close", "set_keep_alive"]
--- a/tests/entry/test_broken_answers.py
+++ b/tests/entry/test_broken_answers.py
@@ -361,10 +361,11 @@
 
 
 # A stream that no worker continues looked complete, or went on with other bytes.
+@pytest.mark.parametrize("version", [b"1.1", b"1.0"], ids=["1.1", "1.0"])
 @pytest.mark.parametrize("next_answers", NOT_CONTINUING)
-def test_stream_that_no_worker_continues_is_seen_as_broken(next_answers):
+def test_stream_that_no_worker_continues_is_seen_as_broken(next_answers, version):
     script = [BEGUN, *[NOT_CONTINUING[next_answers]] * (MAX_ATTEMPTS - 1)]
-    got, _ = get(script)
+    got, _ = get(script, version=version)
     check_stream(got)
     assert not got.is_complete
 
@@ -435,3 +436,36 @@
     got, _ = get([Sent(head + body, resets)], b"/once/x")
     assert got.is_complete
     assert got.status == (502 if resets else 200)
+
+
+# A caller that speaks HTTP/1.0 saw the ordinary end of a stream that was broken off.
+def test_planned_stop_breaks_a_stream_off_visibly():
+    async def main():
+        records = {
+            "n1": NodeRecord("n1", 1, "dc", find_free_address(), find_free_address())
+        }
+        hold = asyncio.Event()
+
+        async def serve(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(BEGUN.data)
+            await hold.wait()
+
+        address = find_free_address()
+        server = await asyncio.start_server(serve, address.host, address.port)
+        node = SocketNode("n1", [address], records)
+        await node.start()
+        asked = asyncio.ensure_future(
+            ask(records["n1"].callers, b"/stream/x", version=b"1.0")
+        )
+        await asyncio.sleep(0.3)
+        await node._servers[0][0].close(grace_s=0.1)
+        got = await asked
+        hold.set()
+        await node.close()
+        server.close()
+        return got
+
+    got = asyncio.run(main())
+    assert got.status == 200
+    assert not got.is_complete
