Take only signed event streams for the text of an item

Trainers could see: a text with an error's words in it, or one that ended early as complete (none was seen; found by looking for the streams' fault elsewhere).

Cause: a run's answer of status 200 was a text whatever its signature and content type said; a block that is no event was skipped, and data without an id was taken for the first piece of a text.

Evidence: four cases of test_failed_item_run_raises_the_error_of_its_kind, which failed before.

Now such a run counts as lost; comments are still skipped. That an event follows the one before is checked by ItemState.add, as it was.

--- a/src/tamarackshelf/platform/target_client.py
+++ b/src/tamarackshelf/platform/target_client.py
@@ -51,6 +51,7 @@
 LIMIT_HEADER = "server-limit"
 # "1" in all responses of a worker that leaves.
 LEAVING_HEADER = "server-leaving"
+EVENT_STREAM_TYPE = "text/event-stream"
 # Headers that apply to a single connection or that this service sets itself.
 UNFORWARDED_HEADERS = frozenset(
     {
@@ -410,6 +411,11 @@
     target: Target, item_id: str, response: TargetStream
 ) -> None:
     if response.status == 200:
+        content_type = response.headers.get("content-type", EVENT_STREAM_TYPE)
+        if SERVER_STAMP_HEADER not in response.headers:
+            raise OutcomeUnknown(f"{target.name} returned 200 without its signature")
+        if not content_type.startswith(EVENT_STREAM_TYPE):
+            raise OutcomeUnknown(f"{target.name} returned {content_type} for an item")
         return
     async for _ in response.chunks():
         pass
@@ -457,10 +463,13 @@
 
 
 async def _read_events(response: TargetStream) -> AsyncIterator[_RawEvent]:
+    """Yield the events; raise ConnectionLost if one has no id, like an error's text."""
     async for block in _read_blocks(response):
         event = _parse_event(block)
-        if event is not None:
+        if event is not None and event.event_id >= 0:
             yield event
+        elif not _is_comment(block):
+            raise ConnectionLost("an event of the text has no id")
 
 
 async def _read_blocks(response: TargetStream) -> AsyncIterator[bytes]:
@@ -497,6 +506,10 @@
     return _RawEvent(event_id, "\n".join(data), version)
 
 
+def _is_comment(block: bytes) -> bool:
+    return all(line.startswith(b":") for line in block.split(b"\n") if line)
+
+
 def _parse_load(headers: dict[str, str]) -> TargetLoad | None:
     parts = headers.get("x-worker-load", "").split(",")
     if len(parts) != 3:
--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -33,6 +33,8 @@
 from tests.support.node import build_paths
 
 SIGNED = b"X-Request-Id: r1\r\nX-Server-Stamp: s.1\r\n"
+JSON = b"Content-Type: application/json\r\n"
+ERROR_TEXT = b'{"error": "the worker failed"}'
 EVENTS = b"id: 0\ndata: a\n\nid: 1\ndata: b\n\nx-weight-versions: 6\nid: 2\ndata: c\n\n"
 
 
@@ -163,11 +165,25 @@
     [
         (build_response(200, SIGNED, EVENTS[:-4], length=len(EVENTS)), OutcomeUnknown),
         (build_response(200, SIGNED, EVENTS[:-2]), OutcomeUnknown),
+        (build_response(200, b"X-Request-Id: r1\r\n", EVENTS), OutcomeUnknown),
+        (build_response(200, SIGNED + JSON, EVENTS), OutcomeUnknown),
+        (build_response(200, SIGNED, ERROR_TEXT + b"\n\n"), OutcomeUnknown),
+        (build_response(200, SIGNED, b"data: " + ERROR_TEXT + b"\n\n"), OutcomeUnknown),
         (build_response(500, SIGNED, b""), ItemFailed),
         (build_response(422, SIGNED, b""), ItemRejected),
         (build_response(503, SIGNED + b"X-Not-Run: 1\r\n", b""), TargetBusy),
     ],
-    ids=["cut", "ends in an event", "failed", "impossible", "full"],
+    ids=[
+        "cut",
+        "ends in an event",
+        "unsigned",
+        "another content type",
+        "error text",
+        "error text as data",
+        "failed",
+        "impossible",
+        "full",
+    ],
 )
 def test_failed_item_run_raises_the_error_of_its_kind(raw, error):
     with pytest.raises(error):
