Report an unreachable network during a call as a lost connection

Callers could see: 500 "internal error", when the socket of a call to a target fails with EHOSTUNREACH or ENETUNREACH (none was seen; found by reading where heads that are cut short end).

Cause: these are OSErrors but no ConnectionErrors, so the client passed them on as they are and no retry, fault or quarantine followed.

Evidence: test_client_reports_a_connection_that_fails_as_lost[unreachable] failed before.

--- a/src/tamarackshelf/net/http_client.py
+++ b/src/tamarackshelf/net/http_client.py
@@ -291,7 +291,7 @@
         try:
             self._writer.write(data)
             await self._writer.drain()
-        except ConnectionError as error:
+        except OSError as error:
             raise ConnectionLost(str(error)) from error
         event = await self.next_event(deadline_s)
         while isinstance(event, h11.InformationalResponse):
@@ -311,7 +311,7 @@
                 event = self._http.next_event()
         except TimeoutError as error:
             raise ResponseOverdue("no response before the deadline") from error
-        except (ConnectionError, h11.RemoteProtocolError) as error:
+        except (OSError, h11.RemoteProtocolError) as error:
             raise ConnectionLost(str(error)) from error
         return event
 
--- a/tests/net/test_dead_connections.py
+++ b/tests/net/test_dead_connections.py
@@ -11,7 +11,8 @@
 
 import pytest
 
-from tamarackshelf.net import HttpServer, Response, ServerLimits
+from tamarackshelf.net import ConnectionLost, HttpServer, Response, ServerLimits
+from tamarackshelf.net.http_client import _Connection
 from tests.conftest import find_free_address
 
 MAX_READS = 50
@@ -97,3 +98,23 @@
         await server.abort()
 
     asyncio.run(scenario())
+
+
+# An unreachable network is no ConnectionError in Python, and escaped the client.
+@pytest.mark.parametrize(
+    "error",
+    [
+        OSError(errno.EHOSTUNREACH, "No route to host"),
+        ConnectionResetError(errno.ECONNRESET, "Connection reset by peer"),
+    ],
+    ids=["unreachable", "reset"],
+)
+def test_client_reports_a_connection_that_fails_as_lost(run, error):
+    async def scenario():
+        reader = asyncio.StreamReader()
+        reader.set_exception(error)
+        connection = _Connection(reader, Writer())
+        with pytest.raises(ConnectionLost):
+            await connection.next_event(asyncio.get_running_loop().time() + 1.0)
+
+    run(scenario())
