Serve a request that arrives just before a server closes

Cause: an idle connection was closed by feeding its reader an end of file. If the request's bytes were already in the reader, the request was handled, and the same end of file looked like a client that had gone: the handler was cancelled. A head that was half received was answered 400 "not valid HTTP".

Now the close ends the wait of an idle connection instead, and the connection reads what has arrived before it goes; a head that has begun is waited for within the grace period.

--- a/src/tamarackshelf/net/http_server.py
+++ b/src/tamarackshelf/net/http_server.py
@@ -171,13 +171,18 @@
         )
         self._idle = True
         self._close_after_response = close_after_response
+        self._closes_when_idle = False
+        self._wait: asyncio.Timeout | None = None
         self._cancel_on_disconnect = cancel_on_disconnect
 
     def close_when_idle(self) -> None:
-        """Close now if no request is in flight, otherwise after its response."""
-        self._close_after_response = True
-        if self._idle:
-            self._reader.feed_eof()
+        """Close now if no request is in flight, otherwise after its response.
+
+        A request whose first bytes have arrived is still served.
+        """
+        self._close_after_response = self._closes_when_idle = True
+        if self._idle and self._wait is not None:
+            self._wait.reschedule(asyncio.get_running_loop().time())
 
     def close_after_next_response(self) -> None:
         """Close the connection after its next response."""
@@ -231,13 +236,19 @@
         """Wait for the head of a request; raise TimeoutError after the idle limit.
 
         If the limit is raised during the wait, the new limit applies to this wait too.
+        When the server closes, what has arrived is read before the wait ends.
         """
         loop = asyncio.get_running_loop()
         started_s = loop.time()
+        is_last_read = False
         while True:
             left_s = started_s + self._limits().idle_s - loop.time()
-            if left_s <= 0:
+            has_begun = bool(self._http.trailing_data[0])
+            if left_s <= 0 or (is_last_read and not has_begun):
                 raise TimeoutError
+            is_last_read = self._closes_when_idle and not has_begun
+            if is_last_read:
+                left_s = 0.0
             with contextlib.suppress(TimeoutError):
                 return await self._next_event(left_s)
 
@@ -285,7 +296,7 @@
                 raise ConnectionError("the client disconnected during its request")
 
     async def _next_event(self, timeout_s: float | None) -> object:
-        async with asyncio.timeout(timeout_s):
+        async with asyncio.timeout(timeout_s) as self._wait:
             while True:
                 event = self._http.next_event()
                 if event is not h11.NEED_DATA:
