Answer or refuse whatever arrives in a planned stop before it ends

Callers saw: in a planned stop in calm, requests that came late in the grace period were passed on to their targets and cut without an answer at its end, among them requests that may not be repeated (LOST).

Cause: when the directory answers had expired (6 s), the callers' server closed with 0.7 s for all that was in flight, 1.3 s before the end of the grace period, and cancelled the rest. Nothing on the way in knew that the process was about to end.

Now: a request is taken if it may take no longer than the node still serves; else it is refused as not run, with no wait before it may be sent elsewhere. In the first third of the stop all are taken, as callers who asked the directory before it still come; one that may be repeated is taken while its route's usual time is left. What is taken gets the rest as its bound, also as the target's deadline. The server waits for requests in flight until 0.8 s before the end of the grace period and answers those that are left with 504. Reads of results wait no longer than that.

--- a/src/tamarackshelf/entry/forwarder.py
+++ b/src/tamarackshelf/entry/forwarder.py
@@ -19,6 +19,7 @@
     build_hedge_budget,
     race,
 )
+from tamarackshelf.entry.planned_stop import PlannedStop
 from tamarackshelf.errors import AnswerLost, NoTarget, ShelfError
 from tamarackshelf.errors import OutcomeUnknown as CallerOutcomeUnknown
 from tamarackshelf.node.quarantine import LostRun, RequestQuarantine
@@ -72,7 +73,9 @@
         data_centre: str,
         timeline: Timeline,
         metrics: Metrics,
+        planned_stop: PlannedStop | None = None,
     ) -> None:
+        self._planned_stop = planned_stop or PlannedStop()
         self._targets = targets
         self._target_client = target_client
         self._quarantine = quarantine
@@ -86,9 +89,12 @@
     ) -> TargetResponse:
         """Forward a request and return a target's complete response.
 
-        Raise NoTarget if the request certainly did not run, and OutcomeUnknown (at the
-        deadline) or AnswerLost (before it) if it may have run.
+        Raise NoTarget or Draining if the request certainly did not run, and
+        OutcomeUnknown (at the deadline) or AnswerLost (before it) if it may have run.
         """
+        is_repeatable = route.kind is RouteKind.IDEMPOTENT
+        typical_s = route.target_latency_s if is_repeatable else None
+        timeout_s = self._planned_stop.bound_s(timeout_s, typical_s)
         started_s = _now_s()
         self._hedges.record_request()
         refuse_at_s = started_s + REFUSE_AFTER_SHARE * route.target_latency_s
--- a/src/tamarackshelf/entry/streamer.py
+++ b/src/tamarackshelf/entry/streamer.py
@@ -17,6 +17,7 @@
     TargetClient,
 )
 from tamarackshelf.entry.forwarder import RETRY_AFTER_S
+from tamarackshelf.entry.planned_stop import PlannedStop
 from tamarackshelf.errors import AnswerLost, NoTarget
 from tamarackshelf.node.quarantine import LostRun, RequestQuarantine
 from tamarackshelf.node.stream_origins import StreamOrigins
@@ -93,7 +94,9 @@
         data_centre: str,
         timeline: Timeline,
         metrics: Metrics,
+        planned_stop: PlannedStop | None = None,
     ) -> None:
+        self._planned_stop = planned_stop or PlannedStop()
         self._targets = targets
         self._target_client = target_client
         self._quarantine = quarantine
@@ -107,9 +110,11 @@
     ) -> tuple[StreamHead, AsyncGenerator[bytes, None]]:
         """Open a stream and return its head and its events.
 
-        Raise NoTarget if the request certainly did not run and AnswerLost if it may
-        have run. The events raise AnswerLost if the stream cannot be completed.
+        Raise NoTarget or Draining if the request certainly did not run and AnswerLost
+        if it may have run. The events raise AnswerLost if the stream cannot be
+        completed.
         """
+        timeout_s = self._planned_stop.bound_s(timeout_s)
         stream = _Stream(request, route, _now_s() + timeout_s)
         stream.last_event_id = _parse_last_event_id(request)
         if route.is_resumable and request.resumption is not None:
--- a/src/tamarackshelf/jobs/reader.py
+++ b/src/tamarackshelf/jobs/reader.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import OrderedDict
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
 from tamarackshelf.contracts.rows import RowStoreError
@@ -37,7 +37,10 @@
 
 
 class JobReader:
-    """Reads any job; `heads` are the heads of all jobs that this node knows."""
+    """Reads any job; `heads` are the heads of all jobs that this node knows.
+
+    `compute_left_s` returns for how long this node still serves; no read waits longer.
+    """
 
     def __init__(
         self,
@@ -47,6 +50,7 @@
         http: HttpClient,
     ) -> None:
         self.fleet: Fleet | None = None
+        self.compute_left_s: Callable[[], float] = lambda: float("inf")
         self._store = store
         self._runner = runner
         self._heads = heads
@@ -58,7 +62,7 @@
 
         Raise NotFound or StoreUnavailable.
         """
-        deadline_s = _now_s() + wait_s
+        deadline_s = _now_s() + min(wait_s, self.compute_left_s())
         owned = self._runner.jobs.get(job_id)
         # Until this node's claim is stored, another node may list results of the job.
         while owned is not None and not owned.is_closed and owned.pending_claim is None:
--- a/src/tamarackshelf/net/http_server.py
+++ b/src/tamarackshelf/net/http_server.py
@@ -10,7 +10,7 @@
 
 import h11
 
-from tamarackshelf.errors import BadRequest, ShelfError
+from tamarackshelf.errors import BadRequest, OutcomeUnknown, ShelfError
 from tamarackshelf.net.http_types import (
     Request,
     Response,
@@ -24,6 +24,8 @@
 RequestFilter = Callable[[Request], bool]
 
 READ_SIZE_BYTES = 64 * 1024
+# HttpServer.close waits this long for the answers to requests that it gives up.
+GIVE_UP_S = 0.2
 # HttpServer.close stops waiting for connections when none arrived for this long.
 ACCEPT_QUIET_S = 0.2
 
@@ -81,7 +83,8 @@
     async def close(self, grace_s: float = 30.0, linger_s: float = 0.0) -> None:
         """Stop listening and close connections once their requests are finished.
 
-        Requests still in flight after `grace_s` are cancelled. Closing a listening
+        Requests still in flight after `grace_s` are cancelled and answered with
+        OutcomeUnknown; a response that is being sent is broken off. Closing a listening
         socket resets the connections in its accept queue, so the server first keeps
         accepting until no connection arrived for ACCEPT_QUIET_S, but for `linger_s` at
         most.
@@ -95,6 +98,10 @@
         tasks = list(self._connections)
         if tasks:
             _, pending = await asyncio.wait(tasks, timeout=grace_s)
+            for task in pending:
+                self._connections[task].give_up()
+            if pending:
+                _, pending = await asyncio.wait(pending, timeout=GIVE_UP_S)
             await _cancel_all(pending)
 
     def announce_close(self) -> None:
@@ -173,6 +180,8 @@
         self._close_after_response = close_after_response
         self._closes_when_idle = False
         self._wait: asyncio.Timeout | None = None
+        self._handling: asyncio.Task[Response] | None = None
+        self._is_given_up = False
         self._cancel_on_disconnect = cancel_on_disconnect
 
     def close_when_idle(self) -> None:
@@ -184,6 +193,12 @@
         if self._idle and self._wait is not None:
             self._wait.reschedule(asyncio.get_running_loop().time())
 
+    def give_up(self) -> None:
+        """Cancel the handler of the request in flight, and answer in its place."""
+        self._is_given_up = True
+        if self._handling is not None:
+            self._handling.cancel()
+
     def close_after_next_response(self) -> None:
         """Close the connection after its next response."""
         self._close_after_response = True
@@ -255,10 +270,30 @@
     async def _handle(self, request: Request) -> Response | None:
         """Call the handler; return None if the client disconnected meanwhile."""
         cancels = self._cancel_on_disconnect
-        if not (cancels(request) if callable(cancels) else cancels):
-            return await self._call_handler(request)
         loop = asyncio.get_running_loop()
         handler_task = loop.create_task(self._call_handler(request))
+        self._handling = handler_task
+        try:
+            if not (cancels(request) if callable(cancels) else cancels):
+                return await handler_task
+            return await self._handle_while_connected(handler_task)
+        except asyncio.CancelledError:
+            if not (self._is_given_up and handler_task.cancelled()):
+                handler_task.cancel()
+                raise
+            return to_error_response(
+                OutcomeUnknown(
+                    "this process stops and the request may have run; send it again "
+                    "only if it may run twice"
+                )
+            )
+        finally:
+            self._handling = None
+
+    async def _handle_while_connected(
+        self, handler_task: asyncio.Task[Response]
+    ) -> Response | None:
+        loop = asyncio.get_running_loop()
         read_task = loop.create_task(self._read())
         try:
             await asyncio.wait(
--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -11,6 +11,7 @@
 from tamarackshelf.contracts.rows import RowChange, RowStore, RowStoreError
 from tamarackshelf.contracts.targets import TargetClient
 from tamarackshelf.entry.forwarder import Forwarder
+from tamarackshelf.entry.planned_stop import PlannedStop
 from tamarackshelf.entry.streamer import Streamer
 from tamarackshelf.gossip.task import GossipTask
 from tamarackshelf.jobs.manager import JobManager
@@ -73,8 +74,8 @@
 # Share of the store's reads per second that feed polls without changes may use; the
 # rest is for jobs.
 FEED_READ_SHARE = 0.25
-# Part of the grace period that is kept for closing connections at the end.
-CLOSE_GRACE_S = 0.7
+# Part of the grace period that is kept for the last answers and the end of all tasks.
+CLOSE_GRACE_S = 0.8
 
 # Larger than a job with all its texts.
 MAX_PEER_BODY_BYTES = 32 * 1024 * 1024
@@ -203,6 +204,8 @@
         self.retention = JobRetention(
             self.row_store, store, self.jobs.heads, settings.results_kept_s, timeline
         )
+        self.planned_stop = PlannedStop()
+        self.jobs.reader.compute_left_s = self.planned_stop.compute_left_s
         self.quarantine = RequestQuarantine(
             settings.vm, self.targets, target_client, timeline, metrics, time.time
         )
@@ -213,6 +216,7 @@
             settings.data_centre,
             timeline,
             metrics,
+            self.planned_stop,
         )
         self.origins = StreamOrigins(
             self.targets, self._http, timeline, metrics, time.time
@@ -225,6 +229,7 @@
             settings.data_centre,
             timeline,
             metrics,
+            self.planned_stop,
         )
         self._caller_server = HttpServer(
             factories.callers(self.configuration_view, forwarder, streamer, self.jobs),
@@ -338,9 +343,12 @@
         """Stop as planned, within the grace period.
 
         Tell the other nodes, hand over the jobs, serve callers until their cached
-        directory answers have expired, and close everything.
+        directory answers have expired and what they sent is answered, and close
+        everything.
         """
         started_s = _now_s()
+        serving_s = self._settings.grace_s - CLOSE_GRACE_S
+        self.planned_stop.begin(serving_s)
         self._timeline.record(
             "process_stops", self._settings.vm, "a planned stop was requested"
         )
@@ -357,10 +365,9 @@
                 except RowStoreError as error:
                     self._timeline.record("row_not_deleted", NODE_TABLE, str(error))
             wanted_s = CACHE_LIFETIME_FACTOR * self._compute_valid_for_s()
-            longest_s = self._settings.grace_s - CLOSE_GRACE_S - 0.5
-            left_s = min(wanted_s, longest_s) - (_now_s() - started_s)
+            left_s = min(wanted_s, serving_s) - (_now_s() - started_s)
             await asyncio.sleep(max(0.0, left_s))
-        await self._caller_server.close(grace_s=CLOSE_GRACE_S)
+        await self._caller_server.close(grace_s=self.planned_stop.compute_left_s())
         await self.close()
         self._timeline.record("process_stopped", self._settings.vm, "")
 
--- a/tests/net/test_planned_close.py
+++ b/tests/net/test_planned_close.py
@@ -17,11 +17,13 @@
 class Server:
     """A server whose handler takes ANSWER_S, and a client's open connection to it."""
 
-    def __init__(self, answer_s=ANSWER_S):
+    def __init__(self, answer_s=ANSWER_S, cancel_on_disconnect=True):
         self.handled = 0
         self.cancelled = 0
         self._answer_s = answer_s
-        self.server = HttpServer(self._handle, cancel_on_disconnect=True)
+        self.server = HttpServer(
+            self._handle, cancel_on_disconnect=cancel_on_disconnect
+        )
 
     async def _handle(self, request):
         self.handled += 1
@@ -116,3 +118,20 @@
         return rest
 
     assert asyncio.run(main()) == b""
+
+
+# At the end of the grace period a request in flight was cut without an answer.
+@pytest.mark.parametrize("cancel_on_disconnect", [False, True])
+def test_request_that_outlasts_the_close_is_answered_as_unknown(cancel_on_disconnect):
+    async def main():
+        each = Server(10.0, cancel_on_disconnect)
+        reader, writer = await each.connect()
+        writer.write(REQUEST)
+        await asyncio.sleep(0.05)
+        closing = asyncio.ensure_future(each.server.close(grace_s=0.1))
+        status = await read_response(reader)
+        await closing
+        writer.close()
+        return status, each.cancelled
+
+    assert asyncio.run(main()) == (504, 1)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -22,7 +22,11 @@
     PlainCall,
     now_s,
 )
-from tests.soak.workers import CRASHING_PREFIX, TEXT_HEADER
+from tests.soak.workers import (
+    CRASHING_PREFIX,
+    RESPONSE_TIME_HEADER,
+    TEXT_HEADER,
+)
 
 if TYPE_CHECKING:
     from random import Random
@@ -100,11 +104,19 @@
 
 
 class PlainClient:
-    """Client of plain routes that stays with one node for 1 s to 12 s."""
+    """Client of plain routes that stays with one node for 1 s to 12 s.
+
+    Its requests take the workers `response_s`.
+    """
 
     def __init__(
-        self, history: History, resolver: NodeResolver, random: Random
+        self,
+        history: History,
+        resolver: NodeResolver,
+        random: Random,
+        response_s: float,
     ) -> None:
+        self._response_s = response_s
         self._history = history
         self._resolver = resolver
         self._random = random
@@ -141,6 +153,7 @@
             "host": HOST,
             "x-request-id": request_id,
             "x-deadline-ms": str(int(PLAIN_TIMEOUT_S * 1000)),
+            RESPONSE_TIME_HEADER: str(self._response_s),
         }
         try:
             answer = await http.request(
--- a/tests/soak/deployment.py
+++ b/tests/soak/deployment.py
@@ -26,7 +26,7 @@
 from tests.soak.nodes import NodeProcess
 from tests.soak.proxy import Proxy
 from tests.soak.store import StoreServer
-from tests.soak.workers import Worker
+from tests.soak.workers import PLAIN_RESPONSE_S, Worker
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -69,6 +69,7 @@
         self.cut_nodes: set[str] = set()
         self.configuration_version = 1
         self.worker_restart_s = WORKER_RESTART_S
+        self.plain_response_s = PLAIN_RESPONSE_S
         self._random = Random(seed)
         self._software = "abcdefgh"[:software]
         self._software_random = Random(f"software-{seed}")
@@ -153,7 +154,9 @@
             self._callers.append(asyncio.create_task(reader.run()))
         for _ in range(clients):
             random = Random(self._random.getrandbits(32))
-            client = PlainClient(self.history, self._resolver, random)
+            client = PlainClient(
+                self.history, self._resolver, random, self.plain_response_s
+            )
             self._callers.append(asyncio.create_task(client.run()))
         for _ in range(trainers):
             random = Random(self._random.getrandbits(32))
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -120,6 +120,20 @@
     ]
 
 
+def plan_stops(seed: int, window_s: float, count: int) -> list[PlannedFault]:
+    """Return `count` planned stops of one node after the other, which overlap."""
+    random = Random(f"stops-{seed}")
+    return [
+        PlannedFault(
+            kind="node_stop",
+            at_s=number * window_s / count + random.uniform(0.0, 1.0),
+            duration_s=0.0,
+            selector=number,
+        )
+        for number in range(count)
+    ]
+
+
 async def inject_faults(deployment: Deployment, faults: list[PlannedFault]) -> None:
     """Inject each fault at its time and return when the last one has ended."""
     started_s = now_s()
@@ -464,4 +478,5 @@
     "plan_departures",
     "plan_faults",
     "plan_limits",
+    "plan_stops",
 ]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -21,8 +21,10 @@
     plan_departures,
     plan_faults,
     plan_limits,
+    plan_stops,
     plan_upgrades,
 )
+from tests.soak.workers import PLAIN_RESPONSE_S
 
 # Loopback blocks 127.20 to 127.199; parallel runs must not share one.
 FIRST_LOOPBACK_BLOCK, LOOPBACK_BLOCKS = 20, 180
@@ -40,7 +42,8 @@
     versions of the workers' software. `cuts` is the number of times that nodes are cut
     off from all workers, `departures` the number of workers that say only in their
     responses that they leave. A worker that a request crashed is back after
-    `worker_restart_s`.
+    `worker_restart_s`. `stops` is the number of planned stops of nodes, and
+    `plain_response_s` the time that the requests of plain clients take.
     """
 
     nodes: int = 4
@@ -56,6 +59,8 @@
     cuts: int = 0
     departures: int = 0
     worker_restart_s: float = WORKER_RESTART_S
+    stops: int = 0
+    plain_response_s: float = PLAIN_RESPONSE_S
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,10 +101,12 @@
         *plan_limits(seed, size.window_s, size.limits),
         *plan_cuts(seed, size.window_s, size.cuts),
         *plan_departures(seed, size.window_s, size.departures),
+        *plan_stops(seed, size.window_s, size.stops),
         *plan_upgrades(seed, size.window_s, UPGRADES if size.software > 1 else 0),
     ]
     failure = ""
     try:
+        deployment.plain_response_s = size.plain_response_s
         deployment.worker_restart_s = size.worker_restart_s
         await deployment.start()
         deployment.start_callers(
@@ -152,6 +159,8 @@
     cuts: int = 0,
     departures: int = 0,
     worker_restart_s: float = WORKER_RESTART_S,
+    stops: int = 0,
+    plain_response_s: float = PLAIN_RESPONSE_S,
 ) -> None:
     """Run seeds in parallel and print a line for each; exit with 1 on a violation."""
     folder = folder or tempfile.mkdtemp(prefix="soak-")
@@ -167,6 +176,8 @@
         cuts=cuts,
         departures=departures,
         worker_restart_s=worker_restart_s,
+        stops=stops,
+        plain_response_s=plain_response_s,
     )
     violation_counts: Counter[str] = Counter()
     with ProcessPoolExecutor(jobs) as pool:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -18,6 +18,7 @@
 SOFTWARE_SEEDS = (1, 3)
 CUT_SEEDS = (3,)
 DEPARTURE_SEEDS = (1,)
+STOP_SEEDS = (3,)
 
 
 @pytest.mark.parametrize("seed", [*CI_SEEDS, *REGRESSIONS])
@@ -68,6 +69,24 @@
     assert result.calls_served > 0
 
 
+# Requests that came late in a planned stop were cut without an answer at its end.
+@pytest.mark.parametrize("seed", STOP_SEEDS)
+def test_planned_stops_cut_no_request(seed, tmp_path):
+    size = SoakSize(clients=14, faults=0, stops=4, plain_response_s=0.9, window_s=12.0)
+    result = run_in_time(seed, tmp_path, size)
+    assert result.violations == [], result.format()
+    assert result.calls_served > 0
+
+
+# As above, with a request that crashes workers which are listed late again.
+@pytest.mark.parametrize("seed", CRASHING_SEEDS[:1])
+def test_crashing_request_is_refused_although_its_targets_are_back_late(seed, tmp_path):
+    size = SoakSize(faults=0, cuts=1, crashing=1, worker_restart_s=7.0, window_s=24.0)
+    result = run_in_time(seed, tmp_path, size)
+    assert result.violations == [], result.format()
+    assert result.calls_served > 0
+
+
 def run_in_time(seed, folder, size):
     async def run_with_timeout():
         async with asyncio.timeout(SOAK_TIMEOUT_S):
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -31,6 +31,8 @@
 # A request whose body begins so crashes the worker this long after it begins to run.
 CRASHING_PREFIX = b"crash:"
 CRASH_DELAY_S = 0.02
+# Seconds that a plain request takes, instead of PLAIN_RESPONSE_S.
+RESPONSE_TIME_HEADER = "x-soak-response-s"
 # Names the text of a stream, which is the same in all attempts at the stream.
 TEXT_HEADER = "x-soak-text"
 HEARTBEAT_INTERVAL_S = 1.2
@@ -262,7 +264,10 @@
         if self.state.versions:
             return self._start_events(request, run, response_headers)
         try:
-            await asyncio.sleep(PLAIN_RESPONSE_S * self.faults.slowness)
+            response_s = float(
+                request.headers.get(RESPONSE_TIME_HEADER, PLAIN_RESPONSE_S)
+            )
+            await asyncio.sleep(response_s * self.faults.slowness)
             run.is_complete = True
             response_headers["x-server-stamp"] = build_stamp(request_id, request.body)
             return Response(
