--- a/src/tamarackshelf/cli/node.py
+++ b/src/tamarackshelf/cli/node.py
@@ -77,7 +77,14 @@
     loop.add_signal_handler(signal.SIGHUP, watch.reload)
     await watch.start()
     start = loop.create_task(program.start())
-    await stop_requested.wait()
+    stop = loop.create_task(stop_requested.wait())
+    await asyncio.wait([start, stop], return_when=asyncio.FIRST_COMPLETED)
+    if start.done() and (error := start.exception()) is not None:
+        timeline.record("process_failed", settings.vm, str(error) or repr(error))
+        await program.close()
+        await watch.close()
+        raise SystemExit(1)
+    await stop
     if not start.done():
         start.cancel()
         await asyncio.wait([start])
