--- a/src/tamarackshelf/entry/streamer.py
+++ b/src/tamarackshelf/entry/streamer.py
@@ -40,7 +40,14 @@
 
 
 class RunUnusable(Exception):
-    """A run that must not begin the caller's stream or continue it."""
+    """A run that must not begin the caller's stream or continue it.
+
+    `cause` is the failure of the target that shows it, if there is one.
+    """
+
+    def __init__(self, reason: str, cause: NotRun | OutcomeUnknown | None = None):
+        super().__init__(reason)
+        self.cause = cause
 
 
 @dataclass(frozen=True, slots=True)
@@ -183,7 +190,7 @@
                 stream.may_have_run = True
                 stream.runs += 1
                 await events.aclose()
-                self._record_failure(stream, state, error)
+                self._record_failure(stream, state, error.cause or error)
                 self._release(stream)
                 if not stream.route.is_resumable:
                     break
@@ -271,7 +278,7 @@
         try:
             await self._target_client.read_report(target, VERIFY_TIMEOUT_S)
         except (NotRun, OutcomeUnknown) as error:
-            raise RunUnusable(str(error)) from error
+            raise RunUnusable(str(error), error) from error
 
     async def _relay(
         self, stream: _Stream, events: TargetStream, state: TargetState
--- a/src/tamarackshelf/net/http_server.py
+++ b/src/tamarackshelf/net/http_server.py
@@ -280,6 +280,7 @@
         except asyncio.CancelledError:
             if not (self._is_given_up and handler_task.cancelled()):
                 handler_task.cancel()
+                await asyncio.gather(handler_task, return_exceptions=True)
                 raise
             return to_error_response(
                 OutcomeUnknown(
--- a/src/tamarackshelf/node/target_relay.py
+++ b/src/tamarackshelf/node/target_relay.py
@@ -29,7 +29,7 @@
 # A node that is cut off asks here whether a target has ended; an older release does not
 # know the path.
 TARGET_VERDICT_PATH = "/target-verdicts"
-VERDICT_TIMEOUT_S = 0.5
+VERDICT_TIMEOUT_S = 0.25
 # Names the outcome of a relayed call; an older release answers without it.
 OUTCOME_HEADER = "x-relay-outcome"
 # Status and headers of the target's response, in MessagePack and base64.
