--- a/tests/node/test_crash_evidence.py
+++ b/tests/node/test_crash_evidence.py
@@ -9,7 +9,7 @@
 
 from tamarackshelf.net import Response
 from tamarackshelf.node.target_relay import TARGET_VERDICT_PATH
-from tests.support.cut_off import CRASHING, CutOffCluster
+from tests.support.cut_off import CRASHING, run_cluster
 
 # The users' rule: a request may reach targets this often more, later than the stable
 # window after the third target has ended under it.
@@ -18,19 +18,6 @@
 RESENDS_S = 40.0
 
 
-def run_cluster(run, scenario, **options):
-    async def main():
-        cluster = CutOffCluster(**options)
-        await cluster.start()
-        await asyncio.sleep(1.0)
-        try:
-            return await scenario(cluster)
-        finally:
-            await cluster.stop()
-
-    return run(main())
-
-
 async def resend(cluster, names, seed, until_s=RESENDS_S):
     """Send the crashing request at random nodes, as callers that try again do."""
     rng = random.Random(seed)
--- a/tests/node/test_target_paths.py
+++ b/tests/node/test_target_paths.py
@@ -9,24 +9,11 @@
 from tamarackshelf.contracts.targets import CallKind, TargetCall
 from tamarackshelf.net import ConnectFailed, Response
 from tamarackshelf.policy.rumours import Rumour
-from tests.support.cut_off import CutOffCluster
+from tests.support.cut_off import run_cluster
 
 REFUSE_LIMIT_S = 0.5
 
 
-def run_cluster(run, scenario, **options):
-    async def main():
-        cluster = CutOffCluster(**options)
-        await cluster.start()
-        await asyncio.sleep(1.0)
-        try:
-            return await scenario(cluster)
-        finally:
-            await cluster.stop()
-
-    return run(main())
-
-
 def list_events(node, kind):
     return [event for event in node.timeline.page().events if event.kind == kind]
 
--- a/tests/support/cut_off.py
+++ b/tests/support/cut_off.py
@@ -291,6 +291,21 @@
         return serve
 
 
+def run_cluster(run, scenario, **options):
+    """Run a scenario with a cluster whose nodes have started."""
+
+    async def main():
+        cluster = CutOffCluster(**options)
+        await cluster.start()
+        await asyncio.sleep(1.0)
+        try:
+            return await scenario(cluster)
+        finally:
+            await cluster.stop()
+
+    return run(main())
+
+
 def _now_s():
     return asyncio.get_running_loop().time()
 
@@ -299,4 +314,4 @@
     return 1_800_000_000.0 + _now_s()
 
 
-__all__ = ["CRASHING", "CutOffCluster", "CutOffNode"]
+__all__ = ["CRASHING", "CutOffCluster", "CutOffNode", "run_cluster"]
