Bound all input from outside at one door, so that an odd row costs only itself

Operators of similar systems reported that one odd entry among those of the workers ended the machines that read the list, or stopped them following it.

Cause: decoders raised more than their listeners expected. msgspec reports deep nesting as RecursionError, which is no DecodeError; JSON numbers beyond 64 bits are decoded and then fail to encode for a peer; a port of 0, an id with a line break or a capacity of a billion are decoded as usable. The exception ended the task that follows the table; after each restart the rows behind the odd one of the page were known to the copy but never told to the listener. A node whose own row could not be decoded ended at each start, and one that read an unreadable lease never took it.

Now decoding.py is the only place that decodes input; it raises InvalidInput. Records of the platform are bounded in length and range. A listener that fails at a row is told of the other rows one by one. An unreadable row of a worker names no worker (it says neither where it is nor whether it leaves; the worker writes again at its next heartbeat); an unreadable operator's row leaves the one before in force; an unreadable lease is taken with a fencing number above its row's version, which no earlier grant reached; a job whose head is unreadable is answered 503.

Ruled out: a row's envelope is decoded with the page by the store's client, and an unreadable page is a refusal that is read again; only the store writes it.

--- a/src/tamarackshelf/cli/node.py
+++ b/src/tamarackshelf/cli/node.py
@@ -116,7 +116,7 @@
         PlatformTargetClient(paths, limits),
         paths,
         limits,
-        build_platform_tables(checks_fencing=settings.targets_check_fencing),
+        build_platform_tables(metrics, checks_fencing=settings.targets_check_fencing),
         HandlerFactories(_build_callers, build_resolve_handler, build_ready_handler),
         (http, targets_http, relay_http),
         timeline,
--- a/src/tamarackshelf/contracts/calls.py
+++ b/src/tamarackshelf/contracts/calls.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from tamarackshelf.decoding import InvalidInput, decode_json
 from tamarackshelf.net import ConnectionLost, HttpClient, decode_error
 from tamarackshelf.world import Address
 
@@ -57,8 +58,8 @@
     if response.status != 200:
         raise_target_error(address, response.status, response.body)
     try:
-        return msgspec.json.decode(response.body, type=kind)
-    except msgspec.DecodeError as error:
+        return decode_json(response.body, kind)
+    except InvalidInput as error:
         raise ConnectionLost(f"{address} sent an invalid response: {error}") from error
 
 
--- a/src/tamarackshelf/contracts/engine.py
+++ b/src/tamarackshelf/contracts/engine.py
@@ -16,6 +16,7 @@
     call_json,
     raise_target_error,
 )
+from tamarackshelf.decoding import InvalidInput, decode_json
 from tamarackshelf.net import ConnectionLost, HttpClient
 from tamarackshelf.world import Address
 
@@ -213,16 +214,14 @@
 
 def _decode_line(address: Address, text: bytes, request_id: str) -> StreamLine:
     try:
-        line = _LINE_DECODER.decode(text)
-    except msgspec.DecodeError as error:
+        line = decode_json(text, StreamLine)
+    except InvalidInput as error:
         raise ConnectionLost(f"{address} sent an invalid line: {error}") from error
     if line.request_id != request_id:
         raise ConnectionLost(f"{address} sent a line of request {line.request_id}")
     return line
 
 
-_LINE_DECODER = msgspec.json.Decoder(StreamLine)
-
 __all__ = [
     "CacheEvent",
     "Chunk",
--- a/src/tamarackshelf/contracts/rows.py
+++ b/src/tamarackshelf/contracts/rows.py
@@ -126,6 +126,10 @@
     """No response came; a write may still take effect, so read the row to find out."""
 
 
+class RowUnreadable(RowStoreError):
+    """A stored row cannot be decoded; nothing is known of what it should hold."""
+
+
 class RowConflict(RowStoreError):
     """A condition failed; `rows` holds the stored rows that the conditions name."""
 
@@ -171,6 +175,7 @@
     "RowStore",
     "RowStoreError",
     "RowTransaction",
+    "RowUnreadable",
     "RowWrite",
     "StoreOutcomeUnknown",
     "StoreRefused",
--- a/src/tamarackshelf/entry/streamer.py
+++ b/src/tamarackshelf/entry/streamer.py
@@ -16,6 +16,7 @@
     StreamHead,
     TargetClient,
 )
+from tamarackshelf.decoding import InvalidInput, parse_number
 from tamarackshelf.entry.forwarder import RETRY_AFTER_S
 from tamarackshelf.entry.planned_stop import PlannedStop
 from tamarackshelf.errors import AnswerLost, NoTarget
@@ -442,8 +443,10 @@
 
 def _parse_last_event_id(request: ForwardedRequest) -> int | None:
     """Return the event after which the caller asks the stream to go on."""
-    text = request.http.headers.get("last-event-id", "")
-    return int(text) if text.isascii() and text.isdigit() else None
+    try:
+        return parse_number(request.http.headers.get("last-event-id", ""))
+    except InvalidInput:
+        return None
 
 
 def _now_s() -> float:
--- a/src/tamarackshelf/gossip/link.py
+++ b/src/tamarackshelf/gossip/link.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from tamarackshelf.decoding import InvalidInput, decode_msgpack
 from tamarackshelf.policy.membership import Datagram
 from tamarackshelf.world import Address
 
@@ -103,8 +104,8 @@
     if abs(wall_ms - sent_ms) > REPLAY_WINDOW_MS:
         return None
     try:
-        return _DECODER.decode(body[TIMESTAMP_BYTES:])
-    except msgspec.DecodeError:
+        return decode_msgpack(body[TIMESTAMP_BYTES:], Datagram)
+    except InvalidInput:
         return None
 
 
@@ -112,6 +113,4 @@
     return hashlib.blake2b(body, key=key[:64], digest_size=DIGEST_BYTES).digest()
 
 
-_DECODER = msgspec.msgpack.Decoder(Datagram)
-
 __all__ = ["GossipLink", "decode_signed", "encode_signed"]
--- a/src/tamarackshelf/jobs/manager.py
+++ b/src/tamarackshelf/jobs/manager.py
@@ -6,14 +6,14 @@
 from collections.abc import Mapping
 from dataclasses import replace
 
-import msgspec
-
 from tamarackshelf.contracts.rows import (
     RowChange,
     RowStoreError,
+    RowUnreadable,
     StoreOutcomeUnknown,
     StoreRefused,
 )
+from tamarackshelf.decoding import InvalidInput
 from tamarackshelf.errors import OutcomeUnknown, StoreUnavailable
 from tamarackshelf.jobs.adoption import JobAdoption
 from tamarackshelf.jobs.handover import JobHandovers
@@ -142,6 +142,11 @@
                 try:
                     stored = await self._store.read_head(job_id)
                     break
+                except RowUnreadable as error:
+                    # The job's next write finds out whether it is still this node's.
+                    self._timeline.record("job_unverified", job_id, str(error))
+                    stored = None
+                    break
                 except RowStoreError as error:
                     self._timeline.record("job_unverified", job_id, str(error))
                     await asyncio.sleep(POLL_INTERVAL_S)
@@ -235,7 +240,7 @@
                 continue
             try:
                 head = decode_head(change.value)
-            except msgspec.DecodeError as error:
+            except InvalidInput as error:
                 self._timeline.record("row_unreadable", change.at.part, str(error))
                 continue
             stored = StoredHead(change.at.part, head, change.version)
--- a/src/tamarackshelf/net/http_types.py
+++ b/src/tamarackshelf/net/http_types.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from tamarackshelf.decoding import InvalidInput, decode_json
 from tamarackshelf.errors import BadRequest, ErrorBody, ShelfError, to_error_body
 
 T = TypeVar("T")
@@ -33,8 +34,8 @@
     def decode(self, kind: type[T]) -> T:
         """Decode the JSON body; raise BadRequest with the reason if it is invalid."""
         try:
-            return msgspec.json.decode(self.body, type=kind)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return decode_json(self.body, kind)
+        except InvalidInput as error:
             raise BadRequest(
                 f"the body is not valid: {error}; send the JSON that "
                 "docs/reference describes"
@@ -68,8 +69,8 @@
 def decode_error(body: bytes) -> ErrorBody | None:
     """Decode an error body; return None if the bytes are not an error body."""
     try:
-        return msgspec.json.decode(body, type=ErrorBody)
-    except (msgspec.DecodeError, UnicodeDecodeError):
+        return decode_json(body, ErrorBody)
+    except InvalidInput:
         return None
 
 
--- a/src/tamarackshelf/net/rpc.py
+++ b/src/tamarackshelf/net/rpc.py
@@ -10,6 +10,7 @@
 import grpc
 import msgspec
 
+from tamarackshelf.decoding import decode_msgpack
 from tamarackshelf.errors import ShelfError
 from tamarackshelf.world import Address
 
@@ -130,7 +131,7 @@
 
 
 def _build_decoder(kind: type[T]) -> Callable[[bytes], T]:
-    return msgspec.msgpack.Decoder(kind).decode
+    return lambda data: decode_msgpack(data, kind)
 
 
 _OPTIONS = [
--- a/src/tamarackshelf/node/fleet.py
+++ b/src/tamarackshelf/node/fleet.py
@@ -6,9 +6,8 @@
 import random
 from collections.abc import Callable
 
-import msgspec
-
 from tamarackshelf.contracts.rows import RowChange, RowKey
+from tamarackshelf.decoding import InvalidInput
 from tamarackshelf.gossip.link import GossipLink
 from tamarackshelf.gossip.task import GossipSettings, GossipTask
 from tamarackshelf.net import ConnectFailed, ConnectionLost, HttpClient
@@ -180,7 +179,7 @@
             return
         try:
             record = decode_node(change.value)
-        except msgspec.DecodeError as error:
+        except InvalidInput as error:
             self._timeline.record("row_unreadable", f"{NODE_TABLE}/{name}", str(error))
             return
         known = self._records.get(name)
--- a/src/tamarackshelf/node/leaving_targets.py
+++ b/src/tamarackshelf/node/leaving_targets.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import logging
+
+from tamarackshelf.decoding import InvalidInput, parse_number
 from tamarackshelf.node.fleet import Fleet
 from tamarackshelf.node.targets import TargetRegistry
 from tamarackshelf.policy.rumours import Rumour
@@ -11,6 +14,8 @@
 # that got the response.
 LEAVING_PREFIX = "leaving:"
 
+log = logging.getLogger("tamarackshelf")
+
 
 class LeavingTargets:
     """Records targets that leave and tells the other nodes by gossip.
@@ -51,9 +56,14 @@
     def _receive_rumour(self, rumour: Rumour) -> None:
         subject = rumour.subject.removeprefix(LEAVING_PREFIX)
         name, _, incarnation = subject.rpartition("/")
-        if incarnation.isdecimal():
-            reason = f"its responses to {rumour.value} say so"
-            self._targets.record_leaving(name, int(incarnation), reason)
+        try:
+            number = parse_number(incarnation)
+        except InvalidInput as error:
+            event = {"subject": rumour.subject, "reason": str(error)}
+            log.warning("rumour_unreadable", extra={"event": event})
+            return
+        reason = f"its responses to {rumour.value} say so"
+        self._targets.record_leaving(name, number, reason)
 
 
 __all__ = ["LEAVING_PREFIX", "LeavingTargets"]
--- a/src/tamarackshelf/node/peer_api.py
+++ b/src/tamarackshelf/node/peer_api.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from tamarackshelf.decoding import InvalidInput, decode_msgpack
 from tamarackshelf.errors import BadRequest
 from tamarackshelf.gossip.task import GossipTask
 from tamarackshelf.jobs.manager import JobManager
@@ -85,7 +86,7 @@
             return Response(404)
         try:
             return await handler(request)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except InvalidInput as error:
             raise BadRequest(
                 f"{request.path} cannot read the request body: {error}; "
                 "run the same release on all nodes"
@@ -98,40 +99,40 @@
         return await answer_relay(self._store, request.body)
 
     async def _read_job(self, request: Request) -> Response:
-        read = msgspec.msgpack.decode(request.body, type=JobReadRequest)
+        read = decode_msgpack(request.body, JobReadRequest)
         answer = self._jobs.reader.read_owned(read)
         return Response(200, msgspec.msgpack.encode(answer))
 
     async def _accept_job(self, request: Request) -> Response:
-        handover = msgspec.msgpack.decode(request.body, type=JobHandover)
+        handover = decode_msgpack(request.body, JobHandover)
         return Response(200 if self._jobs.handovers.accept(handover) else 409)
 
     async def _answer_permit_request(self, request: Request) -> Response:
-        asked = msgspec.msgpack.decode(request.body, type=PermitRequest)
+        asked = decode_msgpack(request.body, PermitRequest)
         answer = self._limits.answer_permit_request(asked)
         return Response(200, msgspec.msgpack.encode(answer))
 
     async def _accept_crash(self, request: Request) -> Response:
-        self._quarantine.accept_crash(msgspec.msgpack.decode(request.body, type=Crash))
+        self._quarantine.accept_crash(decode_msgpack(request.body, Crash))
         return Response(200)
 
     async def _isolate(self, request: Request) -> Response:
-        asked = msgspec.msgpack.decode(request.body, type=IsolationRequest)
+        asked = decode_msgpack(request.body, IsolationRequest)
         answer = self._quarantine.answer_isolation(asked)
         return Response(200, msgspec.msgpack.encode(answer))
 
     async def _release_isolation(self, request: Request) -> Response:
-        release = msgspec.msgpack.decode(request.body, type=IsolationRelease)
+        release = decode_msgpack(request.body, IsolationRelease)
         self._quarantine.accept_release(release)
         return Response(200)
 
     async def _accept_origin(self, request: Request) -> Response:
-        origin = msgspec.msgpack.decode(request.body, type=StreamOrigin)
+        origin = decode_msgpack(request.body, StreamOrigin)
         self._origins.accept(origin)
         return Response(200)
 
     async def _find_origin(self, request: Request) -> Response:
-        attempt_id = msgspec.msgpack.decode(request.body, type=str)
+        attempt_id = decode_msgpack(request.body, str)
         answer = self._origins.answer(attempt_id)
         return Response(200, msgspec.msgpack.encode(answer))
 
--- a/src/tamarackshelf/node/peer_jobs.py
+++ b/src/tamarackshelf/node/peer_jobs.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import enum
+import logging
 from dataclasses import dataclass
 
 import msgspec
 
+from tamarackshelf.decoding import InvalidInput, decode_msgpack
 from tamarackshelf.net import ConnectFailed, ConnectionLost, HttpClient
 from tamarackshelf.store.job_store import StoredHead
 from tamarackshelf.world import Address
@@ -22,6 +24,8 @@
 # for a page.
 READ_TIMEOUT_S = 0.6
 
+log = logging.getLogger("tamarackshelf")
+
 
 @dataclass(frozen=True, slots=True)
 class JobReadRequest:
@@ -116,7 +120,12 @@
         return JobReadAnswer(is_owner=False)
     if answer.status != 200:
         return JobReadAnswer(is_owner=False)
-    return msgspec.msgpack.decode(answer.body, type=JobReadAnswer)
+    try:
+        return decode_msgpack(answer.body, JobReadAnswer)
+    except InvalidInput as error:
+        event = {"peer": str(address), "reason": str(error)}
+        log.warning("peer_answer_unreadable", extra={"event": event})
+        return JobReadAnswer(is_owner=False)
 
 
 __all__ = [
--- a/src/tamarackshelf/node/peer_paths.py
+++ b/src/tamarackshelf/node/peer_paths.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from tamarackshelf.decoding import InvalidInput, decode_json
 from tamarackshelf.node.fleet import Fleet
 from tamarackshelf.observe import Timeline
 from tamarackshelf.policy.rumours import Rumour
@@ -106,8 +107,8 @@
             self._heard.pop(vm, None)
             return
         try:
-            news = msgspec.json.decode(rumour.value, type=CutOffNews)
-        except msgspec.DecodeError as error:
+            news = decode_json(rumour.value.encode(), CutOffNews)
+        except InvalidInput as error:
             self._timeline.record("rumour_unreadable", rumour.subject, str(error))
             return
         known = self.find(vm)
--- a/src/tamarackshelf/node/peer_store.py
+++ b/src/tamarackshelf/node/peer_store.py
@@ -21,6 +21,7 @@
     StoreOutcomeUnknown,
     StoreRefused,
 )
+from tamarackshelf.decoding import InvalidInput, decode_msgpack
 from tamarackshelf.net import ConnectFailed, ConnectionLost, HttpClient, Response
 from tamarackshelf.store.failover import FailoverStore
 from tamarackshelf.world import Address
@@ -124,14 +125,18 @@
             raise StoreOutcomeUnknown(str(error)) from error
         if answer.status != 200:
             raise StoreRefused(f"peer {self._address} answered status {answer.status}")
-        relayed = msgspec.msgpack.decode(answer.body, type=RelayAnswer)
+        try:
+            relayed = decode_msgpack(answer.body, RelayAnswer)
+        except InvalidInput as error:
+            reason = f"peer {self._address} gave an unreadable answer: {error}"
+            raise StoreOutcomeUnknown(reason) from error
         _raise_for_outcome(relayed)
         return relayed
 
 
 async def answer_relay(row_store: FailoverStore, body: bytes) -> Response:
     """Carry out a peer's call at the store directly, never through another peer."""
-    request = msgspec.msgpack.decode(body, type=RelayRequest)
+    request = decode_msgpack(body, RelayRequest)
     try:
         answer = await _call_store(row_store, request)
     except RowConflict as error:
--- a/src/tamarackshelf/node/permits.py
+++ b/src/tamarackshelf/node/permits.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from tamarackshelf.decoding import InvalidInput, decode_msgpack
 from tamarackshelf.net import ConnectFailed, ConnectionLost, HttpClient
 from tamarackshelf.node.fleet import Fleet
 from tamarackshelf.policy.ownership import find_owner
@@ -143,12 +144,12 @@
             resend=False,
         )
         if answer.status == 200:
-            return msgspec.msgpack.decode(answer.body, type=PermitAnswer)
+            return decode_msgpack(answer.body, PermitAnswer)
         reason = f"{arbiter.vm} answered status {answer.status}"
     except (ConnectFailed, ConnectionLost) as error:
         http.close_idle_connections(arbiter.peers)
         reason = f"{arbiter.vm} grants the permits and gave no answer: {error}"
-    except msgspec.DecodeError as error:
+    except InvalidInput as error:
         reason = f"{arbiter.vm} gave an unreadable answer: {error}"
     return PermitAnswer(False, reason, ARBITER_RETRY_S, ARBITER_RETRY_S)
 
--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -57,6 +57,7 @@
     FEED_WAIT_S,
     MAX_FEED_WAIT_S,
     TableWatch,
+    notify_of_rows,
 )
 from tamarackshelf.tasks import start_task, stop_tasks
 from tamarackshelf.world import EntryVm
@@ -434,7 +435,8 @@
                 RowChange(row.at, row.value, row.version) for row in watch.rows.values()
             )
             watch.on_change(listener)
-            listener(rows)
+            if rows:
+                notify_of_rows(listener, rows)
 
     def _get_gossip(self) -> GossipTask | None:
         return None if self.fleet is None else self.fleet.gossip
--- a/src/tamarackshelf/node/quarantine.py
+++ b/src/tamarackshelf/node/quarantine.py
@@ -7,8 +7,6 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
-import msgspec
-
 from tamarackshelf.contracts.rows import RowChange, RowKey, RowStore, RowStoreError
 from tamarackshelf.contracts.targets import (
     ConnectionBroken,
@@ -16,6 +14,7 @@
     OutcomeUnknown,
     TargetClient,
 )
+from tamarackshelf.decoding import InvalidInput
 from tamarackshelf.errors import AnswerLost, QuarantinedNotRun
 from tamarackshelf.node.fleet import Fleet
 from tamarackshelf.node.targets import TargetRegistry
@@ -352,7 +351,7 @@
                 continue
             try:
                 crashes.append(decode_crash(change.value))
-            except msgspec.DecodeError as error:
+            except InvalidInput as error:
                 self._timeline.record("row_unreadable", change.at.key, str(error))
         # The history drops what was recorded first.
         for crash in sorted(crashes, key=lambda crash: crash.at_ms):
--- a/src/tamarackshelf/node/quarantine_peers.py
+++ b/src/tamarackshelf/node/quarantine_peers.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from tamarackshelf.decoding import InvalidInput, decode_msgpack
 from tamarackshelf.net import ClientResponse, ConnectFailed, ConnectionLost, HttpClient
 from tamarackshelf.node.fleet import Fleet
 from tamarackshelf.observe import Timeline
@@ -55,8 +56,8 @@
         if answer is None:
             return None
         try:
-            return msgspec.msgpack.decode(answer.body, type=IsolationAnswer)
-        except msgspec.DecodeError as error:
+            return decode_msgpack(answer.body, IsolationAnswer)
+        except InvalidInput as error:
             self._record_failure(address, ISOLATE_PATH, str(error))
             return None
 
--- a/src/tamarackshelf/node/stream_origins.py
+++ b/src/tamarackshelf/node/stream_origins.py
@@ -19,6 +19,7 @@
     RowWrite,
 )
 from tamarackshelf.contracts.targets import Resumption
+from tamarackshelf.decoding import InvalidInput, decode_msgpack
 from tamarackshelf.net import ConnectFailed, ConnectionLost, HttpClient
 from tamarackshelf.node.fleet import Fleet
 from tamarackshelf.node.targets import TargetRegistry
@@ -245,8 +246,8 @@
         if body is None:
             return None
         try:
-            return msgspec.msgpack.decode(body, type=OriginAnswer)
-        except msgspec.DecodeError as error:
+            return decode_msgpack(body, OriginAnswer)
+        except InvalidInput as error:
             reason = f"its answer cannot be read: {error}"
             self._timeline.record("peer_call_failed", home.vm, reason)
             return None
@@ -290,8 +291,8 @@
             return False
         for row in page.rows:
             try:
-                span = msgspec.msgpack.decode(row.value, type=SoftwareSpan)
-            except msgspec.DecodeError as error:
+                span = decode_msgpack(row.value, SoftwareSpan)
+            except InvalidInput as error:
                 self._timeline.record("row_unreadable", row.at.key, str(error))
                 continue
             if span.last_s + RENEW_INTERVAL_S >= self._oldest_s():
--- a/src/tamarackshelf/node/target_relay.py
+++ b/src/tamarackshelf/node/target_relay.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from tamarackshelf.contracts.targets import TargetCall, TargetStream
+from tamarackshelf.decoding import InvalidInput, decode_msgpack
 from tamarackshelf.net import (
     ConnectFailed,
     ConnectionLost,
@@ -146,16 +147,22 @@
             raise PeerDeclined(str(error)) from error
         outcome = response.headers.get(OUTCOME_HEADER)
         if outcome == TargetCallOutcome.ANSWERED:
-            head = base64.b64decode(response.headers[HEAD_HEADER])
-            status, headers = msgspec.msgpack.decode(
-                head, type=tuple[int, dict[str, str]]
-            )
+            status, headers = _decode_head(peer, response.headers)
             yield RelayedStream(response, status, headers)
             return
         text = b"".join([chunk async for chunk in response.chunks()])
         _raise_for_outcome(peer, outcome, text.decode("utf-8", "replace"))
 
 
+def _decode_head(peer: Address, headers: dict[str, str]) -> tuple[int, dict[str, str]]:
+    """Decode the head of the target's response; raise ConnectionLost if it is none."""
+    try:
+        head = base64.b64decode(headers.get(HEAD_HEADER, ""))
+        return decode_msgpack(head, tuple[int, dict[str, str]])
+    except ValueError as error:
+        raise ConnectionLost(f"{peer} relayed an unreadable head: {error}") from error
+
+
 async def ask_for_verdict(
     http: HttpClient, peer: Address, target: Target
 ) -> TargetVerdict:
@@ -166,8 +173,8 @@
             peer, "POST", TARGET_VERDICT_PATH, body=body, timeout_s=VERDICT_TIMEOUT_S
         )
         if answer.status == 200:
-            return msgspec.msgpack.decode(answer.body, type=TargetVerdict)
-    except (ConnectFailed, ConnectionLost, msgspec.DecodeError):
+            return decode_msgpack(answer.body, TargetVerdict)
+    except (ConnectFailed, ConnectionLost, InvalidInput):
         # The caller logs the verdicts of all peers.
         pass
     return TargetVerdict.UNCERTAIN
@@ -203,7 +210,7 @@
 
     async def answer(self, request: Request) -> Response:
         """Make a peer's call and return a response that copies the target's."""
-        relayed = msgspec.msgpack.decode(request.body, type=RelayedCall)
+        relayed = decode_msgpack(request.body, RelayedCall)
         target, reason = self._find_target(relayed)
         if target is None:
             return _decline(TargetCallOutcome.DECLINED, reason)
@@ -231,7 +238,7 @@
 
     async def answer_verdict(self, request: Request) -> Response:
         """Tell a peer what this node sees of a target."""
-        asked = msgspec.msgpack.decode(request.body, type=VerdictRequest)
+        asked = decode_msgpack(request.body, VerdictRequest)
         state = self._targets.get(asked.target)
         verdict = TargetVerdict.UNCERTAIN
         if state is not None and state.target.incarnation == asked.incarnation:
--- a/src/tamarackshelf/platform/caller_api.py
+++ b/src/tamarackshelf/platform/caller_api.py
@@ -17,6 +17,7 @@
     StreamHead,
     TargetResponse,
 )
+from tamarackshelf.decoding import InvalidInput, parse_number
 from tamarackshelf.entry.forwarder import Forwarder
 from tamarackshelf.entry.streamer import Streamer
 from tamarackshelf.errors import BadRequest, NotFound, NotReady, ShelfError
@@ -199,7 +200,11 @@
         score_call = ScoreCall(call.id, call.host, call.path, _to_bytes(call.body))
     headers = {name.lower(): value for name, value in item.headers.items()}
     hint = headers.get("x-length-hint", "")
-    expected = int(hint) if hint.isdigit() else item.tokens
+    try:
+        expected = parse_number(hint)
+    except InvalidInput:
+        # Callers need not send an estimate.
+        expected = item.tokens
     return JobItem(
         item_id=item.id,
         path=item.path,
@@ -271,9 +276,12 @@
 
 def _parse_after(request: Request) -> int:
     text = request.parameter("after", "0")
-    if not text.isdigit():
-        raise BadRequest("`after` is the position of a result; send a whole number")
-    return int(text)
+    try:
+        return parse_number(text)
+    except InvalidInput as error:
+        raise BadRequest(
+            f"`after` is the position of a result: {error}; send a whole number"
+        ) from error
 
 
 def _now_s() -> float:
--- a/src/tamarackshelf/platform/records.py
+++ b/src/tamarackshelf/platform/records.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+import ipaddress
 import logging
 import math
-from typing import Any
+from typing import Annotated, TypeVar
 
 import msgspec
 
 from tamarackshelf.contracts.targets import TargetRecord
-from tamarackshelf.world import Target, TargetKind, parse_address
+from tamarackshelf.decoding import Int64, InvalidInput, decode_json
+from tamarackshelf.world import Address, Target, TargetKind, parse_address
 from tamarackshelf.world.route import (
     CallerLimits,
     Route,
@@ -33,19 +35,38 @@
     "rollout": RouteKind.JOB,
 }
 
+# The platform's bound for keys of rows, which contain some of these names.
+MAX_NAME_CHARACTERS = 200
+MAX_MODELS = 100
+# A larger number of places is a mistake; its worker would be given all the work.
+MAX_CAPACITY = 10_000
+# Larger whole numbers are not exact in the JSON of every writer.
+MAX_EXACT_NUMBER = 2**53 - 1
+# More than a year in milliseconds, and a finite number of them.
+MAX_DURATION_MS = 1e11
+
 log = logging.getLogger("tamarackshelf")
 
+Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARACTERS)]
+Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_EXACT_NUMBER)]
+Capacity = Annotated[int, msgspec.Meta(ge=1, le=MAX_CAPACITY)]
+Duration = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_DURATION_MS)]
+Weight = Annotated[float, msgspec.Meta(ge=0.0, le=float(MAX_EXACT_NUMBER))]
+
+T = TypeVar("T")
+
 
 class UnreadableRecord(Exception):
     """The row's value is invalid.
 
-    A worker's row then counts as deleted; an operator's row is ignored.
+    A worker's row then counts as deleted, as it says neither where the worker is nor
+    whether it leaves; an operator's row is ignored, so that the one before it holds.
     """
 
 
 class _Split(msgspec.Struct):
-    upstream: str
-    weight: float = 1.0
+    upstream: Name
+    weight: Weight = 1.0
 
 
 class _Route(msgspec.Struct, rename="camel"):
@@ -54,22 +75,22 @@
     path_prefix: str
     route_type: str
     # Longest time that the operator allows a request to wait.
-    timeout_ms: float = 10_000.0
+    timeout_ms: Duration = 10_000.0
     # Response time up to which a response earns full credit; not a limit.
-    target_latency_ms: float = 1_000.0
-    priority: int = 5
-    upstream: str = ""
+    target_latency_ms: Duration = 1_000.0
+    priority: Int64 = 5
+    upstream: Name = ""
     traffic_split: list[_Split] = []
     # Maximum number of workers to which one request of a caller may be sent.
-    max_attempts: int = 1
+    max_attempts: Int64 = 1
     resumable: bool = False
     single_version: bool = False
-    due_ms: float = 0.0
-    max_wait_s: float = 0.0
+    due_ms: Duration = 0.0
+    max_wait_s: Duration = 0.0
 
 
 class _Model(msgspec.Struct):
-    name: str
+    name: Name
 
 
 class _Backend(msgspec.Struct):
@@ -77,21 +98,21 @@
 
 
 class _Upstream(msgspec.Struct, rename="camel"):
-    name: str
+    name: Name
     # A worker counts the connections that it has from all VMs together.
-    max_connections: int = 100
+    max_connections: Number = 100
     backend: _Backend | None = None
 
 
 class _Limits(msgspec.Struct, rename="camel"):
-    max_header_bytes: int = 16 * 1024
-    max_body_bytes: int = 32 * 1024 * 1024
-    header_timeout_ms: float = 3_000.0
-    idle_timeout_ms: float = 15_000.0
+    max_header_bytes: Number = 16 * 1024
+    max_body_bytes: Number = 32 * 1024 * 1024
+    header_timeout_ms: Duration = 3_000.0
+    idle_timeout_ms: Duration = 15_000.0
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: Number
     routes: list[_Route] = []
     # The platform calls a service an upstream.
     upstreams: list[_Upstream] = []
@@ -99,28 +120,28 @@
 
 
 class _LoadedModel(msgspec.Struct):
-    name: str
-    version: int
+    name: Name
+    version: Number
 
 
 class _Worker(msgspec.Struct, rename="camel"):
-    upstream: str
-    address: str
-    zone: str
-    state: str
-    capacity: int = 1
+    upstream: Name
+    address: Name
+    zone: Name
+    state: Name
+    capacity: Capacity = 1
     # Start time in Unix milliseconds; it changes when a worker with this id restarts.
-    born: int = 0
-    models: list[_LoadedModel] = []
+    born: Number = 0
+    models: Annotated[list[_LoadedModel], msgspec.Meta(max_length=MAX_MODELS)] = []
     # Version of the worker's software; the weight versions are those in `models`.
-    version: str = ""
+    version: Name = ""
     # The row's `sequence` is not decoded: it counts heartbeats, whereas `sequence` in a
     # worker's report counts orders.
 
 
 class _ModelVersion(msgspec.Struct):
-    model: str
-    version: int
+    model: Name
+    version: Number
 
 
 def decode_configuration(value: bytes) -> RoutingConfiguration:
@@ -139,15 +160,13 @@
 
 def decode_target(name: str, value: bytes, *, checks_fencing: bool) -> TargetRecord:
     """Decode the row of a worker; raise UnreadableRecord if it is invalid."""
+    if not (name and name.isascii() and name.isprintable()):
+        # Requests name the worker in a header.
+        raise UnreadableRecord(f"the worker's id {name!r} is not plain text")
     record = _decode(value, _Worker)
     if record.state not in ("ready", "draining"):
         raise UnreadableRecord(f"the worker's state {record.state!r} is unknown")
-    if record.capacity < 1:
-        raise UnreadableRecord(f"the worker's capacity {record.capacity} is below 1")
-    try:
-        address = parse_address(record.address)
-    except ValueError as error:
-        raise UnreadableRecord(str(error)) from error
+    address = _parse_worker_address(record.address)
     target = Target(
         name=name,
         service=record.upstream,
@@ -206,10 +225,22 @@
     return Service(record.name, record.max_connections, names)
 
 
-def _decode(value: bytes, kind: Any) -> Any:
+def _parse_worker_address(text: str) -> Address:
+    """Parse an address that can be connected to; raise UnreadableRecord if not."""
+    try:
+        address = parse_address(text)
+    except ValueError as error:
+        raise UnreadableRecord(f"the worker's address: {error}") from error
+    host = ipaddress.ip_address(address.host)
+    if address.port == 0 or host.is_unspecified or host.is_multicast:
+        raise UnreadableRecord(f"the worker's address {text} cannot be called")
+    return address
+
+
+def _decode(value: bytes, kind: type[T]) -> T:
     try:
-        return msgspec.json.decode(value, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode_json(value, kind)
+    except InvalidInput as error:
         raise UnreadableRecord(str(error)) from error
 
 
--- a/src/tamarackshelf/platform/row_handlers.py
+++ b/src/tamarackshelf/platform/row_handlers.py
@@ -9,6 +9,7 @@
 from tamarackshelf.node.program import PlatformTables, RowListener
 from tamarackshelf.node.targets import TargetRegistry
 from tamarackshelf.node.weights import WeightCoordinator
+from tamarackshelf.observe import Metrics
 from tamarackshelf.platform.records import (
     CONFIGURATION_KEY,
     OPERATOR_TABLE,
@@ -23,12 +24,17 @@
 log = logging.getLogger("tamarackshelf")
 
 
-def build_platform_tables(*, checks_fencing: bool) -> PlatformTables:
+def build_platform_tables(metrics: Metrics, *, checks_fencing: bool) -> PlatformTables:
     """Return the platform's tables and the listeners that decode their row changes.
 
     `checks_fencing` says whether the workers check fencing numbers of orders.
     """
 
+    def report_unreadable(change: RowChange, error: UnreadableRecord) -> None:
+        metrics.count("rows_unreadable")
+        event = {"row": f"{change.at.table}/{change.at.key}", "reason": str(error)}
+        log.warning("row_unreadable", extra={"event": event})
+
     def build_target_listener(registry: TargetRegistry) -> RowListener:
         def handle(changes: tuple[RowChange, ...]) -> None:
             for change in changes:
@@ -42,42 +48,36 @@
                         decode_target(name, value, checks_fencing=checks_fencing)
                     )
                 except UnreadableRecord as error:
-                    _log_unreadable(change, error)
+                    report_unreadable(change, error)
                     registry.remove(name)
 
         return handle
 
+    def build_operator_listener(
+        view: ConfigurationView, weights: WeightCoordinator
+    ) -> RowListener:
+        def handle(changes: tuple[RowChange, ...]) -> None:
+            for change in changes:
+                if change.value is None:
+                    continue
+                try:
+                    if change.at.key == CONFIGURATION_KEY:
+                        view.update(decode_configuration(change.value))
+                    elif change.at.key.startswith(VERSION_KEY_PREFIX):
+                        weights.record_announced_version(
+                            *decode_model_version(change.value)
+                        )
+                except UnreadableRecord as error:
+                    report_unreadable(change, error)
+
+        return handle
+
     return PlatformTables(
         operator_table=OPERATOR_TABLE,
         targets_table=TARGETS_TABLE,
-        build_operator_listener=_build_operator_listener,
+        build_operator_listener=build_operator_listener,
         build_target_listener=build_target_listener,
     )
 
 
-def _build_operator_listener(
-    view: ConfigurationView, weights: WeightCoordinator
-) -> RowListener:
-    def handle(changes: tuple[RowChange, ...]) -> None:
-        for change in changes:
-            if change.value is None:
-                continue
-            try:
-                if change.at.key == CONFIGURATION_KEY:
-                    view.update(decode_configuration(change.value))
-                elif change.at.key.startswith(VERSION_KEY_PREFIX):
-                    weights.record_announced_version(
-                        *decode_model_version(change.value)
-                    )
-            except UnreadableRecord as error:
-                _log_unreadable(change, error)
-
-    return handle
-
-
-def _log_unreadable(change: RowChange, error: UnreadableRecord) -> None:
-    event = {"row": f"{change.at.table}/{change.at.key}", "reason": str(error)}
-    log.warning("row_unreadable", extra={"event": event})
-
-
 __all__ = ["build_platform_tables"]
--- a/src/tamarackshelf/platform/rows.py
+++ b/src/tamarackshelf/platform/rows.py
@@ -23,6 +23,7 @@
     StoreOutcomeUnknown,
     StoreRefused,
 )
+from tamarackshelf.decoding import InvalidInput, decode_json
 from tamarackshelf.net import ClientResponse, ConnectFailed, ConnectionLost, HttpClient
 from tamarackshelf.world import Address
 
@@ -177,8 +178,8 @@
 
 def _decode(response: ClientResponse, kind: type[T]) -> T:
     try:
-        return msgspec.json.decode(response.body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return decode_json(response.body, kind)
+    except InvalidInput as error:
         raise StoreOutcomeUnknown(
             f"the store sent an invalid response: {error}"
         ) from error
--- a/src/tamarackshelf/platform/target_client.py
+++ b/src/tamarackshelf/platform/target_client.py
@@ -35,6 +35,7 @@
     TargetTransport,
     VersionOrder,
 )
+from tamarackshelf.decoding import InvalidInput, decode_json, parse_number
 from tamarackshelf.net import (
     ClientResponse,
     ConnectFailed,
@@ -318,8 +319,8 @@
             CallKind.REPORT, target, "GET", "/v1/report", headers, b"", timeout_s
         )
         try:
-            report = msgspec.json.decode(result.http.body, type=_Report)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            report = decode_json(result.http.body, _Report)
+        except InvalidInput as error:
             raise OutcomeUnknown(
                 f"{target.name} sent an invalid report: {error}"
             ) from error
@@ -533,8 +534,8 @@
 
 def _parse_number(text: str | None, default: int) -> int:
     try:
-        return int(text or "")
-    except ValueError:
+        return parse_number((text or "").strip())
+    except InvalidInput:
         return default
 
 
--- a/src/tamarackshelf/policy/rumours.py
+++ b/src/tamarackshelf/policy/rumours.py
@@ -8,6 +8,8 @@
 
 import xxhash
 
+from tamarackshelf.decoding import Int64
+
 SPREAD_FACTOR = 3
 # Bytes of the field names, lengths and version of one rumour in MessagePack.
 RUMOUR_OVERHEAD_BYTES = 36
@@ -18,7 +20,7 @@
     """A fact about a subject; a higher version replaces a lower one."""
 
     subject: str
-    version: int
+    version: Int64
     value: str = ""
 
 
--- a/src/tamarackshelf/store/crash_rows.py
+++ b/src/tamarackshelf/store/crash_rows.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from tamarackshelf.contracts.rows import RowKey, RowStore, RowTransaction, RowWrite
+from tamarackshelf.decoding import decode_msgpack
 from tamarackshelf.policy.quarantine import Crash
 
 CRASH_TABLE = "crash"
@@ -40,8 +41,8 @@
 
 
 def decode_crash(value: bytes) -> Crash:
-    """Decode a crash's row; raise msgspec.DecodeError if it is invalid."""
-    return msgspec.msgpack.decode(value, type=Crash)
+    """Decode a crash's row; raise InvalidInput if it is invalid."""
+    return decode_msgpack(value, Crash)
 
 
 async def _commit(store: RowStore, writes: list[RowWrite]) -> None:
--- a/src/tamarackshelf/store/fleet_rows.py
+++ b/src/tamarackshelf/store/fleet_rows.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import time
 from dataclasses import dataclass, replace
 
@@ -18,11 +19,14 @@
     RowWrite,
     StoredRow,
 )
+from tamarackshelf.decoding import InvalidInput, decode_msgpack
 from tamarackshelf.world import Address
 
 NODE_TABLE = "node"
 LEASE_TABLE = "lease"
 
+log = logging.getLogger("tamarackshelf")
+
 
 @dataclass(frozen=True, slots=True)
 class NodeRecord:
@@ -62,7 +66,7 @@
     key = RowKey(NODE_TABLE, "", record.vm)
     known = await _read_row(store, key)
     while True:
-        before = decode_node(known.value).incarnation if known else 0
+        before = _find_incarnation(known) if known else 0
         # The wall clock may have been set back since the last start.
         started = max(before + 1, record.incarnation, int(time.time() * 1000))
         record = replace(record, incarnation=started)
@@ -73,7 +77,7 @@
             return record
         except RowConflict as conflict:
             known = next((row for row in conflict.rows if row.at == key), None)
-            if known and decode_node(known.value) == record:
+            if known and _is_row_of(known, record):
                 return record
 
 
@@ -89,7 +93,10 @@
 
 
 async def read_lease(store: RowStore, name: str) -> StoredLease:
-    """Read the lease from the store; the holder is empty if there is no row."""
+    """Read the lease from the store.
+
+    The holder is empty if there is no row, or one that cannot be decoded.
+    """
     row = await _read_row(store, RowKey(LEASE_TABLE, "", name))
     if row is None:
         return StoredLease(LeaseRecord(), ABSENT_VERSION)
@@ -131,12 +138,35 @@
 
 
 def decode_node(value: bytes) -> NodeRecord:
-    """Decode a node's row; raise msgspec.DecodeError if it is invalid."""
-    return msgspec.msgpack.decode(value, type=NodeRecord)
+    """Decode a node's row; raise InvalidInput if it is invalid."""
+    return decode_msgpack(value, NodeRecord)
+
+
+def _find_incarnation(row: StoredRow) -> int:
+    try:
+        return decode_node(row.value).incarnation
+    except InvalidInput as error:
+        _log_unreadable(row, error)
+        return 0
+
+
+def _is_row_of(row: StoredRow, record: NodeRecord) -> bool:
+    return row.value == msgspec.msgpack.encode(record)
 
 
 def _decode_lease(row: StoredRow) -> LeaseRecord:
-    return msgspec.msgpack.decode(row.value, type=LeaseRecord)
+    try:
+        return decode_msgpack(row.value, LeaseRecord)
+    except InvalidInput as error:
+        _log_unreadable(row, error)
+        # Each grant raised the store's version by one at least, so no fencing number
+        # was higher than the version of the row is now.
+        return LeaseRecord(fencing_number=row.version)
+
+
+def _log_unreadable(row: StoredRow, error: InvalidInput) -> None:
+    event = {"row": f"{row.at.table}/{row.at.key}", "reason": str(error)}
+    log.warning("row_unreadable", extra={"event": event})
 
 
 async def _read_row(store: RowStore, row_key: RowKey) -> StoredRow | None:
--- a/src/tamarackshelf/store/job_store.py
+++ b/src/tamarackshelf/store/job_store.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import TypeVar
@@ -23,11 +24,13 @@
     RowStore,
     RowStoreError,
     RowTransaction,
+    RowUnreadable,
     RowWrite,
     StoredRow,
     StoreOutcomeUnknown,
     StoreRefused,
 )
+from tamarackshelf.decoding import InvalidInput, decode_msgpack
 from tamarackshelf.world.job import ItemProgress, ItemResult, Job, JobHead
 
 HEAD_TABLE = "job"
@@ -45,6 +48,8 @@
 
 T = TypeVar("T")
 
+log = logging.getLogger("tamarackshelf")
+
 
 @dataclass(frozen=True, slots=True)
 class StoredHead:
@@ -103,9 +108,17 @@
         return StoredHead(job.job_id, head, done.version)
 
     async def read_head(self, job_id: str) -> StoredHead | None:
-        """Read the head of a job; return None if there is no such job."""
+        """Read the head of a job; return None if there is no such job.
+
+        Raise RowUnreadable if there is a row that cannot be decoded, as do the other
+        methods that read rows.
+        """
         page = await self._store.read(RowQuery(HEAD_TABLE, job_id))
-        return _find_head(job_id, page.rows)
+        row = _find_head_row(job_id, page.rows)
+        if row is None:
+            return None
+        head = _decode(f"{HEAD_TABLE}/{job_id}", row.value, JobHead)
+        return StoredHead(job_id, head, row.version)
 
     async def change_head(self, stored: StoredHead, head: JobHead) -> StoredHead:
         """Replace the head; raise HeadChanged if it has changed since it was read."""
@@ -127,7 +140,7 @@
         if not rows:
             return None
         body = b"".join(row.value for row in rows)
-        return msgspec.msgpack.decode(body, type=Job)
+        return _decode(f"{BODY_TABLE}/{job_id}", body, Job)
 
     async def append_results(
         self,
@@ -207,12 +220,17 @@
             await self._store.commit(RowTransaction((condition,), tuple(batch)))
 
     async def read_progress(self, job_id: str) -> dict[str, ItemProgress]:
-        """Read the unfinished texts, by item id."""
-        rows = await self._read_all(PROGRESS_TABLE, job_id, "")
-        return {
-            row.at.key: msgspec.msgpack.decode(row.value, type=ItemProgress)
-            for row in rows
-        }
+        """Read the unfinished texts, by item id; leave out those that are unreadable.
+
+        An item without a stored text begins anew.
+        """
+        progress: dict[str, ItemProgress] = {}
+        for row in await self._read_all(PROGRESS_TABLE, job_id, ""):
+            try:
+                progress[row.at.key] = decode_msgpack(row.value, ItemProgress)
+            except InvalidInput as error:
+                _log_unreadable(row.at, error)
+        return progress
 
     async def delete(self, stored: StoredHead) -> None:
         """Delete a job, its head last; raise HeadChanged if the head has changed."""
@@ -251,8 +269,8 @@
 
 
 def decode_head(row_value: bytes) -> JobHead:
-    """Decode the row of a head; raise ValueError if it is invalid."""
-    return msgspec.msgpack.decode(row_value, type=JobHead)
+    """Decode the row of a head; raise InvalidInput if it is invalid."""
+    return decode_msgpack(row_value, JobHead)
 
 
 def _head_key(job_id: str) -> RowKey:
@@ -260,10 +278,31 @@
 
 
 def _find_head(job_id: str, rows: Iterable[StoredRow]) -> StoredHead | None:
-    for row in rows:
-        if row.at == _head_key(job_id):
-            return StoredHead(job_id, decode_head(row.value), row.version)
-    return None
+    """Return the head that made a condition fail; an unreadable one counts as none."""
+    row = _find_head_row(job_id, rows)
+    if row is None:
+        return None
+    try:
+        return StoredHead(job_id, decode_head(row.value), row.version)
+    except InvalidInput as error:
+        _log_unreadable(row.at, error)
+        return None
+
+
+def _find_head_row(job_id: str, rows: Iterable[StoredRow]) -> StoredRow | None:
+    return next((row for row in rows if row.at == _head_key(job_id)), None)
+
+
+def _decode(name: str, value: bytes, kind: type[T]) -> T:
+    try:
+        return decode_msgpack(value, kind)
+    except InvalidInput as error:
+        raise RowUnreadable(f"{name} cannot be decoded: {error}") from error
+
+
+def _log_unreadable(at: RowKey, error: InvalidInput) -> None:
+    event = {"row": f"{at.table}/{at.part}/{at.key}", "reason": str(error)}
+    log.warning("row_unreadable", extra={"event": event})
 
 
 def _holds_all(writes: list[RowWrite], rows: Iterable[StoredRow]) -> bool:
@@ -281,7 +320,7 @@
     if may_be_truncated and len(values) > 1:
         # The last result may continue on the next page.
         values.pop()
-    return [msgspec.msgpack.decode(value, type=ItemResult) for value in values]
+    return [_decode(RESULT_TABLE, value, ItemResult) for value in values]
 
 
 def _split_chunks(data: bytes, size: int) -> list[bytes]:
--- a/src/tamarackshelf/store/table_watch.py
+++ b/src/tamarackshelf/store/table_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable, Iterable
 
 from tamarackshelf.contracts.rows import (
@@ -28,6 +29,8 @@
 
 Listener = Callable[[tuple[RowChange, ...]], None]
 
+log = logging.getLogger("tamarackshelf")
+
 
 class TableWatch:
     """Copy of the rows of one table; a row never goes back to an older version.
@@ -69,7 +72,7 @@
         applied = tuple(change for change in changes if self._apply(change))
         if applied:
             for listener in self._listeners:
-                listener(applied)
+                notify_of_rows(listener, applied)
 
     async def _run(self) -> None:
         while True:
@@ -132,4 +135,21 @@
         return True
 
 
-__all__ = ["FEED_WAIT_S", "MAX_FEED_WAIT_S", "TableWatch"]
+def notify_of_rows(listener: Listener, changes: tuple[RowChange, ...]) -> None:
+    """Pass changes to a listener; one that it fails at does not cost it the others.
+
+    Listeners may be told of the same change twice.
+    """
+    try:
+        listener(changes)
+    except Exception:
+        if len(changes) > 1:
+            for change in changes:
+                notify_of_rows(listener, (change,))
+            return
+        row = changes[0].at
+        event = {"row": f"{row.table}/{row.part}/{row.key}"}
+        log.exception("row_failed", extra={"event": event})
+
+
+__all__ = ["FEED_WAIT_S", "MAX_FEED_WAIT_S", "TableWatch", "notify_of_rows"]
