Ask peers seldom while the row store is away for all nodes

Cause: while the store refuses all nodes, each call of a node's five feeds, ten times a second, asked two peers on new connections, and each peer asked the store. Each failed poll also wrote a line to the log.

Ruled out: the number of nodes by itself (a calm second costs 12 ms at 6 and at 24).

Calls through peers now have a breaker like the direct ones: after three calls at which no peer got through, peers are asked again after a pause that grows to 1 s. A feed logs its failure once an outage, and when it responds again.

A node that alone is refused follows its tables through peers as before; if that begins in an outage of all, within 1.3 s of its end (test).

--- a/src/tamarackshelf/store/failover.py
+++ b/src/tamarackshelf/store/failover.py
@@ -29,6 +29,9 @@
 # because results that wait for the store are due soon after its return, and the node
 # then has to learn which nodes and targets have left in the meantime.
 MAX_PAUSE_S = 0.12
+# Longest pause between calls through peers while their calls fail as well: the store is
+# away for all nodes then, and each call through peers costs three of them work.
+MAX_PEER_PAUSE_S = 1.0
 
 T = TypeVar("T")
 Call = Callable[[RowStore], Awaitable[T]]
@@ -47,6 +50,7 @@
         self.recovered_at_s = float("-inf")
         self._timeline = timeline
         self._breaker = CircuitBreaker(MAX_PAUSE_S)
+        self._peer_breaker = CircuitBreaker(MAX_PEER_PAUSE_S)
         self._peers: PeerSource = lambda: ()
         self._is_up = True
         self._offset_ms: float | None = None
@@ -102,13 +106,21 @@
                 return await self.call_direct(call)
             except (StoreRefused, StoreOutcomeUnknown) as failed:
                 error = failed
-        for peer in self._peers()[:MAX_PEERS_PER_CALL]:
-            try:
-                return await call(peer)
-            except StoreOutcomeUnknown as failed:
-                error = failed
-            except StoreRefused as failed:
-                error = error or failed
+        if self._peer_breaker.try_acquire(_now_s()):
+            for peer in self._peers()[:MAX_PEERS_PER_CALL]:
+                try:
+                    result = await call(peer)
+                except StoreOutcomeUnknown as failed:
+                    error = failed
+                except StoreRefused as failed:
+                    error = error or failed
+                except (RowConflict, HistoryLost):
+                    self._peer_breaker.record_success()
+                    raise
+                else:
+                    self._peer_breaker.record_success()
+                    return result
+            self._peer_breaker.record_failure(_now_s())
         raise error or StoreRefused(
             "the row store does not respond; send the call again later"
         )
@@ -130,6 +142,8 @@
         return result
 
     def _record_state(self, error: RowStoreError | None) -> None:
+        if error is None:
+            self._peer_breaker.record_success()
         is_up = self._breaker.is_closed
         if is_up == self._is_up:
             return
--- a/src/tamarackshelf/store/table_watch.py
+++ b/src/tamarackshelf/store/table_watch.py
@@ -54,6 +54,7 @@
         self._version = 0
         self._listeners: list[Listener] = []
         self._task: asyncio.Task[None] | None = None
+        self._is_failing = False
 
     def on_change(self, listener: Listener) -> None:
         """Call the listener with each batch of changes; deleted rows have no value."""
@@ -86,9 +87,14 @@
                 self.loaded.clear()
                 continue
             except RowStoreError as error:
-                self._timeline.record("feed_failed", self._table, str(error))
+                if not self._is_failing:
+                    self._timeline.record("feed_failed", self._table, str(error))
+                self._is_failing = True
                 await asyncio.sleep(RETRY_PAUSE_S)
                 continue
+            if self._is_failing:
+                self._timeline.record("feed_regained", self._table, "it responds")
+            self._is_failing = False
             self.last_response_at_s = asyncio.get_running_loop().time()
             self.apply_changes(page.changes)
             self._version = max(self._version, page.version)
