Infer a stream's software only from what others confirm now

Operators of similar systems reported that a machine which was out of step while workers of a new version joined took up streams that had begun on these workers through other machines, and let them go on at a worker of another version.

It could happen here. A node that asks the homes of a stream in vain infers the version if its list shows a single one and the store's last answer was good. Both are as old as the last answer: a node that was cut off, or stood still, for some seconds believes them. Also, a serving node that reached no home of the stream only logged that; the other nodes then took the version that had been alone before.

Taking up: the homes now answer with the versions that they know and whether their list is current. Without two such answers (as many as there are others, if fewer) the spans of versions are read from the store; a version is there before its first stream begins, or the homes know the stream. With neither, the attempt is refused as not run. Beginning: a stream that no home was told of, of a version other than the one that the others would infer, is broken off before its first event (502).

Streams at a node without peers go on while there is a single version (tests). A node of the earlier release sends no versions; its answer does not count as a confirmation, and the store is read.

--- a/src/tamarackshelf/entry/streamer.py
+++ b/src/tamarackshelf/entry/streamer.py
@@ -129,14 +129,21 @@
             await self._take_up(stream, request.resumption)
         head, events, state = await self._open_at_target(stream)
         if route.is_resumable and stream.software is not None:
+            is_known = False
             try:
-                await self._origins.record(
+                is_known = await self._origins.record(
                     request.request_id, stream.service, stream.software
                 )
-            except asyncio.CancelledError:
-                state.in_flight -= 1
-                await events.aclose()
-                raise
+            finally:
+                if not is_known:
+                    self._release(stream)
+                    state.in_flight -= 1
+                    await events.aclose()
+            if not is_known:
+                raise AnswerLost(
+                    "the stream was broken off before its first event, as no other "
+                    "node could be told which software began it; send it again"
+                )
         return head, self._relay(stream, events, state)
 
     async def _take_up(self, stream: _Stream, resumption: Resumption) -> None:
--- a/src/tamarackshelf/node/stream_origins.py
+++ b/src/tamarackshelf/node/stream_origins.py
@@ -43,6 +43,9 @@
 MIN_UNAWARE_HOMES = 2
 # A live peer answers within milliseconds; the stream's first event waits for it.
 PEER_TIMEOUT_S = 0.15
+# A caller that resumes a stream waits for this read of the store only if its homes
+# could not be asked.
+SPANS_TIMEOUT_S = 0.4
 UPKEEP_INTERVAL_S = 1.0
 # The spans in the store are renewed at this interval.
 RENEW_INTERVAL_S = 20.0
@@ -63,10 +66,16 @@
 
 @dataclass(frozen=True, slots=True)
 class OriginAnswer:
-    """A node's answer about an origin, with the Unix time since when it keeps them."""
+    """A node's answer about an origin, with the Unix time since when it keeps them.
+
+    `spans` are the versions that the node knows, and `is_current` whether its list of
+    targets is; nodes of an earlier release send neither.
+    """
 
     origin: StreamOrigin | None
     keeps_since_s: float
+    spans: tuple[SoftwareSpan, ...] = ()
+    is_current: bool = False
 
 
 class StreamOrigins:
@@ -111,11 +120,12 @@
         """Stop renewing the spans."""
         await stop_tasks(self._upkeep)
 
-    async def record(self, attempt_id: str, service: str, software: str) -> None:
+    async def record(self, attempt_id: str, service: str, software: str) -> bool:
         """Record a stream's origin before the caller gets its first event.
 
         Wait until the store knows the version, and while the service may have several
-        ones until the homes have the origin, each for PEER_TIMEOUT_S at most.
+        ones until the homes have the origin, each for PEER_TIMEOUT_S at most. Return
+        False if other nodes would take another version for the stream's origin.
         """
         origin = StreamOrigin(attempt_id, service, software, self._wall_s())
         self.accept(origin)
@@ -125,19 +135,25 @@
         is_stored = await self._ensure_stored(service, software)
         is_uniform = self._is_uniform(service) and self._targets.is_list_current()
         if is_stored and is_uniform:
-            return
+            return True
         homes = self._rank_homes(attempt_id)[:HOMES]
         answers = await asyncio.gather(
             *(self._post(home, ORIGIN_PATH, origin) for home in homes)
         )
         self._metrics.count("stream_origins_told")
-        if homes and not any(answer is not None for answer in answers):
-            self._timeline.record(
-                "origin_not_told",
-                attempt_id,
-                "no home of the stream's origin answered",
-                homes=",".join(home.vm for home in homes),
-            )
+        if any(answer is not None for answer in answers) or not self._has_others():
+            return True
+        self._observe()
+        inferred = self._history.find_sole(service, self._oldest_s())
+        self._timeline.record(
+            "origin_not_told",
+            attempt_id,
+            "no home of the stream's origin answered",
+            homes=",".join(home.vm for home in homes),
+            software=software,
+            inferred=inferred or "",
+        )
+        return inferred in (None, software)
 
     async def find(
         self, resumption: Resumption, services: Collection[str]
@@ -167,7 +183,13 @@
 
     def answer(self, attempt_id: str) -> OriginAnswer:
         """Answer a peer that resumes a stream."""
-        return OriginAnswer(self._origins.get(attempt_id), self._keeps_since_s)
+        self._observe()
+        return OriginAnswer(
+            self._origins.get(attempt_id),
+            self._keeps_since_s,
+            tuple(self._history.list_all()),
+            self._targets.is_list_current(),
+        )
 
     async def _ask_or_infer(
         self, resumption: Resumption, services: Collection[str]
@@ -188,7 +210,11 @@
         known = [a.origin for a in answers if a is not None and a.origin is not None]
         if known:
             return known[0], "a home of the stream's origin knows it"
-        if self._is_uniform(service) and self._targets.is_list_current():
+        is_uniform = self._is_uniform(service) and self._targets.is_list_current()
+        if is_uniform and not await self._learn_versions(answers):
+            return None, "this node may have missed another version"
+        # Others may know of a second version.
+        if is_uniform and self._is_uniform(service):
             spans = self._history.list_spans(service, self._oldest_s())
             return self._infer(attempt_id, service, spans[0].software), (
                 "the service has had a single version lately"
@@ -212,6 +238,33 @@
             "the stream began while the service had a single version"
         )
 
+    async def _learn_versions(self, answers: Collection[OriginAnswer | None]) -> bool:
+        """Learn the versions that others know; return whether enough of them do.
+
+        This node's own list may be older than it looks: the process stood still, or
+        its connections have been silent for a moment. A version is in the store before
+        its first stream begins, or the homes of the stream know its origin.
+        """
+        current = [a for a in answers if a is not None and a.is_current]
+        for answer in current:
+            for span in answer.spans:
+                self._history.merge(span)
+        if answers and len(current) >= self._count_needed_homes():
+            return True
+        if self._store is None:
+            return False
+        try:
+            async with asyncio.timeout(SPANS_TIMEOUT_S):
+                return await self._read_spans(self._store)
+        except TimeoutError:
+            reason = "the store did not answer in time"
+            self._timeline.record("software_not_read", SOFTWARE_TABLE, reason)
+            return False
+
+    def _has_others(self) -> bool:
+        """Return whether another node may be alive, if only behind a cut."""
+        return self._fleet is not None and self._fleet.count_listed_nodes() > 1
+
     def _count_needed_homes(self) -> int:
         """Return how many homes must know of no origin before it is inferred.
 
--- a/tests/entry/test_streamer.py
+++ b/tests/entry/test_streamer.py
@@ -20,12 +20,15 @@
 )
 from tamarackshelf.entry.streamer import Streamer
 from tamarackshelf.errors import AnswerLost, NoTarget, Quarantined, QuarantinedNotRun
-from tamarackshelf.net import Request
+from tamarackshelf.net import ConnectionLost, Request
 from tamarackshelf.node.stream_origins import StreamOrigins
 from tamarackshelf.node.targets import TargetRegistry
 from tamarackshelf.observe import Metrics, Timeline
+from tamarackshelf.standin.row_store import MemoryRowStore
+from tamarackshelf.store.fleet_rows import NodeRecord
+from tamarackshelf.world import Address
 from tamarackshelf.world.route import Route, RouteKind, ServiceShare
-from tests.support.node import HOST, build_quarantine, build_target
+from tests.support.node import HOST, FakeFleet, build_quarantine, build_target
 
 EVENT_COUNT = 6
 
@@ -287,3 +290,40 @@
     _, end, calls = open_versioned_stream(run, [], listed, resumes=resumes)
     assert isinstance(end, NoTarget)
     assert calls == []
+
+
+# The serving node was cut off from all others, which took the old version for the
+# stream's when its caller resumed it there.
+def test_stream_that_no_other_node_can_be_told_of_ends_before_its_first_event(run):
+    targets = FakeTargetClient([])
+
+    class NoPeers:
+        async def request(self, address, method, path, *, body, timeout_s):
+            raise ConnectionLost("no peer answers")
+
+    async def scenario():
+        now_s = asyncio.get_running_loop().time
+        timeline = Timeline("n", lambda: 0)
+        registry = TargetRegistry(timeline, lambda: float("-inf"), random.Random(3))
+        registry.put(build_target("t1", "app", software="a"))
+        origins = StreamOrigins(registry, NoPeers(), timeline, Metrics(), now_s)
+        records = {
+            name: NodeRecord(name, 1, "dc", Address(name, 1), Address(name, 2))
+            for name in ("n", "m")
+        }
+        fleet = FakeFleet("n", records, set())
+        await origins.start(fleet, MemoryRowStore().connect())
+        await asyncio.sleep(5.0)
+        registry.put(build_target("t2", "app", software="b"))
+        registry.record_leaving("t1", 1, "its row says so")
+        streamer = build_streamer(
+            registry, targets, build_quarantine(registry, targets), timeline, origins
+        )
+        request = ForwardedRequest("r", HOST, Request("POST", "/s/x"))
+        with pytest.raises(AnswerLost, match="no other node"):
+            await streamer.open(request, build_route(True), 5.0)
+        assert registry.get("t2").in_flight == 0
+        await origins.close()
+
+    run(scenario())
+    assert len(targets.calls) == 1
--- a/tests/node/test_stream_origins.py
+++ b/tests/node/test_stream_origins.py
@@ -9,7 +9,7 @@
 import pytest
 
 from tamarackshelf.contracts.targets import Resumption
-from tamarackshelf.net import ClientResponse, ConnectFailed
+from tamarackshelf.net import ClientResponse, ConnectFailed, ConnectionLost
 from tamarackshelf.node.stream_origins import (
     FIND_ORIGIN_PATH,
     ORIGIN_PATH,
@@ -45,6 +45,10 @@
         self.targets = {}
         self.registries = {}
         self.nodes = {}
+        self.clients = {}
+        # Nodes that reach no peer, and nodes that see no change of the list.
+        self.cut_off = set()
+        self.out_of_step = set()
 
     async def start(self, name):
         timeline = Timeline(name, lambda: 0)
@@ -52,9 +56,12 @@
         self.registries[name] = registry
         for record in self.targets.values():
             registry.put(record)
-        self.nodes[name] = StreamOrigins(registry, self, timeline, Metrics(), wall_s)
+        self.nodes[name] = StreamOrigins(
+            registry, PeerLink(self, name), timeline, Metrics(), wall_s
+        )
         fleet = FakeFleet(name, self.records, self.dead)
-        await self.nodes[name].start(fleet, self.store.connect())
+        self.clients[name] = self.store.connect()
+        await self.nodes[name].start(fleet, self.clients[name])
 
     async def kill(self, name):
         self.dead.add(name)
@@ -69,8 +76,8 @@
         self.targets[name] = build_target(
             name, SERVICE, versions={"m": 1}, software=software
         )
-        for registry in self.registries.values():
-            registry.put(self.targets[name])
+        for node in self.registries.keys() - self.out_of_step:
+            self.registries[node].put(self.targets[name])
 
     def unlist_target(self, name):
         del self.targets[name]
@@ -81,11 +88,14 @@
         for name in names:
             self.unlist_target(name)
 
-    async def request(self, address, method, path, *, body, timeout_s):
+    async def request(self, origin, address, path, body, timeout_s):
         await asyncio.sleep(0.001)
         name = next(n for n, r in self.records.items() if r.peers == address)
         if name in self.dead:
             raise ConnectFailed(f"{name} is dead")
+        if {origin, name} & self.cut_off:
+            await asyncio.sleep(timeout_s)
+            raise ConnectionLost(f"{name} does not answer {origin}")
         self.calls.append(path)
         answer = None
         if path == ORIGIN_PATH:
@@ -95,6 +105,17 @@
         return ClientResponse(200, {}, msgspec.msgpack.encode(answer))
 
 
+class PeerLink:
+    """The HTTP client of one node."""
+
+    def __init__(self, cluster, name):
+        self._cluster = cluster
+        self._name = name
+
+    async def request(self, address, method, path, *, body, timeout_s):
+        return await self._cluster.request(self._name, address, path, body, timeout_s)
+
+
 def wall_s():
     return START_WALL_S + asyncio.get_running_loop().time()
 
@@ -154,6 +175,83 @@
     assert run_cluster(scenario, targets="ab") == "b"
 
 
+# A node that was cut off, or stood still, while a target of a new version joined took
+# up a stream which had begun there through another node, and let it go on at the old
+# version: the list that it had seen last had a single one.
+@pytest.mark.parametrize("outage_s", [0.0, 1.0, 3.0, 6.0])
+@pytest.mark.parametrize("serving_node", ["alive", "killed"])
+@pytest.mark.parametrize("store", ["reached", "cut"])
+def test_node_that_is_out_of_step_does_not_guess_the_old_version(
+    run_cluster, outage_s, serving_node, store
+):
+    async def scenario(cluster):
+        cluster.out_of_step.add("n1")
+        cluster.cut_off.add("n1")
+        cluster.clients["n1"].is_refused = store == "cut"
+        await asyncio.sleep(outage_s / 2)
+        cluster.list_target("t3", "b")
+        await cluster.nodes["n0"].record("s1", SERVICE, "b")
+        await asyncio.sleep(outage_s / 2)
+        if serving_node == "killed":
+            await cluster.kill("n0")
+        return await find(cluster, "n1", "s1")
+
+    assert run_cluster(scenario) is None
+
+
+# A node that stood still wakes with its old list; its peers answer again.
+@pytest.mark.parametrize("frozen_s", [1.0, 4.0, 6.0])
+def test_node_that_stood_still_asks_the_homes_of_a_stream(run_cluster, frozen_s):
+    async def scenario(cluster):
+        cluster.out_of_step.add("n1")
+        cluster.list_target("t3", "b")
+        await cluster.nodes["n0"].record("s1", SERVICE, "b")
+        await asyncio.sleep(frozen_s)
+        await cluster.kill("n0")
+        return await find(cluster, "n1", "s1")
+
+    assert run_cluster(scenario) == "b"
+
+
+# The homes were told nothing, as the serving node was cut off from them; it alone had
+# seen the new version, and the others took the old one for the stream's.
+@pytest.mark.parametrize("is_peer_known", [True, False])
+def test_stream_of_a_new_version_that_no_home_can_be_told_of_does_not_begin(
+    run_cluster, is_peer_known
+):
+    async def scenario(cluster):
+        cluster.cut_off.add("n0")
+        if not is_peer_known:
+            cluster.nodes["n0"]._fleet.peers = list
+        cluster.list_target("t3", "b")
+        is_new_told = await cluster.nodes["n0"].record("s1", SERVICE, "b")
+        is_old_told = await cluster.nodes["n0"].record("s2", SERVICE, "a")
+        await cluster.kill("n0")
+        await asyncio.sleep(2.0)
+        return is_new_told, is_old_told, await find(cluster, "n1", "s2")
+
+    # The others infer the old version, so a stream of it may begin.
+    assert run_cluster(scenario) == (False, True, "a")
+
+
+@pytest.mark.parametrize("is_cut_off", [True, False])
+def test_streams_go_on_at_a_node_without_peers_while_there_is_a_single_version(
+    run_cluster, is_cut_off
+):
+    """The store shows that no other version was served."""
+
+    async def scenario(cluster):
+        await cluster.nodes["n0"].record("s1", SERVICE, "a")
+        if is_cut_off:
+            cluster.cut_off.add("n1")
+        else:
+            for name in cluster.nodes.keys() - {"n1"}:
+                await cluster.kill(name)
+        return await find(cluster, "n1", "s1")
+
+    assert run_cluster(scenario) == "a"
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_most_streams_go_on_after_a_third_of_the_nodes_was_killed(run_cluster, seed):
     async def scenario(cluster):
