--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -4,17 +4,22 @@
 
 import asyncio
 import contextlib
+import json
 import signal
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from random import Random
 from typing import TYPE_CHECKING
 
+import msgspec
+
+from tamarackshelf.contracts.rows import RowKey
 from tests.soak.callers import build_configuration
 from tests.soak.deployment import Deployment
 from tests.soak.history import ALL_NODES, CUT_KIND, now_s
 from tests.soak.nodes import GRACE_S, NodeProcess
 from tests.soak.proxy import Proxy
+from tests.support.odd_input import ODD_BYTES, list_edited
 
 if TYPE_CHECKING:
     from tests.soak.workers import Worker
@@ -22,6 +27,9 @@
 RESTART_DELAY_S = 0.7
 # Upper bound of a fault's duration, less than half of the default window_s of 14 s.
 MAX_FAULT_S = 6.0
+# Rows that another writer leaves at once, and how long they stay: several heartbeats.
+ODD_ROWS = 12
+ODD_ROW_S = 3.0
 # A process takes up to a second after its grace period to close its sockets.
 STOP_SLACK_S = 1.0
 
@@ -134,6 +142,20 @@
     ]
 
 
+def plan_odd_rows(seed: int, window_s: float, count: int) -> list[PlannedFault]:
+    """Return `count` times at which another writer leaves odd rows in the store."""
+    random = Random(f"odd-rows-{seed}")
+    return [
+        PlannedFault(
+            kind="odd_rows",
+            at_s=random.uniform(0.0, window_s),
+            duration_s=0.0,
+            selector=random.getrandbits(30),
+        )
+        for _ in range(count)
+    ]
+
+
 async def inject_faults(deployment: Deployment, faults: list[PlannedFault]) -> None:
     """Inject each fault at its time and return when the last one has ended."""
     started_s = now_s()
@@ -146,6 +168,7 @@
             **UPGRADE_ACTIONS,
             **CUT_ACTIONS,
             "worker_leave_unlisted": _make_worker_leave_unlisted,
+            "odd_rows": _put_odd_rows,
         }
         await actions[fault.kind](deployment, fault)
 
@@ -339,6 +362,32 @@
         await worker.leave_unlisted(fault.duration_s)
 
 
+async def _put_odd_rows(deployment: Deployment, fault: PlannedFault) -> None:
+    """Put odd rows into the tables that all nodes follow, one over a worker's row.
+
+    The worker's next heartbeat replaces it.
+    """
+    random = Random(fault.selector)
+    rows = deployment.store.rows
+    worker = _select_worker(deployment, fault)
+    listed = rows.rows.get(RowKey("servers", "", worker.name))
+    good = {} if listed is None else msgspec.json.decode(listed.value)
+    odd = [*ODD_BYTES, *(json.dumps(each).encode() for each in list_edited(good))]
+    with deployment.record_disruption("odd_rows", worker.name, ODD_ROW_S):
+        for number, value in enumerate(random.sample(odd, ODD_ROWS)):
+            rows.put("servers", f"odd-{number}", value)
+        rows.put("servers", worker.name, random.choice(ODD_BYTES))
+        rows.put("op", "version/odd", random.choice(ODD_BYTES))
+        rows.put("op", "config", random.choice(ODD_BYTES))
+        for table in ("node", "lease", "software"):
+            rows.put(table, "odd", random.choice(ODD_BYTES))
+        for table in ("job", "crash"):
+            rows.put(table, "odd", random.choice(ODD_BYTES), part="odd")
+        await asyncio.sleep(ODD_ROW_S)
+        for number in range(ODD_ROWS):
+            rows.put("servers", f"odd-{number}", None)
+
+
 def _cut_nodes(share: float, how: Callable[[Proxy], None]) -> FaultAction:
     """Return an action that cuts a share of the nodes off from all workers.
 
@@ -478,5 +527,6 @@
     "plan_departures",
     "plan_faults",
     "plan_limits",
+    "plan_odd_rows",
     "plan_stops",
 ]
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -21,6 +21,7 @@
     plan_departures,
     plan_faults,
     plan_limits,
+    plan_odd_rows,
     plan_stops,
     plan_upgrades,
 )
@@ -43,7 +44,8 @@
     off from all workers, `departures` the number of workers that say only in their
     responses that they leave. A worker that a request crashed is back after
     `worker_restart_s`. `stops` is the number of planned stops of nodes, and
-    `plain_response_s` the time that the requests of plain clients take.
+    `plain_response_s` the time that the requests of plain clients take. `odd_rows` is
+    the number of times that another writer leaves odd rows in the store.
     """
 
     nodes: int = 4
@@ -61,6 +63,7 @@
     worker_restart_s: float = WORKER_RESTART_S
     stops: int = 0
     plain_response_s: float = PLAIN_RESPONSE_S
+    odd_rows: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +105,7 @@
         *plan_cuts(seed, size.window_s, size.cuts),
         *plan_departures(seed, size.window_s, size.departures),
         *plan_stops(seed, size.window_s, size.stops),
+        *plan_odd_rows(seed, size.window_s, size.odd_rows),
         *plan_upgrades(seed, size.window_s, UPGRADES if size.software > 1 else 0),
     ]
     failure = ""
@@ -161,6 +165,7 @@
     worker_restart_s: float = WORKER_RESTART_S,
     stops: int = 0,
     plain_response_s: float = PLAIN_RESPONSE_S,
+    odd_rows: int = 0,
 ) -> None:
     """Run seeds in parallel and print a line for each; exit with 1 on a violation."""
     folder = folder or tempfile.mkdtemp(prefix="soak-")
@@ -178,6 +183,7 @@
         worker_restart_s=worker_restart_s,
         stops=stops,
         plain_response_s=plain_response_s,
+        odd_rows=odd_rows,
     )
     violation_counts: Counter[str] = Counter()
     with ProcessPoolExecutor(jobs) as pool:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -19,6 +19,7 @@
 CUT_SEEDS = (3,)
 DEPARTURE_SEEDS = (1,)
 STOP_SEEDS = (3,)
+ODD_ROW_SEEDS = (1,)
 
 
 @pytest.mark.parametrize("seed", [*CI_SEEDS, *REGRESSIONS])
@@ -87,6 +88,19 @@
     assert result.calls_served > 0
 
 
+# A row that could not be decoded ended the task that follows the list of workers.
+@pytest.mark.parametrize("seed", ODD_ROW_SEEDS)
+def test_odd_rows_of_another_writer_cost_nothing_that_is_served(seed, tmp_path):
+    result = run_in_time(seed, tmp_path, SoakSize(faults=2, clients=30, odd_rows=6))
+    assert result.violations == [], result.format()
+    assert result.jobs_accepted > 0
+    assert result.calls_served > 0
+    logs = "".join(path.read_text() for path in tmp_path.glob("*.log"))
+    assert "event=row_unreadable" in logs
+    assert "event=task_failed" not in logs
+    assert "event=row_failed" not in logs
+
+
 def run_in_time(seed, folder, size):
     async def run_with_timeout():
         async with asyncio.timeout(SOAK_TIMEOUT_S):
