Give reports and orders an id, so that a late copy is no answer to them

Operators of similar systems reported that a second copy of an answer came late, on a connection that was in use again, and the next caller got it.

A copy of a report was taken for the next report (an old version), for the acceptance of an order (as if the version were there already), and as the body of a request (unsigned, which the forwarder refuses). All calls have an id now; a response that names another is an unknown outcome and ends the connection.

Ruled out: bytes that are there before the next request is sent end the connection already.

--- a/src/tamarackshelf/platform/target_client.py
+++ b/src/tamarackshelf/platform/target_client.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import re
+import secrets
 from collections.abc import AsyncGenerator, AsyncIterator, Callable
 from dataclasses import dataclass
 
@@ -283,6 +284,7 @@
         headers = {
             "content-type": "application/json",
             "x-expect-instance": target.name,
+            REQUEST_ID_HEADER: _new_request_id(),
         }
         try:
             async with self._call(
@@ -314,7 +316,10 @@
         Raise TargetChanged if another incarnation of the engine responds, NotRun or
         OutcomeUnknown.
         """
-        headers = {"x-expect-instance": target.name}
+        headers = {
+            "x-expect-instance": target.name,
+            REQUEST_ID_HEADER: _new_request_id(),
+        }
         result = await self._send(
             CallKind.REPORT, target, "GET", "/v1/report", headers, b"", timeout_s
         )
@@ -434,6 +439,14 @@
     return error_class(f"{target.name}: {error}")
 
 
+def _new_request_id() -> str:
+    """Return an id for a call of this node's own.
+
+    Without one, a late copy of an earlier response would pass for the call's response.
+    """
+    return secrets.token_hex(8)
+
+
 def _check_request_id(target: Target, request_id: str, response: TargetStream) -> None:
     """Raise OutcomeUnknown if the response belongs to another request."""
     echoed = response.headers.get(REQUEST_ID_HEADER)
--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -312,3 +312,74 @@
 
     asyncio.run(call(raw, use_and_observe))
     return leaving
+
+
+REPORT = b'{"models": [{"name": "m", "version": 1}], "busy": false, "sequence": 4}'
+
+
+async def call_kind(calls, target, kind):
+    """Make a call of one kind; return what the worker is taken to have said."""
+    if kind == "report":
+        return (await calls.read_report(target, 1.0)).versions["m"]
+    if kind == "order":
+        return await calls.order_version(target, VersionOrder("m", 2, "n", 7, 4), 1.0)
+    request = Request("POST", "/a", "", {"x-request-id": kind}, b"")
+    forwarded = ForwardedRequest(kind, "h.example", request)
+    response = await calls.forward(target, forwarded, 1.0, at_most_once=False)
+    return response.http.body
+
+
+def answer_kind(request, number):
+    """Return a worker's answer to a request, with its id if it has one."""
+    head = request.decode().lower()
+    echo = b"".join(
+        line.encode() + b"\r\n"
+        for line in head.split("\r\n")
+        if line.startswith("x-request-id:")
+    )
+    if "/v1/report" in head:
+        return build_response(200, echo + JSON, REPORT.replace(b"1}", b"%d}" % number))
+    if "/v1/order" in head:
+        return build_response(202, echo, b"")
+    body = f"answer {number}".encode()
+    return build_response(200, echo + b"X-Server-Stamp: s\r\n", body)
+
+
+# A second copy of an answer came late, on a connection that was in use again; the next
+# caller got an answer that was not its own.
+@pytest.mark.parametrize("first", ["r1", "report"])
+@pytest.mark.parametrize("second", ["r2", "report", "order"])
+def test_late_second_copy_of_an_answer_is_no_answer_to_the_next_request(first, second):
+    async def serve(reader, writer):
+        earlier = b""
+        for number in range(1, 3):
+            try:
+                request = await reader.readuntil(b"\r\n\r\n")
+            except asyncio.IncompleteReadError:
+                break
+            if b"/v1/order" in request:
+                await reader.readuntil(b"}")
+            own = answer_kind(request, number)
+            writer.write(earlier + own)
+            earlier = own
+            await writer.drain()
+        writer.close()
+
+    async def scenario():
+        address = find_free_address()
+        server = await asyncio.start_server(serve, address.host, address.port)
+        target = Target("i-1", "app", TargetKind.ENGINE, "dc", address, 0, 8)
+        http = HttpClient()
+        calls = PlatformTargetClient(build_paths(http), FakeGate())
+        try:
+            await call_kind(calls, target, first)
+            try:
+                return await call_kind(calls, target, second)
+            except (OutcomeUnknown, NotRun, OrderRefused):
+                return None
+        finally:
+            await http.close()
+            server.close()
+
+    own = {"r2": b"answer 2", "report": 2, "order": True}[second]
+    assert asyncio.run(scenario()) in (None, own)
