--- a/src/tamarackshelf/decoding.py
+++ b/src/tamarackshelf/decoding.py
@@ -34,13 +34,6 @@
         raise InvalidInput(str(error)) from error
 
 
-def parse_number(text: str) -> int:
-    """Parse a whole number of up to 63 bits; raise InvalidInput if it is none."""
-    if text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS:
-        return int(text)
-    raise InvalidInput(f"{text!r} is not a whole number")
-
-
 def decode_msgpack(data: bytes, kind: type[T]) -> T:
     """Decode MessagePack; raise InvalidInput if it is not a value of this type."""
     try:
@@ -49,4 +42,11 @@
         raise InvalidInput(str(error)) from error
 
 
+def parse_number(text: str) -> int:
+    """Parse a whole number of up to 63 bits; raise InvalidInput if it is none."""
+    if text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS:
+        return int(text)
+    raise InvalidInput(f"{text!r} is not a whole number")
+
+
 __all__ = ["Int64", "InvalidInput", "decode_json", "decode_msgpack", "parse_number"]
--- a/src/tamarackshelf/store/failover.py
+++ b/src/tamarackshelf/store/failover.py
@@ -107,7 +107,8 @@
             except (StoreRefused, StoreOutcomeUnknown) as failed:
                 error = failed
         if self._peer_breaker.try_acquire(_now_s()):
-            for peer in self._peers()[:MAX_PEERS_PER_CALL]:
+            peers = self._peers()[:MAX_PEERS_PER_CALL]
+            for peer in peers:
                 try:
                     result = await call(peer)
                 except StoreOutcomeUnknown as failed:
@@ -120,7 +121,8 @@
                 else:
                     self._peer_breaker.record_success()
                     return result
-            self._peer_breaker.record_failure(_now_s())
+            if peers:
+                self._peer_breaker.record_failure(_now_s())
         raise error or StoreRefused(
             "the row store does not respond; send the call again later"
         )
--- a/src/tamarackshelf/store/fleet_rows.py
+++ b/src/tamarackshelf/store/fleet_rows.py
@@ -24,6 +24,8 @@
 
 NODE_TABLE = "node"
 LEASE_TABLE = "lease"
+# Holder of a lease whose row cannot be decoded; it may act until the lease runs out.
+UNKNOWN_HOLDER = "unknown"
 
 log = logging.getLogger("tamarackshelf")
 
@@ -95,7 +97,8 @@
 async def read_lease(store: RowStore, name: str) -> StoredLease:
     """Read the lease from the store.
 
-    The holder is empty if there is no row, or one that cannot be decoded.
+    The holder is empty if there is no row, and UNKNOWN_HOLDER if the row cannot be
+    decoded.
     """
     row = await _read_row(store, RowKey(LEASE_TABLE, "", name))
     if row is None:
@@ -161,7 +164,7 @@
         _log_unreadable(row, error)
         # Each grant raised the store's version by one at least, so no fencing number
         # was higher than the version of the row is now.
-        return LeaseRecord(fencing_number=row.version)
+        return LeaseRecord(UNKNOWN_HOLDER, fencing_number=row.version)
 
 
 def _log_unreadable(row: StoredRow, error: InvalidInput) -> None:
@@ -177,6 +180,7 @@
 
 __all__ = [
     "NODE_TABLE",
+    "UNKNOWN_HOLDER",
     "LeaseRecord",
     "NodeRecord",
     "StoredLease",
--- a/tests/node/test_odd_rows.py
+++ b/tests/node/test_odd_rows.py
@@ -16,6 +16,7 @@
 from tamarackshelf.store.failover import FailoverStore
 from tamarackshelf.store.fleet_rows import (
     NODE_TABLE,
+    UNKNOWN_HOLDER,
     NodeRecord,
     acquire_lease,
     read_lease,
@@ -210,9 +211,10 @@
         for _ in range(5):
             lease = await acquire_lease(client, "weights", lease, "a", 1)
         store.put("lease", "weights", value)
-        after = await acquire_lease(
-            client, "weights", await read_lease(client, "weights"), "b", 1
-        )
+        unreadable = await read_lease(client, "weights")
+        # Its holder may act until the lease runs out, so that the next one waits.
+        assert unreadable.record.holder == UNKNOWN_HOLDER
+        after = await acquire_lease(client, "weights", unreadable, "b", 1)
         assert after.record.fencing_number > lease.record.fencing_number
 
     run(scenario())
