--- a/review/support/lab.py
+++ b/review/support/lab.py
@@ -193,9 +193,10 @@
 
     def __init__(
         self, name: str, address: Address, lab: Lab, *, slots: int, events: int,
-        pause_s: float, models: tuple[str, ...],
+        pause_s: float, models: tuple[str, ...], queue: int = 24,
     ) -> None:
         self.name, self.address, self._lab = name, address, lab
+        self.queue = queue
         self.slots, self.events, self.pause_s = slots, events, pause_s
         self.versions = dict.fromkeys(models, 1)
         self.born = int(time.time() * 1000)
@@ -284,7 +285,7 @@
         load = f"{self.running},{self.waiting},{self.slots}"
         headers = {"x-request-id": request.id, "x-worker-load": load}
         run = Run(self.name, request.id, self._lab.record.now_s(), after)
-        if self._free.locked() and self.waiting >= 3 * self.slots:
+        if self._free.locked() and self.waiting >= self.queue:
             await send(writer, 503, {**headers, "x-not-run": "1"}, "")
             return
         self._lab.runs.append(run)
@@ -326,8 +327,8 @@
                 run.outcome = f"answered {status}"
                 planned.pop(0)
                 data = await send(writer, status, headers, "failed")
-                if self.is_garbling and request.id in self._lab.copied_late:
-                    self._lab.copied_late.discard(request.id)
+                self._lab.count_answer(self)
+                if self._lab.may_copy(self, request.id):
                     self._copies[writer] = data
                 return
             model = request.headers.get("x-model", "")
@@ -346,6 +347,7 @@
             writer.write(b"0\r\n\r\n")
             await writer.drain()
             run.outcome = "complete"
+            self._lab.count_answer(self)
         finally:
             self.running -= 1
             self._free.release()
@@ -419,6 +421,9 @@
         self.failures: dict[str, list[int]] = {}
         # Ids of items after whose next failure a second copy of the answer comes late.
         self.copied_late: set[str] = set()
+        # Share of the faulty workers' answers that may be copied.
+        self.copied_share = 0.0
+        self.faulty_answers = self.copies = 0
         self._tasks: set[asyncio.Task[None]] = set()
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
         self.block = pick_block()
@@ -439,6 +444,18 @@
         task.add_done_callback(self._tasks.discard)
         return task
 
+    def count_answer(self, worker: Engine) -> None:
+        self.faulty_answers += worker.is_garbling
+
+    def may_copy(self, worker: Engine, request_id: str) -> bool:
+        """Return whether a copy of this answer stays within the share."""
+        within = self.copies + 1 <= self.copied_share * self.faulty_answers
+        if not (worker.is_garbling and within and request_id in self.copied_late):
+            return False
+        self.copied_late.discard(request_id)
+        self.copies += 1
+        return True
+
     def worker_address(self, number: int) -> Address:
         host = f"{self.block}.{100 + number}"
         with socket.socket() as probe:
@@ -519,7 +536,7 @@
 
     async def run() -> int:
         try:
-            async with asyncio.timeout(110):
+            async with asyncio.timeout(114):
                 return await play(lab)
         finally:
             await lab.close()
