--- a/review/1/play.py
+++ b/review/1/play.py
@@ -1,4 +1,4 @@
-"""The machine that runs a step is frozen for a second while the engines are full."""
+"""The machine that runs a step is frozen for a moment while the engines are full."""
 
 from __future__ import annotations
 
@@ -24,7 +24,7 @@
 # The time budget of the site's steps, and the share of groups that a trainer awaits.
 BUDGET_S = 12.0
 AWAITED_SHARE = 0.9
-FREEZE_S = 1.2
+FREEZES, FREEZE_S, BETWEEN_S = 2, 1.2, 0.5
 STABLE_S = BOUNDS["stableWindowMs"] / 1000
 NOWHERE_S = 5.0
 
@@ -67,12 +67,13 @@
     owner = find_owner(lab, lots["m0"])
     lab.record.write("operator", "the step of m0 is run by", node=owner.name)
     thawed_s = lab.record.now_s()
-    if TROUBLE:
+    for _ in range(FREEZES if TROUBLE else 0):
         owner.signal(signal.SIGSTOP)
         lab.record.write("operator", "freezes", node=owner.name)
         await asyncio.sleep(FREEZE_S)
         owner.signal(signal.SIGCONT)
         thawed_s = lab.record.write("operator", "thaws", node=owner.name)
+        await asyncio.sleep(BETWEEN_S)
     results = await asyncio.gather(*(
         read(lab, lots[model], len(items[model]), owner, sent_s + BUDGET_S)
         for model in GROUPS
