--- a/review/4/play.py
+++ b/review/4/play.py
@@ -1,149 +1,198 @@
-"""One plain worker of six goes dark while clients send long requests.
-
-A dark worker accepts channels and reads nothing, as a stopped process does.
-"""
+"""The holder of the lease for orders is killed, and the store loses some answers."""
 
 from __future__ import annotations
 
 import asyncio
+import base64
 import json
-import os
+import math
 import random
-import time
+import signal
 import uuid
 from pathlib import Path
 
-from review.support.lab import (
-    BROKEN,
-    HELD,
-    HOST,
-    TROUBLE,
-    Lab,
-    Run,
-    main,
-    read_request,
-    send,
-)
-
-WORKERS = 6
-# The site's srv_crash with `dark`: 0.17 of a service's workers for 4.5 s.
-DARK_S = 4.5
-BODY_BYTES = 8 * 1024 * 1024
-REQUESTS = 24
-BURST = 6
-GAP_S = 0.6
-TIMEOUT_S = 1.5
-# The client waits no longer than its time budget.
-DEADLINE_S = 3.0
-LATE_S = 0.5
-
-
-class Desk:
-    """A plain worker: answers with a stamp and the length of what it has read."""
-
-    def __init__(self, name: str, address, lab: Lab) -> None:
-        self.name, self.address, self._lab = name, address, lab
-        self.light = asyncio.Event()
-        self.light.set()
-        self._beats = 0
-
-    async def start(self) -> None:
-        await asyncio.start_server(self._accept, self.address.host, self.address.port)
-        self._lab.spawn(self._beat())
-
-    async def _beat(self) -> None:
-        while True:
-            await self.light.wait()
-            self._beats += 1
-            row = {
-                "upstream": "desk", "address": str(self.address), "zone": "a",
-                "version": "s1", "state": "ready", "capacity": 6, "coldLeftMs": 0,
-                "born": int(time.time() * 1000) if self._beats == 1 else self._born,
-                "sequence": self._beats,
-            }
-            self._born = row["born"]
-            self._lab.store.rows.put("servers", self.name, json.dumps(row).encode())
-            await asyncio.sleep(1.2)
-
-    async def _accept(self, reader, writer) -> None:
-        try:
-            while True:
-                await self.light.wait()
-                request = await read_request(reader)
-                if request is None:
-                    return
-                await self.light.wait()
-                headers = {"x-request-id": request.id, "x-worker-load": "1,0,6"}
-                if request.headers.get("x-expect-instance", self.name) != self.name:
-                    await send(writer, 421, {**headers, "x-not-run": "1"}, "")
-                    continue
-                self._lab.runs.append(
-                    Run(self.name, request.id, self._lab.record.now_s())
-                )
-                self._lab.record.write(self.name, "runs", request=request.id)
-                await asyncio.sleep(0.025)
-                stamp = {"x-server-stamp": f"stamp.{request.id}"}
-                await send(writer, 200, {**headers, **stamp}, str(len(request.body)))
-        except (OSError, asyncio.IncompleteReadError):
-            pass
-        finally:
-            writer.close()
+from review.support.lab import BOUNDS, BROKEN, HELD, HOST, TROUBLE, Engine, Lab, main
+
+MODELS = ("m0", "m1")
+ENGINES, SLOTS = 4, 8
+GROUPS, GROUP_SIZE = 8, 4
+EVENTS, PAUSE_S = 42, 0.1
+BUDGET_S, AWAITED_SHARE = 12.0, 0.9
+# The site's limits: a process is killed for 3.5 s; 0.35 of the writes are done and not
+# answered for 4.5 s. Here the first of each three writes.
+KILLED_S = 3.5
+LOST_FROM_S, LOST_FOR_S, LOST_EACH = 1.0, 4.5, 3
+STABLE_S = BOUNDS["stableWindowMs"] / 1000
+NOWHERE_S = 5.0
+LAST_ROUND_S = 80.0
 
 
 async def play(lab: Lab) -> int:
-    lab.workers = [
-        Desk(f"d-{n}", lab.worker_address(n), lab) for n in range(WORKERS)
-    ]
+    for number in range(ENGINES):
+        lab.workers.append(
+            Engine(f"i-{number}", lab.worker_address(number), lab, slots=SLOTS,
+                   events=EVENTS, pause_s=PAUSE_S, models=MODELS)
+        )
     lab.put_config(
         [{
-            "name": "booking", "host": HOST, "pathPrefix": "/book/",
-            "routeType": "non_idempotent", "upstream": "desk", "maxAttempts": 2,
-            "timeoutMs": int(TIMEOUT_S * 1000), "targetLatencyMs": 400, "priority": 2,
+            "name": "round-m0", "host": HOST, "pathPrefix": "/m0/",
+            "routeType": "rollout", "upstream": "models", "timeoutMs": 10000,
+            "targetLatencyMs": 500, "maxAttempts": 3, "dueMs": 7500, "maxWaitS": 60,
+            "priority": 0,
         }],
-        [{"name": "desk", "maxConnections": 110}],
+        [{"name": "models", "maxConnections": 150,
+          "backend": {"models": [{"name": model} for model in MODELS]}}],
     )
+    lose_answers(lab)
     await lab.start()
-    body = os.urandom(BODY_BYTES)
-    # Traffic as usual, before the disruption.
-    await asyncio.gather(*(book(lab, body[:600]) for _ in range(60)))
-    if TROUBLE:
-        dark = lab.workers[0]
-        dark.light.clear()
-        lab.record.write("platform", "goes dark", worker=dark.name)
-        asyncio.get_running_loop().call_later(DARK_S, relight, lab, dark)
-    calls = []
-    for _ in range(REQUESTS // BURST):
-        calls += [lab.spawn(book(lab, body)) for _ in range(BURST)]
-        await asyncio.sleep(GAP_S)
-    took_s = await asyncio.gather(*calls)
-    unanswered = [took for took in took_s if took > TIMEOUT_S]
-    late = [took for took in unanswered if took > TIMEOUT_S + LATE_S]
-    lab.record.write("check", "requests", all=len(took_s),
-                     unanswered_at_timeout=len(unanswered),
-                     of_these_half_a_second_later=len(late),
-                     longest_s=f"{max(took_s):.2f}")
-    return BROKEN if 2 * len(late) > len(unanswered) else HELD
-
-
-def relight(lab: Lab, worker: Desk) -> None:
-    worker.light.set()
-    lab.record.write("platform", "is back", worker=worker.name)
-
-
-async def book(lab: Lab, body: bytes) -> float:
-    """Send one long request and return how long its answer took."""
-    request_id = uuid.uuid4().hex[:16]
-    started_s = lab.record.now_s()
+    version = 1
+    while lab.record.now_s() < LAST_ROUND_S:
+        version += 1
+        lab.name_version("m0", version)
+        holder = await wait_for_order(lab)
+        if TROUBLE:
+            await disturb(lab, holder)
+        if not await wait_for_engines(lab, version, 9.0):
+            return await play_step(lab, version)
+        if not TROUBLE:
+            return await play_step(lab, version)
+        # The lease has gone on to the other machine; bring it back.
+        version += 1
+        lab.name_version("m0", version)
+        await disturb(lab, await wait_for_order(lab), loses=False)
+        await wait_for_engines(lab, version, 9.0)
+    return HELD
+
+
+async def disturb(lab: Lab, holder, *, loses: bool = True) -> None:
+    """Kill the machine that gave the last order, and start it again."""
+    holder.process.kill()
+    holder.process.wait()
+    lab.record.write("operator", "SIGKILL", node=holder.name)
+    loop = asyncio.get_running_loop()
+    if loses:
+        loop.call_later(LOST_FROM_S, set_losing, lab, True)
+        loop.call_later(LOST_FROM_S + LOST_FOR_S, set_losing, lab, False)
+    await asyncio.sleep(KILLED_S)
+    holder.start()
+    lab.record.write("operator", "starts again", node=holder.name)
+    await asyncio.sleep(LOST_FROM_S + LOST_FOR_S - KILLED_S + 0.1)
+
+
+def set_losing(lab: Lab, is_losing: bool) -> None:
+    lab.is_losing, lab.writes = is_losing, 0
+    lab.record.write("platform", "loses answers" if is_losing else "answers all")
+
+
+def lose_answers(lab: Lab) -> None:
+    """Let the store do the first of three writes and leave it unanswered."""
+    lab.is_losing, lab.writes = False, 0
+    commit_now = lab.store._transact
+
+    async def transact(request):
+        response = await commit_now(request)
+        if lab.is_losing and response.status == 200:
+            lab.writes += 1
+            if lab.writes % LOST_EACH == 1:
+                tables = {w["table"] for w in json.loads(request.body)["writes"]}
+                lab.record.write("platform", "answer lost", tables=tables)
+                await asyncio.sleep(60)
+        return response
+
+    lab.store._transact = transact
+
+
+async def wait_for_order(lab: Lab):
+    """Return the machine that gives the next order that a worker accepts."""
+    count = len(lab.orders)
+    while len(lab.orders) == count:
+        await asyncio.sleep(0.01)
+    name = lab.orders[-1][2]
+    return next(node for node in lab.nodes if node.name == name)
+
+
+async def wait_for_engines(lab: Lab, version: int, wait_s: float) -> bool:
+    """Return whether two engines, the share of m0, have the version in time."""
+    until_s = lab.record.now_s() + wait_s
+    while lab.record.now_s() < until_s:
+        if sum(e.versions["m0"] == version for e in lab.workers) >= 2:
+            return True
+        await asyncio.sleep(0.05)
+    lab.record.write("check", "engines", have={e.name: e.versions["m0"]
+                                               for e in lab.workers})
+    return False
+
+
+async def play_step(lab: Lab, version: int) -> int:
+    """Play a step that needs the version; return whether an item of it is lost.
+
+    As on the site, step k is asked once version k is named, and allows k - 1.
+    """
+    await asyncio.sleep(STABLE_S)
+    lab.name_version("m0", version + 1)
+    lot = uuid.uuid4().hex[:16]
+    items = [uuid.uuid4().hex[:16] for _ in range(GROUPS * GROUP_SIZE)]
+    body = json.dumps({
+        "step": version + 1, "model": "m0", "minVersion": version, "groupCount": GROUPS,
+        "requests": [
+            {"id": item, "path": f"/m0/{item}", "tokens": 2000,
+             "headers": {"X-Model": "m0", "X-Token-Count": "1000,1000"},
+             "body": base64.b64encode(item.encode()).decode(),
+             "group": f"g{n // GROUP_SIZE}"}
+            for n, item in enumerate(items)
+        ],
+    }).encode()
     answer = await lab.call(
-        random.choice(lab.nodes).front, "POST", "/book/1", body=body, quiet=True,
-        timeout_s=DEADLINE_S,
-        headers={"host": HOST, "x-request-id": request_id,
-                 "x-deadline-ms": str(int(DEADLINE_S * 1000))},
+        random.choice(lab.nodes).front, "POST", f"/m0/{lot}", body=body, who="trainer",
+        headers={"host": HOST, "x-request-id": lot, "content-type": "application/json"},
     )
-    took_s = lab.record.now_s() - started_s
-    lab.record.write("client", "POST /book/1", request=request_id,
-                     status=answer.status, took_s=f"{took_s:.2f}")
-    return took_s
-
-
-main(Path(__file__).parent, 3, play)
+    if answer.status != 202:
+        raise RuntimeError("the batch submission was not accepted")
+    sent_s = lab.record.now_s()
+    results: set[str] = set()
+    reading = lab.spawn(read(lab, lot, len(items), results))
+    await asyncio.wait({reading}, timeout=sent_s + BUDGET_S - lab.record.now_s())
+    reading.cancel()
+    return judge(lab, items, results, sent_s)
+
+
+async def read(lab: Lab, lot: str, count: int, results: set[str]) -> None:
+    """Add the ids of the results that are listed until all are."""
+    while len(results) < count:
+        answer = await lab.call(
+            random.choice(lab.nodes).front, "GET", f"/v1/lots/{lot}?after={len(results)}",
+            headers={"host": HOST, "x-wait-ms": "1000"}, timeout_s=2.5, quiet=True,
+        )
+        if answer.status == 200:
+            results |= {r["id"] for r in json.loads(answer.body)["results"]}
+        await asyncio.sleep(0.3)
+
+
+def judge(lab: Lab, items, results, sent_s) -> int:
+    """Apply LOST: the step is out of time, and an item was at no worker for 5 s."""
+    now_s = lab.record.now_s()
+    groups = [items[n:n + GROUP_SIZE] for n in range(0, len(items), GROUP_SIZE)]
+    complete = sum(all(item in results for item in group) for group in groups)
+    needed = math.ceil(len(groups) * AWAITED_SHARE)
+    lost = 0
+    for item in items:
+        runs = [r for r in lab.runs if r.request_id == item]
+        if item in results or any(r.outcome == "complete" for r in runs):
+            continue
+        # At a worker from each arrival to its end; before the first one, nowhere.
+        times = [sent_s, *(t for r in runs for t in (r.at_s, min(r.ended_s, now_s)))]
+        gaps = [b - a for a, b in zip(times[::2], [*times[1::2], now_s])]
+        lost += max(gaps) >= NOWHERE_S
+    # Where several models are trained, no item began in the last 3 s.
+    quiet_s = now_s - max((r.at_s for r in lab.runs), default=0.0)
+    full = sum(w.running + w.waiting for w in lab.workers) / (ENGINES * SLOTS)
+    lab.record.write("check", "step", groups=complete, needed=needed,
+                     listed=len(results), lost=lost, engines_full=full,
+                     begun=sum(r.request_id in items for r in lab.runs),
+                     since_last_arrival_s=f"{quiet_s:.1f}",
+                     versions={e.name: e.versions["m0"] for e in lab.workers})
+    holds = complete >= needed or full >= 0.5 or quiet_s < 3.0
+    return BROKEN if lost and not holds else HELD
+
+
+main(Path(__file__).parent, 2, play)
--- a/review/support/lab.py
+++ b/review/support/lab.py
@@ -202,6 +202,7 @@
         self.born = int(time.time() * 1000)
         self.running = self.waiting = self.sequence = self.fence = 0
         self.beats = 0
+        self.is_loading = False
         # Whether it sends late copies of the answers in `lab.copied_late`.
         self.is_garbling = False
         self._copies: dict[asyncio.StreamWriter, bytes] = {}
@@ -261,7 +262,7 @@
     ) -> None:
         if request.path == "/v1/report":
             body = {
-                "stage": "both", "busy": False, "sequence": self.sequence,
+                "stage": "both", "busy": self.is_loading, "sequence": self.sequence,
                 "models": [
                     {"name": m, "version": v, "adapters": []}
                     for m, v in self.versions.items()
@@ -275,8 +276,41 @@
             headers = {"x-request-id": request.id, "x-not-run": "1"}
             await send(writer, 421, headers, "")
             return
+        if request.path == "/v1/order":
+            order = json.loads(request.body)
+            status = self._take_order(order)
+            self._lab.record.write(
+                self.name, "order", status=status, holder=order.get("holder"),
+                fence=order.get("fence"), model=order.get("model"),
+                version=order.get("version"),
+            )
+            await send(writer, status, {"x-request-id": request.id}, "")
+            return
         await self._run(request, reader, writer)
 
+    def _take_order(self, order: dict) -> int:
+        model, version = order["model"], order["version"]
+        if "holder" not in order or "fence" not in order:
+            return 400
+        if version > self._lab.named.get(model, 1):
+            return 400
+        if order["fence"] < self.fence:
+            return 412
+        self.fence = order["fence"]
+        if self.versions.get(model) == version:
+            return 200
+        if self.is_loading or order.get("expectedRev", self.sequence) != self.sequence:
+            return 409
+        self.sequence += 1
+        self.is_loading = True
+        self._lab.orders.append((self._lab.record.now_s(), self.name, order["holder"]))
+        asyncio.get_running_loop().call_later(0.9, self._finish_load, model, version)
+        return 202
+
+    def _finish_load(self, model: str, version: int) -> None:
+        self.versions[model] = version
+        self.is_loading = False
+
     async def _run(
         self, request: HttpRequest, reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
@@ -424,6 +458,9 @@
         # Share of the faulty workers' answers that may be copied.
         self.copied_share = 0.0
         self.faulty_answers = self.copies = 0
+        # The newest version that a trainer has named, by model, and accepted orders.
+        self.named: dict[str, int] = {}
+        self.orders: list[tuple[float, str, str]] = []
         self._tasks: set[asyncio.Task[None]] = set()
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
         self.block = pick_block()
@@ -472,6 +509,12 @@
         }
         self.store.rows.put("op", "config", json.dumps(config).encode())
 
+    def name_version(self, model: str, version: int) -> None:
+        self.named[model] = version
+        row = json.dumps({"model": model, "version": version}).encode()
+        self.store.rows.put("op", f"version/{model}", row)
+        self.record.write("trainer", "names", model=model, version=version)
+
     async def start(self) -> None:
         await self.store.start(self.store_address, "-", "-")
         for worker in self.workers:
