--- a/review/1/play.py
+++ b/review/1/play.py
@@ -32,18 +32,41 @@
 async def play(lab: Lab) -> int:
     for number in range(ENGINES):
         lab.workers.append(
-            Engine(f"i-{number}", lab.worker_address(number), lab, slots=SLOTS,
-                   events=EVENTS, pause_s=PAUSE_S, models=tuple(GROUPS), queue=QUEUE)
+            Engine(
+                f"i-{number}",
+                lab.worker_address(number),
+                lab,
+                slots=SLOTS,
+                events=EVENTS,
+                pause_s=PAUSE_S,
+                models=tuple(GROUPS),
+                queue=QUEUE,
+            )
         )
     lab.put_config(
-        [{
-            "name": f"round-{model}", "host": HOST, "pathPrefix": f"/{model}/",
-            "routeType": "rollout", "upstream": "models", "timeoutMs": 10000,
-            "targetLatencyMs": 500, "maxAttempts": 3, "dueMs": 7500, "maxWaitS": 60,
-            "priority": 0,
-        } for model in GROUPS],
-        [{"name": "models", "maxConnections": 150,
-          "backend": {"models": [{"name": model} for model in GROUPS]}}],
+        [
+            {
+                "name": f"round-{model}",
+                "host": HOST,
+                "pathPrefix": f"/{model}/",
+                "routeType": "rollout",
+                "upstream": "models",
+                "timeoutMs": 10000,
+                "targetLatencyMs": 500,
+                "maxAttempts": 3,
+                "dueMs": 7500,
+                "maxWaitS": 60,
+                "priority": 0,
+            }
+            for model in GROUPS
+        ],
+        [
+            {
+                "name": "models",
+                "maxConnections": 150,
+                "backend": {"models": [{"name": model} for model in GROUPS]},
+            }
+        ],
     )
     await lab.start()
     while lab.record.now_s() < LAST_STEP_S:
@@ -74,34 +97,51 @@
         owner.signal(signal.SIGCONT)
         thawed_s = lab.record.write("operator", "thaws", node=owner.name)
         await asyncio.sleep(BETWEEN_S)
-    results = await asyncio.gather(*(
-        read(lab, lots[model], len(items[model]), owner, sent_s + BUDGET_S)
-        for model in GROUPS
-    ))
+    results = await asyncio.gather(
+        *(
+            read(lab, lots[model], len(items[model]), owner, sent_s + BUDGET_S)
+            for model in GROUPS
+        )
+    )
     gave_up_s = lab.record.now_s()
     lost = 0
     for model, listed in zip(GROUPS, results, strict=True):
         lost += judge(lab, lots[model], items[model], listed, thawed_s, gave_up_s)
         await lab.call(
-            random.choice(lab.nodes).front, "DELETE", f"/v1/lots/{lots[model]}",
-            headers={"host": HOST}, who="trainer",
+            random.choice(lab.nodes).front,
+            "DELETE",
+            f"/v1/lots/{lots[model]}",
+            headers={"host": HOST},
+            who="trainer",
         )
     return lost
 
 
 async def submit(lab: Lab, lot: str, items: list[str], model: str) -> None:
-    body = json.dumps({
-        "step": 0, "model": model, "minVersion": 1, "groupCount": GROUPS[model],
-        "requests": [
-            {"id": item, "path": f"/{model}/{item}", "tokens": 2000,
-             "headers": {"X-Model": model, "X-Token-Count": "1000,1000"},
-             "body": base64.b64encode(item.encode()).decode(),
-             "group": f"g{n // GROUP_SIZE}"}
-            for n, item in enumerate(items)
-        ],
-    }).encode()
+    body = json.dumps(
+        {
+            "step": 0,
+            "model": model,
+            "minVersion": 1,
+            "groupCount": GROUPS[model],
+            "requests": [
+                {
+                    "id": item,
+                    "path": f"/{model}/{item}",
+                    "tokens": 2000,
+                    "headers": {"X-Model": model, "X-Token-Count": "1000,1000"},
+                    "body": base64.b64encode(item.encode()).decode(),
+                    "group": f"g{n // GROUP_SIZE}",
+                }
+                for n, item in enumerate(items)
+            ],
+        }
+    ).encode()
     answer = await lab.call(
-        random.choice(lab.nodes).front, "POST", f"/{model}/{lot}", body=body,
+        random.choice(lab.nodes).front,
+        "POST",
+        f"/{model}/{lot}",
+        body=body,
         headers={"host": HOST, "x-request-id": lot, "content-type": "application/json"},
         who="trainer",
     )
@@ -126,20 +166,33 @@
         last_s = max([thawed_s + STABLE_S, *(r.ended_s for r in runs)])
         if gave_up_s - last_s >= NOWHERE_S - 2 * 0.05:
             lost.append(item)
-        lab.record.write("check", "not listed", item=item, runs=len(runs),
-                         nowhere_s=f"{gave_up_s - last_s:.2f}")
+        lab.record.write(
+            "check",
+            "not listed",
+            item=item,
+            runs=len(runs),
+            nowhere_s=f"{gave_up_s - last_s:.2f}",
+        )
     busy = max((w.running + w.waiting) / w.slots for w in lab.workers)
     # Where several models are trained, no item began in the last 3 s.
     quiet_s = gave_up_s - max(r.at_s for r in lab.runs)
-    lab.record.write("check", "step", lot=lot, groups=complete, needed=needed,
-                     listed=len(results), lost=len(lost), engines_busy=busy,
-                     since_last_arrival_s=f"{quiet_s:.1f}")
+    lab.record.write(
+        "check",
+        "step",
+        lot=lot,
+        groups=complete,
+        needed=needed,
+        listed=len(results),
+        lost=len(lost),
+        engines_busy=busy,
+        since_last_arrival_s=f"{quiet_s:.1f}",
+    )
     holds = complete >= needed or busy >= 0.5 or quiet_s < 3.0
     return 0 if holds else len(lost)
 
 
 def count_groups(items, results) -> int:
-    groups = [items[n:n + GROUP_SIZE] for n in range(0, len(items), GROUP_SIZE)]
+    groups = [items[n : n + GROUP_SIZE] for n in range(0, len(items), GROUP_SIZE)]
     return sum(all(item in results for item in group) for group in groups)
 
 
@@ -149,8 +202,12 @@
     nodes = [node for node in lab.nodes if node is not frozen]
     while lab.record.now_s() < until_s and len(results) < count:
         answer = await lab.call(
-            random.choice(nodes).front, "GET", f"/v1/lots/{lot}?after={len(results)}",
-            headers={"host": HOST, "x-wait-ms": "1000"}, timeout_s=2.5, quiet=True,
+            random.choice(nodes).front,
+            "GET",
+            f"/v1/lots/{lot}?after={len(results)}",
+            headers={"host": HOST, "x-wait-ms": "1000"},
+            timeout_s=2.5,
+            quiet=True,
         )
         if answer.status == 200:
             new = json.loads(answer.body)["results"]
--- a/review/3/play.py
+++ b/review/3/play.py
@@ -25,19 +25,40 @@
 
 async def play(lab: Lab) -> int:
     for number in range(WORKERS):
-        engine = Engine(f"i-{number}", lab.worker_address(number), lab, slots=8,
-                        events=EVENTS, pause_s=PAUSE_S, models=("m0",))
+        engine = Engine(
+            f"i-{number}",
+            lab.worker_address(number),
+            lab,
+            slots=8,
+            events=EVENTS,
+            pause_s=PAUSE_S,
+            models=("m0",),
+        )
         engine.is_garbling = TROUBLE and number < GARBLING
         lab.workers.append(engine)
     lab.put_config(
-        [{
-            "name": "round", "host": HOST, "pathPrefix": "/round/",
-            "routeType": "rollout", "upstream": "models", "timeoutMs": 10000,
-            "targetLatencyMs": 500, "maxAttempts": MAX_ATTEMPTS, "dueMs": 7500,
-            "maxWaitS": 60, "priority": 0,
-        }],
-        [{"name": "models", "maxConnections": 150,
-          "backend": {"models": [{"name": "m0"}]}}],
+        [
+            {
+                "name": "round",
+                "host": HOST,
+                "pathPrefix": "/round/",
+                "routeType": "rollout",
+                "upstream": "models",
+                "timeoutMs": 10000,
+                "targetLatencyMs": 500,
+                "maxAttempts": MAX_ATTEMPTS,
+                "dueMs": 7500,
+                "maxWaitS": 60,
+                "priority": 0,
+            }
+        ],
+        [
+            {
+                "name": "models",
+                "maxConnections": 150,
+                "backend": {"models": [{"name": "m0"}]},
+            }
+        ],
     )
     lab.copied_share = COPIED_SHARE
     await lab.start()
@@ -45,9 +66,14 @@
     for _ in range(LOTS):
         terminated_early += await play_lot(lab)
     answers = sum(r.outcome.startswith(("answered", "complete")) for r in lab.runs)
-    lab.record.write("check", "terminated early", items=terminated_early,
-                     answers=answers, answers_of_faulty_workers=lab.faulty_answers,
-                     copies=lab.copies)
+    lab.record.write(
+        "check",
+        "terminated early",
+        items=terminated_early,
+        answers=answers,
+        answers_of_faulty_workers=lab.faulty_answers,
+        copies=lab.copies,
+    )
     return BROKEN if terminated_early else HELD
 
 
@@ -61,19 +87,32 @@
     failing = random.choice(items)
     lab.failures[failing] = [500, 500]
     lab.copied_late.add(failing)
-    body = json.dumps({
-        "step": 0, "model": "m0", "minVersion": 1, "groupCount": GROUPS,
-        "requests": [
-            {"id": item, "path": f"/round/{item}", "tokens": 2000,
-             "headers": {"X-Model": "m0", "X-Token-Count": "1000,1000"},
-             "body": base64.b64encode(item.encode()).decode(),
-             "group": f"{lot}-{n // GROUP_SIZE}"}
-            for n, item in enumerate(items)
-        ],
-    }).encode()
+    body = json.dumps(
+        {
+            "step": 0,
+            "model": "m0",
+            "minVersion": 1,
+            "groupCount": GROUPS,
+            "requests": [
+                {
+                    "id": item,
+                    "path": f"/round/{item}",
+                    "tokens": 2000,
+                    "headers": {"X-Model": "m0", "X-Token-Count": "1000,1000"},
+                    "body": base64.b64encode(item.encode()).decode(),
+                    "group": f"{lot}-{n // GROUP_SIZE}",
+                }
+                for n, item in enumerate(items)
+            ],
+        }
+    ).encode()
     node = random.choice(lab.nodes)
     answer = await lab.call(
-        node.front, "POST", f"/round/{lot}", body=body, who="trainer",
+        node.front,
+        "POST",
+        f"/round/{lot}",
+        body=body,
+        who="trainer",
         headers={"host": HOST, "x-request-id": lot, "content-type": "application/json"},
     )
     if answer.status != 202:
@@ -84,11 +123,13 @@
         runs = [r.outcome for r in lab.runs if r.request_id == result["id"]]
         failures = runs.count("answered 500")
         if result["id"] == failing or result["state"] != "completed":
-            lab.record.write("trainer", "result", item=result["id"],
-                             state=result["state"], runs=runs)
+            lab.record.write(
+                "trainer", "result", item=result["id"], state=result["state"], runs=runs
+            )
         early += result["state"] == "terminated" and failures < MAX_ATTEMPTS
-    await lab.call(node.front, "DELETE", f"/v1/lots/{lot}", headers={"host": HOST},
-                   who="trainer")
+    await lab.call(
+        node.front, "DELETE", f"/v1/lots/{lot}", headers={"host": HOST}, who="trainer"
+    )
     return early
 
 
@@ -97,8 +138,12 @@
     until_s = lab.record.now_s() + 12.0
     while len(results) < count and lab.record.now_s() < until_s:
         answer = await lab.call(
-            random.choice(lab.nodes).front, "GET", f"/v1/lots/{lot}?after={len(results)}",
-            headers={"host": HOST, "x-wait-ms": "1000"}, timeout_s=2.5, quiet=True,
+            random.choice(lab.nodes).front,
+            "GET",
+            f"/v1/lots/{lot}?after={len(results)}",
+            headers={"host": HOST, "x-wait-ms": "1000"},
+            timeout_s=2.5,
+            quiet=True,
         )
         if answer.status == 200:
             results += json.loads(answer.body)["results"]
--- a/review/4/play.py
+++ b/review/4/play.py
@@ -7,7 +7,6 @@
 import json
 import math
 import random
-import signal
 import uuid
 from pathlib import Path
 
@@ -30,18 +29,39 @@
 async def play(lab: Lab) -> int:
     for number in range(ENGINES):
         lab.workers.append(
-            Engine(f"i-{number}", lab.worker_address(number), lab, slots=SLOTS,
-                   events=EVENTS, pause_s=PAUSE_S, models=MODELS)
+            Engine(
+                f"i-{number}",
+                lab.worker_address(number),
+                lab,
+                slots=SLOTS,
+                events=EVENTS,
+                pause_s=PAUSE_S,
+                models=MODELS,
+            )
         )
     lab.put_config(
-        [{
-            "name": "round-m0", "host": HOST, "pathPrefix": "/m0/",
-            "routeType": "rollout", "upstream": "models", "timeoutMs": 10000,
-            "targetLatencyMs": 500, "maxAttempts": 3, "dueMs": 7500, "maxWaitS": 60,
-            "priority": 0,
-        }],
-        [{"name": "models", "maxConnections": 150,
-          "backend": {"models": [{"name": model} for model in MODELS]}}],
+        [
+            {
+                "name": "round-m0",
+                "host": HOST,
+                "pathPrefix": "/m0/",
+                "routeType": "rollout",
+                "upstream": "models",
+                "timeoutMs": 10000,
+                "targetLatencyMs": 500,
+                "maxAttempts": 3,
+                "dueMs": 7500,
+                "maxWaitS": 60,
+                "priority": 0,
+            }
+        ],
+        [
+            {
+                "name": "models",
+                "maxConnections": 150,
+                "backend": {"models": [{"name": model} for model in MODELS]},
+            }
+        ],
     )
     lose_answers(lab)
     await lab.start()
@@ -118,8 +138,9 @@
         if sum(e.versions["m0"] == version for e in lab.workers) >= 2:
             return True
         await asyncio.sleep(0.05)
-    lab.record.write("check", "engines", have={e.name: e.versions["m0"]
-                                               for e in lab.workers})
+    lab.record.write(
+        "check", "engines", have={e.name: e.versions["m0"] for e in lab.workers}
+    )
     return False
 
 
@@ -132,18 +153,31 @@
     lab.name_version("m0", version + 1)
     lot = uuid.uuid4().hex[:16]
     items = [uuid.uuid4().hex[:16] for _ in range(GROUPS * GROUP_SIZE)]
-    body = json.dumps({
-        "step": version + 1, "model": "m0", "minVersion": version, "groupCount": GROUPS,
-        "requests": [
-            {"id": item, "path": f"/m0/{item}", "tokens": 2000,
-             "headers": {"X-Model": "m0", "X-Token-Count": "1000,1000"},
-             "body": base64.b64encode(item.encode()).decode(),
-             "group": f"g{n // GROUP_SIZE}"}
-            for n, item in enumerate(items)
-        ],
-    }).encode()
+    body = json.dumps(
+        {
+            "step": version + 1,
+            "model": "m0",
+            "minVersion": version,
+            "groupCount": GROUPS,
+            "requests": [
+                {
+                    "id": item,
+                    "path": f"/m0/{item}",
+                    "tokens": 2000,
+                    "headers": {"X-Model": "m0", "X-Token-Count": "1000,1000"},
+                    "body": base64.b64encode(item.encode()).decode(),
+                    "group": f"g{n // GROUP_SIZE}",
+                }
+                for n, item in enumerate(items)
+            ],
+        }
+    ).encode()
     answer = await lab.call(
-        random.choice(lab.nodes).front, "POST", f"/m0/{lot}", body=body, who="trainer",
+        random.choice(lab.nodes).front,
+        "POST",
+        f"/m0/{lot}",
+        body=body,
+        who="trainer",
         headers={"host": HOST, "x-request-id": lot, "content-type": "application/json"},
     )
     if answer.status != 202:
@@ -160,8 +194,12 @@
     """Add the ids of the results that are listed until all are."""
     while len(results) < count:
         answer = await lab.call(
-            random.choice(lab.nodes).front, "GET", f"/v1/lots/{lot}?after={len(results)}",
-            headers={"host": HOST, "x-wait-ms": "1000"}, timeout_s=2.5, quiet=True,
+            random.choice(lab.nodes).front,
+            "GET",
+            f"/v1/lots/{lot}?after={len(results)}",
+            headers={"host": HOST, "x-wait-ms": "1000"},
+            timeout_s=2.5,
+            quiet=True,
         )
         if answer.status == 200:
             results |= {r["id"] for r in json.loads(answer.body)["results"]}
@@ -171,7 +209,7 @@
 def judge(lab: Lab, items, results, sent_s) -> int:
     """Apply LOST: the step is out of time, and an item was at no worker for 5 s."""
     now_s = lab.record.now_s()
-    groups = [items[n:n + GROUP_SIZE] for n in range(0, len(items), GROUP_SIZE)]
+    groups = [items[n : n + GROUP_SIZE] for n in range(0, len(items), GROUP_SIZE)]
     complete = sum(all(item in results for item in group) for group in groups)
     needed = math.ceil(len(groups) * AWAITED_SHARE)
     lost = 0
@@ -186,11 +224,18 @@
     # Where several models are trained, no item began in the last 3 s.
     quiet_s = now_s - max((r.at_s for r in lab.runs), default=0.0)
     full = sum(w.running + w.waiting for w in lab.workers) / (ENGINES * SLOTS)
-    lab.record.write("check", "step", groups=complete, needed=needed,
-                     listed=len(results), lost=lost, engines_full=full,
-                     begun=sum(r.request_id in items for r in lab.runs),
-                     since_last_arrival_s=f"{quiet_s:.1f}",
-                     versions={e.name: e.versions["m0"] for e in lab.workers})
+    lab.record.write(
+        "check",
+        "step",
+        groups=complete,
+        needed=needed,
+        listed=len(results),
+        lost=lost,
+        engines_full=full,
+        begun=sum(r.request_id in items for r in lab.runs),
+        since_last_arrival_s=f"{quiet_s:.1f}",
+        versions={e.name: e.versions["m0"] for e in lab.workers},
+    )
     holds = complete >= needed or full >= 0.5 or quiet_s < 3.0
     return BROKEN if lost and not holds else HELD
 
--- a/review/support/lab.py
+++ b/review/support/lab.py
@@ -20,9 +20,10 @@
 from dataclasses import dataclass, field
 from pathlib import Path
 
+from tests.soak.store import StoreServer
+
 from tamarackshelf.net import HttpClient
 from tamarackshelf.world import Address
-from tests.soak.store import StoreServer
 
 ROOT = Path(__file__).resolve().parents[2]
 HOST = "review.example"
@@ -95,8 +96,13 @@
     """One machine of the class edge with its one process."""
 
     def __init__(
-        self, name: str, host: str, ports: dict[str, int], seeds: list[str],
-        store: Address, folder: Path,
+        self,
+        name: str,
+        host: str,
+        ports: dict[str, int],
+        seeds: list[str],
+        store: Address,
+        folder: Path,
     ) -> None:
         self.name = name
         self.front = Address(host, ports["front"])
@@ -145,8 +151,11 @@
         with self.log.open("ab") as log:
             # The command of deploy/system.toml.
             self.process = subprocess.Popen(
-                ["python3", "deploy/node.py"], cwd=ROOT, env=environment,
-                stdout=log, stderr=log,
+                ["python3", "deploy/node.py"],
+                cwd=ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
             )
 
     def signal(self, number: signal.Signals) -> None:
@@ -163,18 +172,6 @@
                 self.process.kill()
             self.process.wait()
 
-    def events(self, *kinds: str) -> list[dict[str, object]]:
-        """Return lines of the node's log, to explain a finding, never to judge one."""
-        found = []
-        for line in self.log.read_text(errors="replace").splitlines():
-            try:
-                entry = json.loads(line)
-            except ValueError:
-                continue
-            if not kinds or entry.get("event") in kinds or entry.get("message") in kinds:
-                found.append(entry)
-        return found
-
 
 @dataclass
 class Run:
@@ -192,8 +189,16 @@
     """A model worker: streams events, `slots` items at once, queues a few more."""
 
     def __init__(
-        self, name: str, address: Address, lab: Lab, *, slots: int, events: int,
-        pause_s: float, models: tuple[str, ...], queue: int = 24,
+        self,
+        name: str,
+        address: Address,
+        lab: Lab,
+        *,
+        slots: int,
+        events: int,
+        pause_s: float,
+        models: tuple[str, ...],
+        queue: int = 24,
     ) -> None:
         self.name, self.address, self._lab = name, address, lab
         self.queue = queue
@@ -219,9 +224,15 @@
             if not self._lab.store.faults.is_down:
                 self.beats += 1
                 row = {
-                    "upstream": "models", "address": str(self.address), "zone": "a",
-                    "version": "s1", "state": "ready", "capacity": self.slots,
-                    "born": self.born, "sequence": self.beats, "coldLeftMs": 0,
+                    "upstream": "models",
+                    "address": str(self.address),
+                    "zone": "a",
+                    "version": "s1",
+                    "state": "ready",
+                    "capacity": self.slots,
+                    "born": self.born,
+                    "sequence": self.beats,
+                    "coldLeftMs": 0,
                     "stage": "both",
                     "models": [
                         {"name": m, "version": v, "adapters": []}
@@ -243,8 +254,11 @@
                 if request is None:
                     return
                 if self._copies[writer]:
-                    self._lab.record.write(self.name, "sends a late copy",
-                                           first_line=self._copies[writer][:24])
+                    self._lab.record.write(
+                        self.name,
+                        "sends a late copy",
+                        first_line=self._copies[writer][:24],
+                    )
                     writer.write(self._copies[writer])
                     self._copies[writer] = b""
                 await self._answer(request, reader, writer)
@@ -257,18 +271,26 @@
             writer.close()
 
     async def _answer(
-        self, request: HttpRequest, reader: asyncio.StreamReader,
+        self,
+        request: HttpRequest,
+        reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
         if request.path == "/v1/report":
             body = {
-                "stage": "both", "busy": self.is_loading, "sequence": self.sequence,
+                "stage": "both",
+                "busy": self.is_loading,
+                "sequence": self.sequence,
                 "models": [
                     {"name": m, "version": v, "adapters": []}
                     for m, v in self.versions.items()
                 ],
-                "waiting": self.waiting, "running": self.running, "kvUsed": 0,
-                "kvTotal": 100000, "handles": 0, "born": self.born,
+                "waiting": self.waiting,
+                "running": self.running,
+                "kvUsed": 0,
+                "kvTotal": 100000,
+                "handles": 0,
+                "born": self.born,
             }
             await send(writer, 200, {"x-request-id": request.id}, json.dumps(body))
             return
@@ -280,8 +302,12 @@
             order = json.loads(request.body)
             status = self._take_order(order)
             self._lab.record.write(
-                self.name, "order", status=status, holder=order.get("holder"),
-                fence=order.get("fence"), model=order.get("model"),
+                self.name,
+                "order",
+                status=status,
+                holder=order.get("holder"),
+                fence=order.get("fence"),
+                model=order.get("model"),
                 version=order.get("version"),
             )
             await send(writer, status, {"x-request-id": request.id}, "")
@@ -312,7 +338,9 @@
         self.is_loading = False
 
     async def _run(
-        self, request: HttpRequest, reader: asyncio.StreamReader,
+        self,
+        request: HttpRequest,
+        reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
         after = request.headers.get("last-event-id", "")
@@ -344,7 +372,10 @@
             )
 
     async def _work(
-        self, request: HttpRequest, run: Run, headers: dict[str, str],
+        self,
+        request: HttpRequest,
+        run: Run,
+        headers: dict[str, str],
         writer: asyncio.StreamWriter,
     ) -> None:
         self.waiting += 1
@@ -367,9 +398,11 @@
                 return
             model = request.headers.get("x-model", "")
             head = {
-                **headers, "x-server-stamp": f"stamp.{request.id}",
+                **headers,
+                "x-server-stamp": f"stamp.{request.id}",
                 "x-weight-versions": str(self.versions.get(model, 1)),
-                "content-type": "text/event-stream", "transfer-encoding": "chunked",
+                "content-type": "text/event-stream",
+                "transfer-encoding": "chunked",
             }
             first = int(request.headers.get("last-event-id", "-1")) + 1
             writer.write(build_head(200, head))
@@ -470,8 +503,14 @@
             self.store_address = Address(f"{self.block}.250", probe.getsockname()[1])
         hosts = [f"{self.block}.{n + 1}" for n in range(nodes)]
         self.nodes = [
-            Node(f"edge-a-{n + 1}", host, ports, hosts[:3], self.store_address,
-                 Path(self._folder.name))
+            Node(
+                f"edge-a-{n + 1}",
+                host,
+                ports,
+                hosts[:3],
+                self.store_address,
+                Path(self._folder.name),
+            )
             for n, host in enumerate(hosts)
         ]
 
@@ -501,10 +540,14 @@
 
     def put_config(self, routes: list[dict], upstreams: list[dict]) -> None:
         config = {
-            "version": self.config_version, "routes": routes, "upstreams": upstreams,
+            "version": self.config_version,
+            "routes": routes,
+            "upstreams": upstreams,
             "limits": {
-                "maxHeaderBytes": 16384, "maxBodyBytes": 33554432,
-                "headerTimeoutMs": 3000, "idleTimeoutMs": 15000,
+                "maxHeaderBytes": 16384,
+                "maxBodyBytes": 33554432,
+                "headerTimeoutMs": 3000,
+                "idleTimeoutMs": 15000,
             },
         }
         self.store.rows.put("op", "config", json.dumps(config).encode())
@@ -535,15 +578,28 @@
         return answer.status == 200
 
     async def call(
-        self, address: Address, method: str, path: str, *, headers=None, body=b"",
-        timeout_s: float = 2.0, quiet: bool = False, who: str = "client",
+        self,
+        address: Address,
+        method: str,
+        path: str,
+        *,
+        headers=None,
+        body=b"",
+        timeout_s: float = 2.0,
+        quiet: bool = False,
+        who: str = "client",
     ) -> Answer:
         """Send one request on a new channel."""
         http = HttpClient(connect_timeout_s=1.0)
         try:
             got = await http.request(
-                address, method, path, headers=headers or {}, body=body,
-                timeout_s=timeout_s, new_connection=True,
+                address,
+                method,
+                path,
+                headers=headers or {},
+                body=body,
+                timeout_s=timeout_s,
+                new_connection=True,
             )
             answer = Answer(got.status, got.body, got.headers)
         except Exception as error:
@@ -552,7 +608,10 @@
             await http.close()
         if not quiet:
             self.record.write(
-                who, f"{method} {path}", node=address.host, status=answer.status,
+                who,
+                f"{method} {path}",
+                node=address.host,
+                status=answer.status,
                 body=answer.body[:100],
             )
         return answer
@@ -577,9 +636,16 @@
     """Play a case and exit with its status; REVIEW_FOLDER gets the record instead."""
     lab = Lab(Path(os.environ.get("REVIEW_FOLDER", folder)), nodes)
 
+    def stop(*_: object) -> None:
+        for node in lab.nodes:
+            node.kill()
+        os._exit(COULD_NOT_RUN)
+
+    signal.signal(signal.SIGTERM, stop)
+
     async def run() -> int:
         try:
-            async with asyncio.timeout(114):
+            async with asyncio.timeout(112):
                 return await play(lab)
         finally:
             await lab.close()
