Give an item's place back in its task's done callback, also if the task never began

Trainers waited for a step until its time was up while engines were idle: after a freeze of 1.2 s of the owner, 1 to 30 of 36 items had no task and stayed RUNNING, and engines kept places that nobody used. Their runs counted as silent for good, so that the owner also ejected these engines, for up to 8 s.

Cause: `_start_run` and `_resume_scoring` set the stage, the run and the place before they create the task, and a `finally` in the task's coroutine cleared them. A task that is cancelled before its first step runs nothing of its coroutine. `pause` does that after a freeze, as the timer of the runner and that of the freeze watch expire together; `drop`, `update_head` and a moved run do it whenever they meet the turn of the event loop in which items were placed.

Now the task's done callback gives everything back, and it is called for each task.

Ruled out: freezes of 4 s lose no items by this (the step is adopted elsewhere).

--- a/src/tamarackshelf/jobs/item_state.py
+++ b/src/tamarackshelf/jobs/item_state.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 
 from tamarackshelf.contracts.targets import ItemEvent
+from tamarackshelf.node.targets import TargetState
 from tamarackshelf.world import Target
 from tamarackshelf.world.job import ItemProgress, ItemResult, JobItem, TextOrigin
 
@@ -25,13 +26,22 @@
 
 @dataclass(slots=True)
 class CurrentRun:
-    """The engine that runs an item, and times of the run on the event loop's clock."""
+    """The place of an item at an engine, and times on the event loop's clock."""
 
-    engine: str
-    service: str
+    target: TargetState
     started_s: float
     last_event_at_s: float | None = None
 
+    @property
+    def engine(self) -> str:
+        """The name of the engine."""
+        return self.target.target.name
+
+    @property
+    def service(self) -> str:
+        """The service of the engine."""
+        return self.target.target.service
+
     def compute_silence_s(self, now_s: float) -> float:
         """Return the seconds since the last event, or since the start if none came."""
         return now_s - (
--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -261,14 +261,7 @@
                 for state in job.waiting_items():
                     if state.is_text_complete:
                         state.stage = ItemStage.SCORING
-                        self._start_item_task(job, state, self._score_only(job, state))
-
-    async def _score_only(self, job: OwnedJob, state: ItemState) -> None:
-        try:
-            await self._score(job, state)
-        finally:
-            if state.stage is ItemStage.SCORING:
-                state.stage = ItemStage.WAITING
+                        self._start_item_task(job, state, self._score(job, state))
 
     def _start_item_task(
         self, job: OwnedJob, state: ItemState, work: Coroutine[None, None, None]
@@ -276,7 +269,27 @@
         item_id = state.item.item_id
         task = asyncio.get_running_loop().create_task(work, name=f"item_{item_id}")
         job.tasks[item_id] = task
-        task.add_done_callback(partial(job.discard_task, item_id))
+        task.add_done_callback(partial(self._end_item_task, job, state))
+
+    def _end_item_task(
+        self, job: OwnedJob, state: ItemState, task: asyncio.Task[None]
+    ) -> None:
+        """Give back what the item holds, so that it waits again unless it is done.
+
+        A callback does so, as a task that is cancelled before its first step runs
+        nothing of its coroutine.
+        """
+        self._end_run(state)
+        if state.stage is not ItemStage.DONE:
+            state.stage = ItemStage.WAITING
+        job.discard_task(state.item.item_id, task)
+
+    def _end_run(self, state: ItemState) -> None:
+        """Give back the place that the item's run has at its engine, if any."""
+        if state.run is not None:
+            state.run.target.in_flight -= 1
+            state.run = None
+            self._wake.set()
 
     def _find_route(self, job: OwnedJob, state: ItemState) -> Route | None:
         route_table = self._get_route_table()
@@ -289,27 +302,19 @@
     ) -> None:
         state.stage = ItemStage.RUNNING
         target.in_flight += 1
-        state.run = CurrentRun(target.target.name, target.target.service, _now_s())
+        state.run = CurrentRun(target, _now_s())
         self._start_item_task(job, state, self._run_item(job, state, target, route))
 
     async def _run_item(
         self, job: OwnedJob, state: ItemState, target: TargetState, route: Route
     ) -> None:
         """Run an item once and, if its text is then complete, score it."""
-        try:
-            try:
-                is_complete = await self._attempt_run(job, state, target, route)
-            finally:
-                state.run = None
-                target.in_flight -= 1
-                self._wake.set()
-            if is_complete:
-                state.is_text_complete = True
-                state.stage = ItemStage.SCORING
-                await self._score(job, state)
-        finally:
-            if state.stage in (ItemStage.RUNNING, ItemStage.SCORING):
-                state.stage = ItemStage.WAITING
+        is_complete = await self._attempt_run(job, state, target, route)
+        self._end_run(state)
+        if is_complete:
+            state.is_text_complete = True
+            state.stage = ItemStage.SCORING
+            await self._score(job, state)
 
     async def _attempt_run(
         self, job: OwnedJob, state: ItemState, target: TargetState, route: Route
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -459,3 +459,35 @@
         check_results(await read_all_results(cluster, "a", first), first)
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("turns", range(6))
+@pytest.mark.parametrize("stops", ["runs", "scores"])
+def test_item_that_is_stopped_before_its_task_begins_runs_again(
+    run_scenario, stops, turns
+):
+    """A thawed node cancelled tasks in the turn of the loop that had created them.
+
+    Their items stayed RUNNING without a task and kept places of idle engines.
+    """
+
+    async def scenario(cluster):
+        node = cluster.nodes["a"]
+        if stops == "scores":
+            cluster.engines.score_faults = [OutcomeUnknown("lost")] * 1000
+        job = await submit(cluster)
+        if stops == "scores":
+            # All texts are complete, and their score calls are repeated.
+            await asyncio.sleep(1.0)
+            await node.runner.pause()
+            cluster.engines.score_faults = []
+            node.runner.resume()
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        await node.runner.pause()
+        registry = node.target_registry
+        assert [registry.get(name).in_flight for name in ("e1", "e2", "a3")] == [0] * 3
+        node.runner.resume()
+        check_results(await read_all_results(cluster, "a", job, within_s=3.0), job)
+
+    run_scenario(scenario)
