Count no time in which the node itself slept as silence of an engine

Nothing had been read meanwhile, as the process did not run.

Cause: the silence of a run is the time since its last event on a clock that goes on in a freeze. Events that arrived meanwhile are read in the turn of the event loop in which the runner's timer expires too, and which comes first is chance; `pause` comes only with the freeze watch's own timer.

Now the runner knows from its timer how long it did not run, and shifts the times of all runs by that.

--- a/src/tamarackshelf/jobs/item_state.py
+++ b/src/tamarackshelf/jobs/item_state.py
@@ -42,6 +42,12 @@
         """The service of the engine."""
         return self.target.target.service
 
+    def discount_sleep(self, slept_s: float, now_s: float) -> None:
+        """Shift the times by a time in which this process did not run."""
+        self.started_s = min(now_s, self.started_s + slept_s)
+        if self.last_event_at_s is not None:
+            self.last_event_at_s = min(now_s, self.last_event_at_s + slept_s)
+
     def compute_silence_s(self, now_s: float) -> float:
         """Return the seconds since the last event, or since the start if none came."""
         return now_s - (
--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -189,16 +189,29 @@
                     )
 
     async def _run(self) -> None:
+        awake_at_s = _now_s()
         while True:
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(TICK_S):
                     await self._wake.wait()
             self._wake.clear()
+            now_s = _now_s()
+            self._discount_sleep(now_s - awake_at_s - TICK_S, now_s)
+            awake_at_s = now_s
             self._targets.drop_missing()
-            self._evict_settled(_now_s())
+            self._evict_settled(now_s)
             if not self.is_paused:
                 self._place_all()
 
+    def _discount_sleep(self, slept_s: float, now_s: float) -> None:
+        """Discount a time in which this process read nothing from all silences."""
+        if slept_s <= 0.0:
+            return
+        for job in self.jobs.values():
+            for state in job.items.values():
+                if state.run is not None:
+                    state.run.discount_sleep(slept_s, now_s)
+
     def _evict_settled(self, now_s: float) -> None:
         """Remove complete and ended jobs from memory; the store keeps them."""
         for job_id, job in list(self.jobs.items()):
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -68,6 +68,13 @@
     return results
 
 
+def advance_clock(duration_s):
+    """Move the event loop's clock as a freeze of the process does."""
+    loop = asyncio.get_running_loop()
+    read_clock = loop.time
+    loop.time = lambda: read_clock() + duration_s
+
+
 def build_expected_text(result, events_per_item=10):
     return "\n".join(f"{result.item_id}:{n}" for n in range(events_per_item))
 
@@ -491,3 +498,27 @@
         check_results(await read_all_results(cluster, "a", job, within_s=3.0), job)
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("frozen_s", [0.3, 1.2, 4.0])
+@pytest.mark.parametrize("after_s", [0.0, 0.02, 0.1, 0.25, 0.38, 0.45])
+def test_engines_are_not_blamed_for_a_freeze_of_the_node(
+    run_scenario, frozen_s, after_s
+):
+    """A node took its own sleep for silence of its engines and ejected them."""
+
+    async def scenario(cluster):
+        node = cluster.nodes["a"]
+        # Runs of six items are in progress, two wait for a place.
+        cluster.engines.queue_s["e2"] = 0.2
+        job = await submit(cluster)
+        await asyncio.sleep(after_s)
+        advance_clock(frozen_s)
+        await asyncio.sleep(0.1)
+        if frozen_s >= 1.2:
+            await node.runner.pause()
+            node.runner.resume()
+        check_results(await read_all_results(cluster, "a", job), job)
+        assert "target_out" not in node.event_kinds()
+
+    run_scenario(scenario)
