Read an answer that came while the process stood still

A node that had been frozen took answers that were already in its socket for overdue, blamed their targets, and gave callers no answer or repeated the call.

Cause: after a freeze the timers of all deadlines expire in the turn of the event loop in which the arrived bytes are handed to the reader. The timer cancels the read, whose result is discarded as a time-out.

Now a read whose timer expired late by MIN_STANDSTILL_S or more is tried again for 50 ms, once for each call, so that a stream without end still ends.

Before: the first test of tests/net/test_standstill.py fails with ResponseOverdue. After: it passes, and the second one shows that the grace comes once.

--- a/src/tamarackshelf/net/http_client.py
+++ b/src/tamarackshelf/net/http_client.py
@@ -21,6 +21,10 @@
 # Idle connections are discarded this long before the peer's keep-alive timeout, so that
 # no request is sent on a connection that the peer is about to close.
 KEEP_ALIVE_MARGIN_S = 0.5
+# A timer that expires this late shows that the process did not run, or was too busy to
+# read what had arrived.
+MIN_STANDSTILL_S = 0.25
+STANDSTILL_GRACE_S = 0.05
 
 
 class ConnectFailed(Exception):
@@ -246,6 +250,7 @@
         self._http = h11.Connection(h11.CLIENT)
         self.reused = False
         self.is_reusable = True
+        self._had_grace = False
         self._idle_timeout_s = self._idle_until_s = float("inf")
 
     def apply_keep_alive(self, head: h11.Response) -> None:
@@ -273,6 +278,7 @@
         if not self.is_reusable or self._http.trailing_data[0]:
             return False
         self._http.start_next_cycle()
+        self._had_grace = False
         self._idle_until_s = asyncio.get_running_loop().time() + self._idle_timeout_s
         return self.is_open()
 
@@ -305,9 +311,7 @@
         try:
             event = self._http.next_event()
             while event is h11.NEED_DATA:
-                async with asyncio.timeout_at(deadline_s):
-                    data = await self._reader.read(READ_SIZE_BYTES)
-                self._http.receive_data(data)
+                self._http.receive_data(await self._read(deadline_s))
                 event = self._http.next_event()
         except TimeoutError as error:
             raise ResponseOverdue("no response before the deadline") from error
@@ -315,6 +319,23 @@
             raise ConnectionLost(str(error)) from error
         return event
 
+    async def _read(self, deadline_s: float) -> bytes:
+        """Read some bytes; raise TimeoutError after the deadline.
+
+        If this process did not run when the deadline passed, the answer may have come
+        meanwhile. Once for each call, it then gets STANDSTILL_GRACE_S to be read.
+        """
+        try:
+            async with asyncio.timeout_at(deadline_s):
+                return await self._reader.read(READ_SIZE_BYTES)
+        except TimeoutError:
+            now_s = asyncio.get_running_loop().time()
+            if self._had_grace or now_s - deadline_s < MIN_STANDSTILL_S:
+                raise
+            self._had_grace = True
+            async with asyncio.timeout_at(now_s + STANDSTILL_GRACE_S):
+                return await self._reader.read(READ_SIZE_BYTES)
+
 
 def _build_head(
     address: Address, method: str, path: str, headers: Headers, body: bytes
