Begin the bodies of streams and relayed calls before they are handed out

A generator that is closed before its first step runs none of its `finally` blocks.

Now both bodies are run up to a first, discarded value, from which closing them gives everything back; and the server closes a body also when its head cannot be written.

Before: the new tests of the streamer (two cases) and of the relay fail. After: they pass.

--- a/src/tamarackshelf/entry/streamer.py
+++ b/src/tamarackshelf/entry/streamer.py
@@ -26,6 +26,7 @@
 from tamarackshelf.observe import Metrics, Timeline
 from tamarackshelf.policy.quarantine import QuarantineStatus
 from tamarackshelf.policy.route_table import pick_service
+from tamarackshelf.tasks import begin
 from tamarackshelf.world import TargetKind
 from tamarackshelf.world.route import Route
 
@@ -144,7 +145,7 @@
                     "the stream was broken off before its first event, as no other "
                     "node could be told which software began it; send it again"
                 )
-        return head, self._relay(stream, events, state)
+        return head, await begin(self._relay(stream, events, state))
 
     async def _take_up(self, stream: _Stream, resumption: Resumption) -> None:
         """Keep to the software that began the stream in an earlier attempt.
@@ -293,12 +294,14 @@
     ) -> AsyncGenerator[bytes, None]:
         """Yield the events and resume the stream at another target if it is lost.
 
-        Raise AnswerLost if the stream is lost and cannot be resumed.
+        The first value is empty, for `begin`. Raise AnswerLost if the stream is lost
+        and cannot be resumed.
         """
         event_count = 0
         # Stays unchanged if the caller disconnects.
         outcome = "left"
         try:
+            yield b""
             while True:
                 try:
                     async with contextlib.aclosing(_follow(stream, events)) as run:
--- a/src/tamarackshelf/net/http_server.py
+++ b/src/tamarackshelf/net/http_server.py
@@ -382,9 +382,9 @@
             self._write(head, h11.Data(data=response.body), h11.EndOfMessage())
             await self._writer.drain()
             return
-        self._write(head)
         chunks = response.body
         try:
+            self._write(head)
             async for chunk in chunks:
                 self._write(h11.Data(data=chunk))
                 await self._writer.drain()
--- a/src/tamarackshelf/node/target_relay.py
+++ b/src/tamarackshelf/node/target_relay.py
@@ -24,6 +24,7 @@
 )
 from tamarackshelf.node.targets import TargetRegistry
 from tamarackshelf.observe import Metrics, Timeline
+from tamarackshelf.tasks import begin
 from tamarackshelf.world import Address, Target
 
 TARGET_CALL_PATH = "/target-calls"
@@ -234,7 +235,8 @@
             OUTCOME_HEADER: TargetCallOutcome.ANSWERED.value,
             HEAD_HEADER: base64.b64encode(head).decode(),
         }
-        return Response(200, _copy(stack, response), headers=headers)
+        body = await begin(_copy(stack, response))
+        return Response(200, body, headers=headers)
 
     async def answer_verdict(self, request: Request) -> Response:
         """Tell a peer what this node sees of a target."""
@@ -279,9 +281,13 @@
 async def _copy(
     stack: contextlib.AsyncExitStack, response: TargetStream
 ) -> AsyncGenerator[bytes, None]:
-    """Yield the target's body; raise ConnectionError if it is not complete."""
+    """Yield the target's body; raise ConnectionError if it is not complete.
+
+    The first value is empty, for `begin`.
+    """
     loop = asyncio.get_running_loop()
     async with stack:
+        yield b""
         try:
             response.set_deadline(loop.time() + SILENCE_S)
             async for chunk in response.chunks():
--- a/src/tamarackshelf/tasks.py
+++ b/src/tamarackshelf/tasks.py
@@ -4,10 +4,13 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncGenerator, Awaitable, Callable
+from typing import TypeVar
 
 RESTART_DELAY_S = 1.0
 
+T = TypeVar("T")
+
 log = logging.getLogger("tamarackshelf")
 
 
@@ -27,6 +30,16 @@
     await asyncio.gather(*started, return_exceptions=True)
 
 
+async def begin(generator: AsyncGenerator[T, None]) -> AsyncGenerator[T, None]:
+    """Run a generator up to its first yield, discard that value and return it.
+
+    Closing it then runs its `finally` blocks, which a generator that has not begun
+    leaves out.
+    """
+    await anext(generator)
+    return generator
+
+
 async def _run_forever(name: str, run: Callable[[], Awaitable[None]]) -> None:
     while True:
         try:
@@ -36,4 +49,4 @@
             await asyncio.sleep(RESTART_DELAY_S)
 
 
-__all__ = ["start_task", "stop_tasks"]
+__all__ = ["begin", "start_task", "stop_tasks"]
--- a/tests/entry/test_streamer.py
+++ b/tests/entry/test_streamer.py
@@ -121,6 +121,30 @@
 ALL_EVENTS = b"".join(f"{n};".encode() for n in range(EVENT_COUNT))
 
 
+@pytest.mark.parametrize("status", [200, 404])
+def test_stream_that_is_closed_before_its_first_event_gives_its_place_back(run, status):
+    """Targets kept a place of each stream whose caller left just as it was opened."""
+
+    class AnsweringTargets(FakeTargetClient):
+        async def stream(self, target, request, timeout_s, **options):
+            yield StreamHead(status, {}, True)
+            yield StreamEvent(-1, b"text")
+
+    async def scenario():
+        targets, timeline = AnsweringTargets([]), Timeline("n", lambda: 0)
+        registry = TargetRegistry(timeline, lambda: float("-inf"), random.Random(3))
+        registry.put(build_target("t1", "app"))
+        quarantine = build_quarantine(registry, targets)
+        streamer = build_streamer(registry, targets, quarantine, timeline)
+        request = ForwardedRequest("r", HOST, Request("POST", "/s/x"))
+        _, events = await streamer.open(request, build_route(False), 5.0)
+        assert registry.get("t1").in_flight == 1
+        await events.aclose()
+        assert registry.get("t1").in_flight == 0
+
+    run(scenario())
+
+
 def test_stream_is_forwarded_completely(run):
     head, received, end, calls = open_stream(run, [], resumable=False)
     assert (received, end, len(calls)) == (ALL_EVENTS, "complete", 1)
--- a/tests/node/test_target_relay.py
+++ b/tests/node/test_target_relay.py
@@ -6,13 +6,16 @@
 import contextlib
 import random
 
+import msgspec
 import pytest
 
 from tamarackshelf.contracts.targets import CallKind, TargetCall, TargetRecord
-from tamarackshelf.net import ConnectionLost, HttpClient, HttpServer
+from tamarackshelf.net import ConnectionLost, HttpClient, HttpServer, Request
 from tamarackshelf.node.peer_api import is_target_call
 from tamarackshelf.node.target_relay import (
+    TARGET_CALL_PATH,
     PeerDeclined,
+    RelayedCall,
     TargetNotReached,
     TargetRelay,
     open_relayed,
@@ -29,22 +32,17 @@
 HANG_UP_LIMIT_S = 0.5
 
 
-@contextlib.asynccontextmanager
-async def run_relay(serve, *, is_cut_off=False, restarted=False):
-    """Run a target and a peer that relays; yield a client, the peer and the target."""
-    address, peer = find_free_address(), find_free_address()
-    server = await asyncio.start_server(serve, address.host, address.port)
-    timeline, http = Timeline("p", lambda: 0), HttpClient()
+def build_relay(http, listed, *, is_cut_off=False):
+    """Return the relay of a node that knows one target."""
+    timeline = Timeline("p", lambda: 0)
     registry = TargetRegistry(timeline, lambda: float("-inf"), random.Random(1))
-    target = Target("i-1", "app", TargetKind.PLAIN, "dc", address, 1, 8)
-    listed = Target("i-1", "app", TargetKind.PLAIN, "dc", address, 1 + restarted, 8)
     registry.put(TargetRecord(listed))
 
     async def verify(_):
         return is_cut_off
 
     paths = build_paths(http, timeline)
-    relay = TargetRelay(
+    return TargetRelay(
         registry,
         paths.open_direct,
         verify,
@@ -53,6 +51,17 @@
         timeline,
         Metrics(),
     )
+
+
+@contextlib.asynccontextmanager
+async def run_relay(serve, *, is_cut_off=False, restarted=False):
+    """Run a target and a peer that relays; yield a client, the peer and the target."""
+    address, peer = find_free_address(), find_free_address()
+    server = await asyncio.start_server(serve, address.host, address.port)
+    http = HttpClient()
+    target = Target("i-1", "app", TargetKind.PLAIN, "dc", address, 1, 8)
+    listed = Target("i-1", "app", TargetKind.PLAIN, "dc", address, 1 + restarted, 8)
+    relay = build_relay(http, listed, is_cut_off=is_cut_off)
     peer_server = HttpServer(relay.answer, cancel_on_disconnect=is_target_call)
     await peer_server.start(peer)
     try:
@@ -89,6 +98,24 @@
         assert pieces == [b"one", b"two"]
 
 
+async def test_relayed_response_that_is_closed_unread_ends_the_call():
+    """A peer that hung up just before its answer left its call counted for good."""
+    ended = asyncio.Event()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + chunk(b"one"))
+        await reader.read()
+        ended.set()
+
+    async with run_relay(serve) as (http, _, target, _):
+        relay = build_relay(http, target)
+        call = msgspec.msgpack.encode(RelayedCall(target.name, 1, CALL))
+        response = await relay.answer(Request("POST", TARGET_CALL_PATH, body=call))
+        await response.body.aclose()
+        await asyncio.wait_for(ended.wait(), HANG_UP_LIMIT_S)
+
+
 async def test_response_that_the_target_breaks_off_is_not_complete():
     async def serve(reader, writer):
         await reader.readuntil(b"\r\n\r\n")
