Settle a claim of the order lease whose answer was lost, whatever the node's rank

Trainers waited for a step until its time was up, as new weights came to the first engine only: the lease for orders stayed with a node that gave none.

Cause: the store had stored a node's claim without an answer. The node could learn so only by reading the row, which it did only while it ranked first. If another node ranked first by then, that node found the living holder and left the lease with it, and the holder never looked.

Now a node remembers the lease as it was before its claim, and reads the row until that claim is settled, at any rank and also if it knows of no outdated engine. The claim is settled if the row names the node, or once another write has replaced the version that the claim was conditional on; until then the store may still execute it. A holder that an engine has refused treats its lease in the same way. Leaving the lease with a living holder is recorded, once for each.

Ruled out: heads of jobs come to all nodes by the feed, and the named owner adopts at any rank; a release without an answer is repeated, and each order is preceded by a read of the row; a restarted process has another incarnation.

Before: 5 of the 13 new cases of tests/node/test_weights.py fail (a stored claim with 2, 12, 58 and 195 nodes; a refused holder).

--- a/src/tamarackshelf/node/weights.py
+++ b/src/tamarackshelf/node/weights.py
@@ -31,6 +31,7 @@
 )
 from tamarackshelf.store.failover import FailoverStore
 from tamarackshelf.store.fleet_rows import (
+    LeaseRecord,
     NodeRecord,
     StoredLease,
     acquire_lease,
@@ -113,6 +114,10 @@
         self.lease_s = lease_s
         self._timeline = timeline
         self._lease: StoredLease | None = None
+        # The lease as it was before a claim whose outcome is not known. While there is
+        # one, the store may name this node as holder.
+        self._unsettled_claim: StoredLease | None = None
+        self._left_holder = LeaseRecord()
         self._orders_allowed_at_s = 0.0
         self._last_order_at_s = float("-inf")
         self._lease_checked_at_s = float("-inf")
@@ -157,7 +162,12 @@
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
-            if self._fleet.is_leaving or not self._has_outdated_engine():
+            # Other nodes may know of an outdated engine and leave the lease with this
+            # node, so its claim is settled in any case.
+            is_settled = self._unsettled_claim is None
+            if self._fleet.is_leaving or (
+                is_settled and not self._has_outdated_engine()
+            ):
                 continue
             try:
                 if self._lease is not None and self._is_cut_off():
@@ -273,9 +283,7 @@
             return False
         self._lease_checked_at_s = now_s
         own = self._fleet.own
-        nodes = self._select_reaching(self._fleet.list_live_nodes())
-        names = [record.vm for record in nodes]
-        if not names or rank_owners(names, LEASE_NAME)[0] != own.vm:
+        if not self._ranks_first() and self._unsettled_claim is None:
             return False
         current = await read_lease(self._store, LEASE_NAME)
         record = current.record
@@ -286,20 +294,23 @@
                 "the store's answer to this node's claim was lost",
                 must_wait=True,
             )
+        self._settle_claim(current)
+        # The rank may have changed since the claim, or during the read.
+        if not self._ranks_first():
+            return False
         if record.holder and not self._fleet.is_gone(
             record.holder, record.holder_incarnation
         ):
+            self._record_left(record, "runs and keeps the lease")
             return False
         if await self._fleet.check_alive(record.holder, record.holder_incarnation):
-            self._timeline.record(
-                "lease_left",
-                LEASE_NAME,
-                f"{record.holder} still answers and keeps the lease",
-            )
+            self._record_left(record, "still answers and keeps the lease")
             return False
+        self._unsettled_claim = current
         acquired = await acquire_lease(
             self._store, LEASE_NAME, current, own.vm, own.incarnation
         )
+        self._unsettled_claim = None
         if acquired is None:
             return False
         reason = (
@@ -310,6 +321,27 @@
             acquired, reason, must_wait=record.holder not in ("", own.vm)
         )
 
+    def _ranks_first(self) -> bool:
+        """Return whether this node is the one to take the lease if it is free."""
+        nodes = self._select_reaching(self._fleet.list_live_nodes())
+        ranked = rank_owners([record.vm for record in nodes], LEASE_NAME)
+        return ranked[:1] == [self._fleet.own.vm]
+
+    def _settle_claim(self, current: StoredLease) -> None:
+        """Forget an unsettled claim once the row was written by another node.
+
+        While the row is as the claim found it, the store may still execute the claim.
+        """
+        claim = self._unsettled_claim
+        if claim is not None and claim.version != current.version:
+            self._unsettled_claim = None
+
+    def _record_left(self, record: LeaseRecord, reason: str) -> None:
+        """Record once that the lease is left with its holder."""
+        if record != self._left_holder:
+            self._left_holder = record
+            self._timeline.record("lease_left", LEASE_NAME, f"{record.holder} {reason}")
+
     def _record_lease(
         self, lease: StoredLease, reason: str, *, must_wait: bool
     ) -> bool:
@@ -318,6 +350,7 @@
         With `must_wait`, it may order only when an earlier holder's lease has expired.
         """
         self._lease = lease
+        self._unsettled_claim = None
         # An earlier process of this VM may have given an order until now.
         self._last_order_at_s = _now_s()
         wait_s = self.lease_s + LEASE_MARGIN_S if must_wait else 0.0
@@ -374,7 +407,8 @@
         except OrderRefused as error:
             reason = str(error)
             if error.is_fenced:
-                self._lease = None
+                # The store may still name this node.
+                self._lease, self._unsettled_claim = None, lease
         except (NotRun, OutcomeUnknown, OrderWithoutEffect, RowStoreError) as error:
             reason = str(error)
         if not succeeded and denied is None:
--- a/tests/node/test_weights.py
+++ b/tests/node/test_weights.py
@@ -72,9 +72,9 @@
 
 
 class Environment:
-    """A store, engines and the records of two nodes, for two coordinators."""
+    """A store, engines and the records of nodes, each for one coordinator."""
 
-    def __init__(self):
+    def __init__(self, names="ab"):
         self.store = MemoryRowStore()
         self.engines = FakeEngines()
         self.dead = set()
@@ -82,7 +82,7 @@
         self.clients = {}
         address = Address("10.0.0.1", 1)
         self.records = {
-            name: NodeRecord(name, 1, "dc", address, address) for name in "ab"
+            name: NodeRecord(name, 1, "dc", address, address) for name in names
         }
 
     def build_coordinator(self, name):
@@ -114,10 +114,10 @@
 
 @pytest.fixture
 def run_scenario(run):
-    def run_with_coordinators(scenario):
+    def run_with_coordinators(scenario, names="ab"):
         async def build_and_run():
-            environment = Environment()
-            coordinators = {name: environment.build_coordinator(name) for name in "ab"}
+            environment = Environment(names)
+            coordinators = {n: environment.build_coordinator(n) for n in names}
             for coordinator in coordinators.values():
                 await coordinator.start()
             await scenario(environment, coordinators)
@@ -364,3 +364,74 @@
         assert len(environment.engines.orders) == 3
 
     run_scenario(scenario)
+
+
+# What becomes of a claim of the lease that gets no answer; one that is stored late is
+# not there yet when the row is read next.
+LOST_CLAIMS = ["not stored", "stored", "stored late"]
+
+
+@pytest.mark.parametrize("nodes", [2, 12, 58, 195])
+@pytest.mark.parametrize("claim", LOST_CLAIMS)
+def test_engines_are_ordered_after_a_lost_claim_and_a_change_of_rank(
+    run_scenario, claim, nodes
+):
+    """A node did not know of its lease, and the first in rank left it with that node.
+
+    The claim's answer was lost, and only a node that ranks first read the lease again.
+    """
+    names = [f"n{number}" for number in range(nodes)]
+    first, second = rank_owners(names, LEASE_NAME)[:2]
+
+    async def scenario(environment, coordinators):
+        environment.dead.add(first)
+        await coordinators[first].close()
+        client = environment.clients[second]
+        client.is_refused = claim == "not stored"
+        client.lose_answers = int(claim != "not stored")
+        client.late_commit_delay_s = 1.0 if claim == "stored late" else 0.0
+        announce_everywhere(coordinators, "m", 2)
+        await asyncio.sleep(0.3)
+        client.is_refused = True
+        await asyncio.sleep(0.4)
+        # The machine that ranks first is back as another process.
+        record = replace(environment.records[first], incarnation=2)
+        environment.records[first] = record
+        environment.dead.discard(first)
+        coordinators[first] = environment.build_coordinator(first)
+        await coordinators[first].start()
+        announce_everywhere(coordinators, "m", 2)
+        await asyncio.sleep(1.0)
+        client.is_refused = False
+        await asyncio.sleep(LEASE_S + 5)
+        assert [v["m"] for v in environment.engines.versions.values()] == [2, 2]
+        holders = [order.holder for _, _, order in environment.engines.orders]
+        assert len(set(holders)) == 1
+
+    run_scenario(scenario, names)
+
+
+def test_holder_that_an_engine_refused_reads_the_lease_whatever_its_rank(run_scenario):
+    """A holder that lost its first rank dropped the lease and never read it again."""
+
+    async def scenario(environment, coordinators):
+        announce_everywhere(coordinators, "m", 2)
+        await asyncio.sleep(5)
+        holder = environment.engines.orders[0][2].holder
+        # A third node joins, which ranks first and never takes a lease of a live one.
+        first = next(
+            name
+            for name in (f"x{number}" for number in range(100))
+            if rank_owners(["a", "b", name], LEASE_NAME)[0] == name
+        )
+        environment.records[first] = replace(environment.records["a"], vm=first)
+        engine = environment.engines.orders[0][1]
+        environment.engines.fencing_numbers[engine] = 9
+        announce_everywhere(coordinators, "m", 3)
+        await asyncio.sleep(2)
+        environment.engines.fencing_numbers.clear()
+        await asyncio.sleep(LEASE_S + 5)
+        assert [v["m"] for v in environment.engines.versions.values()] == [3, 3]
+        assert environment.engines.orders[-1][2].holder == holder
+
+    run_scenario(scenario)
