Let no connection carry a request id twice, so that no copy passes for an answer

Trainers got items as terminated after two answers of 500, where three are allowed: a worker had sent one of the answers twice, and the late copy counted as the answer to the item's next run, which the worker was completing.

Cause: an answer is matched to its call by X-Request-Id. All tries of one item (or score call, or repeated request) bear the same id, and the next try went out on the connection that had just been pooled. What arrived on an idle connection, or between the next request and its answer, was taken for that answer.

Now a connection remembers the ids that it carried (512, then it is closed) and carries none twice; bytes that arrive on an idle connection end it. A request without an id goes alone on its connection, as nothing tells its copies. All calls to targets pass there, relayed ones at the peer. A try that does not finish with its answer is so never joined with another one's, however late the copy comes.

Weighed: an id of its own for each try is ruled out, as the users' protocol fixes the item's id; a wait before the next try holds only for copies within the wait.

--- a/src/tamarackshelf/contracts/targets.py
+++ b/src/tamarackshelf/contracts/targets.py
@@ -239,8 +239,9 @@
 class TargetCall:
     """One HTTP request to a target.
 
-    `request_id` is for logs. With `new_connection` no pooled connection is used; with
-    `resend` the request may be sent again after a pooled connection was lost.
+    No connection carries a `request_id` twice. With `new_connection` no pooled
+    connection is used; with `resend` the request may be sent again after a pooled
+    connection was lost.
     """
 
     kind: CallKind
--- a/src/tamarackshelf/net/http_client.py
+++ b/src/tamarackshelf/net/http_client.py
@@ -17,6 +17,8 @@
 READ_SIZE_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 2.0
 POOL_SIZE_PER_ADDRESS = 16
+# A connection is closed after this many requests with an id, which it remembers.
+MAX_REMEMBERED_IDS = 512
 MAX_BODY_BYTES = 64 * 1024 * 1024
 # Idle connections are discarded this long before the peer's keep-alive timeout, so that
 # no request is sent on a connection that the peer is about to close.
@@ -104,6 +106,7 @@
         timeout_s: float = 10.0,
         new_connection: bool = False,
         resend: bool = True,
+        request_id: str = "",
     ) -> ClientResponse:
         """Send a request and return the complete response.
 
@@ -111,7 +114,8 @@
         was sent but no complete response arrived within `timeout_s`. If a pooled
         connection is lost before the response, the request is sent again on a new
         connection, unless `resend` is false. `new_connection` bypasses the pool, so the
-        request is never sent twice.
+        request is never sent twice. A connection carries no `request_id` twice, as a
+        late copy of the first response would pass for the second one.
         """
         async with self.stream(
             address,
@@ -122,6 +126,7 @@
             timeout_s=timeout_s,
             new_connection=new_connection,
             resend=resend,
+            request_id=request_id,
         ) as response:
             body = b"".join([chunk async for chunk in response.chunks()])
             return ClientResponse(response.status, response.headers, body)
@@ -138,6 +143,7 @@
         timeout_s: float = 10.0,
         new_connection: bool = False,
         resend: bool = True,
+        request_id: str = "",
     ) -> AsyncIterator[StreamedResponse]:
         """Send a request and yield a response whose body is read chunk by chunk.
 
@@ -148,12 +154,16 @@
         fields = {**self._headers, **(headers or {})}
         head = _build_head(address, method, path, fields, body)
         delay_s = self._delay_s(address)
-        connection = await self._acquire(address, new_connection, deadline_s)
+        connection = (
+            self._take_idle(address, request_id) if not new_connection else None
+        )
+        if connection is None:
+            connection = await self._connect(address, deadline_s)
         try:
             if delay_s:
                 await asyncio.sleep(delay_s)
             try:
-                response = await connection.send(head, body, deadline_s)
+                response = await connection.send(head, body, deadline_s, request_id)
             except ConnectionLost:
                 if not connection.reused or not resend:
                     raise
@@ -164,7 +174,7 @@
                 except ConnectFailed as error:
                     # The request was sent before, so it may have run.
                     raise ConnectionLost(str(error)) from error
-                response = await connection.send(head, body, deadline_s)
+                response = await connection.send(head, body, deadline_s, request_id)
             if delay_s:
                 await asyncio.sleep(delay_s)
             response.max_body_bytes = self._max_body_bytes
@@ -172,17 +182,18 @@
         finally:
             self._release(address, connection)
 
-    async def _acquire(
-        self, address: Address, new_connection: bool, deadline_s: float
-    ) -> _Connection:
-        idle = self._idle.get(address)
-        while idle and not new_connection:
-            connection = idle.pop()
-            if connection.is_usable():
+    def _take_idle(self, address: Address, request_id: str) -> _Connection | None:
+        """Return the newest usable connection that has not carried the request id."""
+        idle = self._idle.get(address, [])
+        for connection in reversed(list(idle)):
+            if not connection.is_usable():
+                idle.remove(connection)
+                connection.close()
+            elif request_id not in connection.carried_ids:
+                idle.remove(connection)
                 connection.reused = True
                 return connection
-            connection.close()
-        return await self._connect(address, deadline_s)
+        return None
 
     async def _connect(self, address: Address, deadline_s: float) -> _Connection:
         loop = asyncio.get_running_loop()
@@ -239,15 +250,32 @@
                 raise ConnectionLost("the response ended before its end marker")
 
 
+class _CountingProtocol(asyncio.StreamReaderProtocol):
+    """Protocol of a stream that counts the bytes received, read or not."""
+
+    received_bytes = 0
+
+    def data_received(self, data: bytes) -> None:
+        """Count the bytes and hand them to the reader."""
+        self.received_bytes += len(data)
+        super().data_received(data)
+
+
 class _Connection:
     """Connection and its HTTP parser; carries one request at a time."""
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        protocol: _CountingProtocol,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> None:
+        self._protocol = protocol
         self._reader = reader
         self._writer = writer
+        self._read_bytes = 0
         self._http = h11.Connection(h11.CLIENT)
+        self.carried_ids: set[str] = set()
         self.reused = False
         self.is_reusable = True
         self._had_grace = False
@@ -261,9 +289,14 @@
                 self._idle_timeout_s = float(match.group(1)) - KEEP_ALIVE_MARGIN_S
 
     def is_usable(self) -> bool:
-        """Return whether the connection is open and within its idle timeout."""
+        """Return whether the connection may carry a request.
+
+        It must be open and within its idle timeout. Bytes that have arrived meanwhile
+        are no answer to a request that is yet to be sent.
+        """
         now_s = asyncio.get_running_loop().time()
-        return self.is_open() and now_s < self._idle_until_s
+        has_unread = self._protocol.received_bytes != self._read_bytes
+        return self.is_open() and not has_unread and now_s < self._idle_until_s
 
     def is_open(self) -> bool:
         """Return whether neither side has closed the connection."""
@@ -277,19 +310,23 @@
             return False
         if not self.is_reusable or self._http.trailing_data[0]:
             return False
+        if len(self.carried_ids) >= MAX_REMEMBERED_IDS:
+            return False
         self._http.start_next_cycle()
         self._had_grace = False
         self._idle_until_s = asyncio.get_running_loop().time() + self._idle_timeout_s
-        return self.is_open()
+        return self.is_usable()
 
     def close(self) -> None:
         """Abort the connection without waiting for unsent data."""
         self._writer.transport.abort()
 
     async def send(
-        self, head: h11.Request, body: bytes, deadline_s: float
+        self, head: h11.Request, body: bytes, deadline_s: float, request_id: str
     ) -> StreamedResponse:
         """Send a request and wait for the head of its response."""
+        if request_id:
+            self.carried_ids.add(request_id)
         data = self._http.send(head) or b""
         if body:
             data += self._http.send(h11.Data(data=body)) or b""
@@ -311,7 +348,9 @@
         try:
             event = self._http.next_event()
             while event is h11.NEED_DATA:
-                self._http.receive_data(await self._read(deadline_s))
+                data = await self._read(deadline_s)
+                self._read_bytes += len(data)
+                self._http.receive_data(data)
                 event = self._http.next_event()
         except TimeoutError as error:
             raise ResponseOverdue("no response before the deadline") from error
@@ -354,17 +393,22 @@
 
 
 async def _connect(address: Address, deadline_s: float) -> _Connection:
+    loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout_at(deadline_s):
-            reader, writer = await asyncio.open_connection(
-                address.host, address.port, limit=READ_SIZE_BYTES
+            reader = asyncio.StreamReader(limit=READ_SIZE_BYTES)
+            transport, protocol = await loop.create_connection(
+                lambda: _CountingProtocol(reader),
+                address.host,
+                address.port,
             )
     except ConnectionRefusedError as error:
         raise ConnectRefused(f"cannot connect to {address}: {error}") from error
     except (OSError, TimeoutError) as error:
         raise ConnectFailed(f"cannot connect to {address}: {error}") from error
+    writer = asyncio.StreamWriter(transport, protocol, reader, loop)
     set_keep_alive(writer)
-    return _Connection(reader, writer)
+    return _Connection(protocol, reader, writer)
 
 
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
--- a/src/tamarackshelf/node/target_paths.py
+++ b/src/tamarackshelf/node/target_paths.py
@@ -198,6 +198,7 @@
                 timeout_s=call.timeout_s,
                 new_connection=call.new_connection,
                 resend=call.resend,
+                request_id=call.request_id,
             ) as response:
                 yield response
         except ConnectionLost as error:
--- a/src/tamarackshelf/platform/target_client.py
+++ b/src/tamarackshelf/platform/target_client.py
@@ -390,8 +390,10 @@
         Raise TargetLimited, ConnectFailed, ConnectionLost or OutcomeUnknown.
         """
         sent_at_s = await self._gate.admit(target, kind)
-        # A request that is resent on a new connection may count as two.
-        is_single = at_most_once or self._gate.is_limited(target)
+        request_id = headers.get(REQUEST_ID_HEADER, "")
+        # A request that is resent on a new connection may count as two. Late copies of
+        # the responses to requests without an id cannot be told from other responses.
+        is_single = at_most_once or not request_id or self._gate.is_limited(target)
         call = TargetCall(
             kind,
             method,
@@ -399,13 +401,13 @@
             headers,
             body,
             timeout_s,
-            request_id=headers.get(REQUEST_ID_HEADER, ""),
+            request_id=request_id,
             new_connection=is_single,
             resend=resend and not is_single,
         )
         async with self._transport.stream(target, call) as response:
             self.observe_response(target, response.status, response.headers)
-            _check_request_id(target, headers.get(REQUEST_ID_HEADER, ""), response)
+            _check_request_id(target, request_id, response)
             # Another worker sends 421 if the address was assigned to it.
             if response.status != 421:
                 limit = _parse_limit(response.headers)
@@ -450,6 +452,8 @@
 def _check_request_id(target: Target, request_id: str, response: TargetStream) -> None:
     """Raise OutcomeUnknown if the response belongs to another request."""
     echoed = response.headers.get(REQUEST_ID_HEADER)
+    if not request_id:
+        response.disable_reuse()
     if echoed is not None and echoed != request_id:
         response.disable_reuse()
         raise OutcomeUnknown(
--- a/tests/net/test_dead_connections.py
+++ b/tests/net/test_dead_connections.py
@@ -12,7 +12,7 @@
 import pytest
 
 from tamarackshelf.net import ConnectionLost, HttpServer, Response, ServerLimits
-from tamarackshelf.net.http_client import _Connection
+from tamarackshelf.net.http_client import _Connection, _CountingProtocol
 from tests.conftest import find_free_address
 
 MAX_READS = 50
@@ -113,7 +113,7 @@
     async def scenario():
         reader = asyncio.StreamReader()
         reader.set_exception(error)
-        connection = _Connection(reader, Writer())
+        connection = _Connection(_CountingProtocol(reader), reader, Writer())
         with pytest.raises(ConnectionLost):
             await connection.next_event(asyncio.get_running_loop().time() + 1.0)
 
--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+from types import SimpleNamespace
 
 import pytest
 
@@ -25,11 +26,13 @@
     TargetChanged,
     VersionOrder,
 )
-from tamarackshelf.net import HttpClient, Request
+from tamarackshelf.net import HttpClient, HttpServer, Request
+from tamarackshelf.node.target_relay import open_relayed
 from tamarackshelf.platform.target_client import PlatformTargetClient
 from tamarackshelf.world import Target, TargetKind
 from tamarackshelf.world.job import JobItem, ScoreCall
 from tests.conftest import find_free_address
+from tests.node.test_target_relay import build_relay
 from tests.support.node import build_paths
 
 SIGNED = b"X-Request-Id: r1\r\nX-Server-Stamp: s.1\r\n"
@@ -383,3 +386,116 @@
 
     own = {"r2": b"answer 2", "report": 2, "order": True}[second]
     assert asyncio.run(scenario()) in (None, own)
+
+
+async def try_again(calls, target, kind):
+    """Make the same call twice, as after a failure; return what the second one got."""
+    outcome = None
+    for _ in range(2):
+        try:
+            if kind == "item":
+                outcome = await collect_text(calls, target)
+            elif kind == "score":
+                call = ScoreCall("r1", "h.example", "/s", b"")
+                outcome = await calls.score(target, call, 1.0)
+            elif kind == "request without id":
+                forwarded = ForwardedRequest("", "h.example", Request("POST", "/a"))
+                response = await calls.forward(
+                    target, forwarded, 1.0, at_most_once=False
+                )
+                outcome = response.http.body
+            else:
+                outcome = await call_kind(calls, target, "r1")
+        except ItemFailed:
+            outcome = "failed"
+        # A copy may come while the connection is idle.
+        await asyncio.sleep(0.1)
+    return outcome
+
+
+async def collect_text(calls, target):
+    run = ItemRun(JobItem("r1", "/a", {}, b"", "g", 500), "h", -1, 1.0, 1.0)
+    return [event.data async for event in calls.run_item(target, run)]
+
+
+@contextlib.asynccontextmanager
+async def relay_calls(http, target):
+    """Yield a transport whose calls a peer makes with the client `http`."""
+    relay, peer, client = build_relay(http, target), find_free_address(), HttpClient()
+    server = HttpServer(relay.answer)
+    await server.start(peer)
+    transport = SimpleNamespace(
+        stream=lambda target, call: open_relayed(client, peer, target, call)
+    )
+    try:
+        yield transport
+    finally:
+        await server.abort()
+        await client.close()
+
+
+class CopyingWorker:
+    """Answers a first try with 500 and later ones with success, and copies the 500.
+
+    The copy comes `when` the connection is idle, with the next request or during it.
+    """
+
+    def __init__(self, kind, when):
+        self._when = when
+        signed = SIGNED if kind != "request without id" else b"X-Server-Stamp: s.1\r\n"
+        head = signed + (b"Content-Type: text/event-stream\r\n" * (kind == "item"))
+        self._answers = [
+            build_response(500, signed, ERROR_TEXT),
+            build_response(200, head, EVENTS if kind == "item" else b"whole"),
+        ]
+        self._tries = 0
+
+    async def serve(self, reader, writer):
+        copy = b""
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                await reader.readuntil(b"\r\n\r\n")
+                if copy and self._when == "during the next":
+                    await asyncio.sleep(0.05)
+                writer.write(copy)
+                await asyncio.sleep(0.05 * bool(copy))
+                answer = self._answers[min(self._tries, 1)]
+                self._tries += 1
+                writer.write(answer)
+                copy = answer if self._tries == 1 else b""
+                if self._when == "idle":
+                    await asyncio.sleep(0.05)
+                    writer.write(copy)
+                    copy = b""
+        writer.close()
+
+
+@pytest.mark.parametrize("is_relayed", [False, True], ids=["direct", "relayed"])
+@pytest.mark.parametrize("when", ["idle", "before the next", "during the next"])
+@pytest.mark.parametrize("kind", ["item", "score", "request", "request without id"])
+def test_late_copy_of_a_failure_is_no_answer_to_the_next_try(kind, when, is_relayed):
+    """An item was given up after two answers of 500 and a copy of one of them.
+
+    All tries of an item bear its id, so the id does not tell a copy from an answer.
+    """
+
+    async def scenario():
+        address = find_free_address()
+        server = await asyncio.start_server(
+            CopyingWorker(kind, when).serve, address.host, address.port
+        )
+        target = Target("i-1", "app", TargetKind.ENGINE, "dc", address, 0, 8)
+        http = HttpClient()
+        async with contextlib.AsyncExitStack() as stack:
+            paths = build_paths(http)
+            if is_relayed:
+                paths = await stack.enter_async_context(relay_calls(http, target))
+            calls = PlatformTargetClient(paths, FakeGate())
+            try:
+                return await try_again(calls, target, kind)
+            finally:
+                await http.close()
+                server.close()
+
+    expected = {"item": ["a", "b", "c"], "score": "s.1"}
+    assert asyncio.run(scenario()) == expected.get(kind, b"whole")
--- a/tests/support/memory.py
+++ b/tests/support/memory.py
@@ -131,8 +131,9 @@
         timeout_s=10.0,
         new_connection=False,
         resend=True,
+        request_id="",
     ):
-        del resend
+        del resend, request_id
         is_open = address in self.idle and not new_connection
         sent = {**self._headers, **(headers or {})}
         try:
