Bound the bytes that others make a process keep, not only those of one call

An operator of a similar system reported that a faulty worker's answers without end ended the machine that had called it, and with it other clients' requests.

Cause: each call had a bound of 8 MiB, a process had none; reads took 256 KB at a time, and the system kept more for each connection. An event was searched from its start at each read, so large ones also stopped the event loop.

Now requests, collected answers, events, running texts and answers that wait for a slow reader count in one budget, a tenth of the memory that the settings name. When it is used up, the holder of most gives way: refused as not run while its request is read, else answered as unknown; a target's call counts as lost, a text begins again.

--- a/src/tamarackshelf/cli/node.py
+++ b/src/tamarackshelf/cli/node.py
@@ -14,6 +14,7 @@
 from tamarackshelf.entry.streamer import Streamer
 from tamarackshelf.jobs.manager import JobManager
 from tamarackshelf.net import HttpClient
+from tamarackshelf.net.buffers import BUDGET
 from tamarackshelf.node.configuration_view import ConfigurationView
 from tamarackshelf.node.program import (
     MAX_PEER_BODY_BYTES,
@@ -94,6 +95,8 @@
 
 def build_program(settings: NodeSettings, timeline: Timeline) -> NodeProgram:
     """Return a node program that uses the platform's interfaces."""
+    if settings.memory_bytes is not None:
+        BUDGET.set_memory(settings.memory_bytes)
     http = HttpClient(
         connect_timeout_s=CONNECT_TIMEOUT_S, max_body_bytes=MAX_PEER_BODY_BYTES
     )
--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -27,6 +27,7 @@
 from tamarackshelf.jobs.owned_job import OwnedJob
 from tamarackshelf.jobs.scorer import RouteTableGetter, Scorer, ScoringFailed
 from tamarackshelf.jobs.stragglers import StragglerMitigation
+from tamarackshelf.net.buffers import Buffer, BuffersFull, hold
 from tamarackshelf.node.targets import TargetRegistry, TargetState
 from tamarackshelf.observe import Metrics, Timeline
 from tamarackshelf.policy.item_placement import (
@@ -338,9 +339,15 @@
         started_s = _now_s()
         reason = "this node stopped the run"
         try:
-            await self._stream_events(job, state, target.target, route)
+            with hold() as held:
+                await self._stream_events(job, state, target.target, route, held)
             reason = "whole"
             return True
+        except BuffersFull as error:
+            # No engine could continue the text without exceeding the memory again.
+            state.reset()
+            self._targets.record_fault(name, str(error))
+            reason = str(error)
         except NotRun as error:
             self._targets.record_not_run(name, error, FULL_ENGINE_BACKOFF_S)
             reason = str(error)
@@ -377,8 +384,14 @@
         return False
 
     async def _stream_events(
-        self, job: OwnedJob, state: ItemState, target: Target, route: Route
+        self,
+        job: OwnedJob,
+        state: ItemState,
+        target: Target,
+        route: Route,
+        held: Buffer,
     ) -> None:
+        """Add the events of a run to the item's text, which `held` counts."""
         run = ItemRun(
             item=state.item,
             host=job.job.host,
@@ -388,10 +401,12 @@
         )
         last_s: float | None = None
         is_certain: bool | None = None
+        held.add(sum(len(piece) for piece in state.pieces))
         async with contextlib.aclosing(
             self._target_client.run_item(target, run)
         ) as events:
             async for event in events:
+                held.add(len(event.data))
                 self._check_version(job, state, target, route, event)
                 if is_certain is None:
                     is_certain = await self._continuation.verify(state, target)
--- a/src/tamarackshelf/net/__init__.py
+++ b/src/tamarackshelf/net/__init__.py
@@ -10,6 +10,7 @@
     HttpClient,
     ResponseOverdue,
     StreamedResponse,
+    collect,
 )
 from tamarackshelf.net.http_server import HttpServer, ServerLimits
 from tamarackshelf.net.http_types import (
@@ -32,6 +33,7 @@
     "ResponseOverdue",
     "ServerLimits",
     "StreamedResponse",
+    "collect",
     "decode_error",
     "to_error_response",
     "to_json_response",
--- a/src/tamarackshelf/net/http_client.py
+++ b/src/tamarackshelf/net/http_client.py
@@ -10,11 +10,12 @@
 
 import h11
 
+from tamarackshelf.net.buffers import BuffersFull, hold
 from tamarackshelf.net.http_types import Headers
-from tamarackshelf.net.sockets import set_keep_alive
+from tamarackshelf.net.sockets import limit_receive_buffer, set_keep_alive
 from tamarackshelf.world import Address
 
-READ_SIZE_BYTES = 64 * 1024
+READ_SIZE_BYTES = 16 * 1024
 CONNECT_TIMEOUT_S = 2.0
 POOL_SIZE_PER_ADDRESS = 16
 # A connection is closed after this many requests with an id, which it remembers.
@@ -128,7 +129,7 @@
             resend=resend,
             request_id=request_id,
         ) as response:
-            body = b"".join([chunk async for chunk in response.chunks()])
+            body = await collect(response.chunks())
             return ClientResponse(response.status, response.headers, body)
 
     @contextlib.asynccontextmanager
@@ -250,15 +251,37 @@
                 raise ConnectionLost("the response ended before its end marker")
 
 
-class _CountingProtocol(asyncio.StreamReaderProtocol):
-    """Protocol of a stream that counts the bytes received, read or not."""
+async def collect(chunks: AsyncIterator[bytes]) -> bytes:
+    """Return all bytes of a body; raise ConnectionLost if it holds too many."""
+    body = bytearray()
+    try:
+        with hold() as buffer:
+            async with buffer.until_evicted():
+                async for chunk in chunks:
+                    buffer.add(len(chunk))
+                    body += chunk
+            return bytes(body)
+    except BuffersFull as error:
+        raise ConnectionLost(str(error)) from error
+
+
+class _CountingProtocol(asyncio.StreamReaderProtocol, asyncio.BufferedProtocol):
+    """Protocol of a stream that counts the bytes received, read or not.
+
+    It reads into one buffer for all connections; the event loop would allocate much
+    more for each read.
+    """
 
     received_bytes = 0
 
-    def data_received(self, data: bytes) -> None:
-        """Count the bytes and hand them to the reader."""
-        self.received_bytes += len(data)
-        super().data_received(data)
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer for the next read."""
+        return _READ_BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Count the bytes read and hand them to the reader."""
+        self.received_bytes += nbytes
+        self.data_received(bytes(_READ_BUFFER[:nbytes]))
 
 
 class _Connection:
@@ -408,9 +431,11 @@
         raise ConnectFailed(f"cannot connect to {address}: {error}") from error
     writer = asyncio.StreamWriter(transport, protocol, reader, loop)
     set_keep_alive(writer)
+    limit_receive_buffer(writer)
     return _Connection(protocol, reader, writer)
 
 
+_READ_BUFFER = memoryview(bytearray(READ_SIZE_BYTES))
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
 __all__ = [
@@ -421,4 +446,5 @@
     "HttpClient",
     "ResponseOverdue",
     "StreamedResponse",
+    "collect",
 ]
--- a/src/tamarackshelf/net/http_server.py
+++ b/src/tamarackshelf/net/http_server.py
@@ -11,23 +11,37 @@
 import h11
 
 from tamarackshelf.errors import BadRequest, OutcomeUnknown, ShelfError
+from tamarackshelf.net.buffers import (
+    BUDGET,
+    Buffer,
+    BuffersFull,
+    hold_for_request,
+)
 from tamarackshelf.net.http_types import (
     Request,
     Response,
     to_error_response,
 )
-from tamarackshelf.net.sockets import reset_on_close, set_keep_alive
+from tamarackshelf.net.sockets import (
+    limit_receive_buffer,
+    reset_on_close,
+    set_keep_alive,
+)
 from tamarackshelf.world import Address
 
 Handler = Callable[[Request], Awaitable[Response]]
 LimitsSource = Callable[[], "ServerLimits"]
 RequestFilter = Callable[[Request], bool]
 
-READ_SIZE_BYTES = 64 * 1024
+READ_SIZE_BYTES = 16 * 1024
+# A long body is sent in pieces of this size.
+SENT_SIZE_BYTES = 64 * 1024
 # HttpServer.close waits this long for the answers to requests that it gives up.
 GIVE_UP_S = 0.2
 # HttpServer.close stops waiting for connections when none arrived for this long.
 ACCEPT_QUIET_S = 0.2
+# Retry delay for a client whose request found no room in the buffers.
+RETRY_AFTER_S = 0.3
 
 log = logging.getLogger("tamarackshelf")
 
@@ -138,6 +152,7 @@
         task = asyncio.current_task()
         assert task is not None
         set_keep_alive(writer)
+        limit_receive_buffer(writer)
         connection = _Connection(
             reader,
             writer,
@@ -182,6 +197,7 @@
         self._wait: asyncio.Timeout | None = None
         self._handling: asyncio.Task[Response] | None = None
         self._is_given_up = False
+        self._buffer = Buffer(BUDGET)
         self._cancel_on_disconnect = cancel_on_disconnect
 
     def close_when_idle(self) -> None:
@@ -210,13 +226,12 @@
     async def serve(self) -> None:
         """Serve requests until either side closes the connection."""
         while True:
-            request = await self._read_request()
-            if request is None:
-                return
-            response = await self._handle(request)
-            if response is None:
-                return
-            await self._send(response)
+            with hold_for_request() as self._buffer:
+                request = await self._read_request()
+                response = None if request is None else await self._answer(request)
+                if response is None:
+                    return
+                await self._send_whole(response)
             if self._close_after_response or self._http.our_state is not h11.DONE:
                 return
             if self._http.their_state is not h11.DONE:
@@ -230,12 +245,18 @@
             if not isinstance(head, h11.Request):
                 return None
             self._idle = False
-            async with asyncio.timeout(self._limits().request_read_s):
+            async with (
+                asyncio.timeout(self._limits().request_read_s),
+                self._buffer.until_evicted(),
+            ):
                 body = await self._read_body()
         except TimeoutError:
             if not self._idle:
                 await self._reject(408, "the request took too long; send it faster")
             return None
+        except BuffersFull as error:
+            await self._reject(503, f"{error}; send it again later", RETRY_AFTER_S)
+            return None
         except h11.RemoteProtocolError as error:
             await self._reject(
                 error.error_status_hint, f"not valid HTTP: {error}; correct it"
@@ -267,6 +288,18 @@
             with contextlib.suppress(TimeoutError):
                 return await self._next_event(left_s)
 
+    async def _answer(self, request: Request) -> Response | None:
+        """Handle a request, but give it up if it keeps too many bytes."""
+        try:
+            async with self._buffer.until_evicted():
+                return await self._handle(request)
+        except BuffersFull as error:
+            return to_error_response(
+                OutcomeUnknown(
+                    f"{error}; it may have run: send it again only if it may run twice"
+                )
+            )
+
     async def _handle(self, request: Request) -> Response | None:
         """Call the handler; return None if the client disconnected meanwhile."""
         cancels = self._cancel_on_disconnect
@@ -326,6 +359,7 @@
                 body += event.data
                 if len(body) > self._limits().body_bytes:
                     return None
+                self._buffer.add(len(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 return bytes(body)
             else:
@@ -362,12 +396,30 @@
             text = "internal error; see the traceback in the log of this process"
             return to_error_response(ShelfError(text))
 
-    async def _reject(self, status: int, message: str) -> None:
+    async def _reject(
+        self, status: int, message: str, retry_after_s: float | None = None
+    ) -> None:
         body = to_error_response(BadRequest(message)).body
+        headers = {} if retry_after_s is None else {"retry-after": str(retry_after_s)}
         self._close_after_response = True
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             with contextlib.suppress(ConnectionError, h11.LocalProtocolError):
-                await self._send(Response(status=status, body=body))
+                await self._send(Response(status=status, body=body, headers=headers))
+
+    async def _send_whole(self, response: Response) -> None:
+        """Send a response, but break it off if it waits too long in a full memory."""
+        if self._buffer.is_evicted:
+            # Nothing of what was collected is left; this is the answer that says so.
+            await self._send(response)
+            return
+        try:
+            if isinstance(response.body, bytes):
+                self._buffer.add(len(response.body) - self._buffer.size_bytes)
+            async with self._buffer.until_evicted():
+                await self._send(response)
+        except BuffersFull as error:
+            self._break_off()
+            raise ConnectionError(str(error)) from error
 
     async def _send(self, response: Response) -> None:
         headers = dict(response.headers)
@@ -379,8 +431,7 @@
             headers["connection"] = "close"
         head = h11.Response(status_code=response.status, headers=list(headers.items()))
         if isinstance(response.body, bytes):
-            self._write(head, h11.Data(data=response.body), h11.EndOfMessage())
-            await self._writer.drain()
+            await self._send_body(head, response.body)
             return
         chunks = response.body
         try:
@@ -400,6 +451,15 @@
         self._write(h11.EndOfMessage())
         await self._writer.drain()
 
+    async def _send_body(self, head: h11.Response, body: bytes) -> None:
+        """Send a response with a whole body, a long one piece by piece."""
+        self._write(head, h11.Data(data=body[:SENT_SIZE_BYTES]))
+        for start in range(SENT_SIZE_BYTES, len(body), SENT_SIZE_BYTES):
+            await self._writer.drain()
+            self._write(h11.Data(data=body[start : start + SENT_SIZE_BYTES]))
+        self._write(h11.EndOfMessage())
+        await self._writer.drain()
+
     def _break_off(self) -> None:
         """Close the connection so that the client sees an incomplete response.
 
--- a/src/tamarackshelf/net/sockets.py
+++ b/src/tamarackshelf/net/sockets.py
@@ -14,6 +14,8 @@
 KEEP_ALIVE_PROBES = 2
 # A connection fails when sent data stays unacknowledged for this long.
 USER_TIMEOUT_MS = 4_000
+# The system takes twice this much, and one read returns no more than that.
+RECEIVE_BUFFER_BYTES = 32 * 1024
 
 
 def set_keep_alive(writer: asyncio.StreamWriter) -> None:
@@ -34,6 +36,14 @@
             sock.setsockopt(level, option, value)
 
 
+def limit_receive_buffer(writer: asyncio.StreamWriter) -> None:
+    """Bound what the system keeps of bytes that were not read yet."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None:
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
+
 def reset_on_close(writer: asyncio.StreamWriter) -> None:
     """Let the connection end with a reset instead of an ordinary close."""
     sock = writer.get_extra_info("socket")
@@ -43,4 +53,4 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
-__all__ = ["reset_on_close", "set_keep_alive"]
+__all__ = ["limit_receive_buffer", "reset_on_close", "set_keep_alive"]
--- a/src/tamarackshelf/node/settings.py
+++ b/src/tamarackshelf/node/settings.py
@@ -51,6 +51,8 @@
     targets_check_fencing: bool
     # CPU capacity of the VM: its number of cores times the share of each it may use.
     cores: float = 1.0
+    # The memory that the process may use, or None if only the VM's memory bounds it.
+    memory_bytes: int | None = None
     metrics_port: int = 0
 
     @property
--- a/src/tamarackshelf/node/target_relay.py
+++ b/src/tamarackshelf/node/target_relay.py
@@ -21,6 +21,7 @@
     Response,
     ResponseOverdue,
     StreamedResponse,
+    collect,
 )
 from tamarackshelf.node.targets import TargetRegistry
 from tamarackshelf.observe import Metrics, Timeline
@@ -151,7 +152,7 @@
             status, headers = _decode_head(peer, response.headers)
             yield RelayedStream(response, status, headers)
             return
-        text = b"".join([chunk async for chunk in response.chunks()])
+        text = await collect(response.chunks())
         _raise_for_outcome(peer, outcome, text.decode("utf-8", "replace"))
 
 
--- a/src/tamarackshelf/platform/settings.py
+++ b/src/tamarackshelf/platform/settings.py
@@ -66,9 +66,15 @@
         # cpuShare is a share of one core that is cpuCores times as fast as usual.
         cores=float(fields.get("limits.cpuShare", "1"))
         * float(fields.get("limits.cpuCores", "1")),
+        memory_bytes=_parse_memory(fields.get("limits.memoryMb", "")),
     )
 
 
+def _parse_memory(text: str) -> int | None:
+    """Return a number of MB in bytes; none or 0 means that no limit is known."""
+    return int(float(text) * 1024 * 1024) or None if text else None
+
+
 def _parse_optional(text: str) -> Address | None:
     return parse_address(text) if text else None
 
--- a/src/tamarackshelf/platform/target_client.py
+++ b/src/tamarackshelf/platform/target_client.py
@@ -42,7 +42,9 @@
     ConnectFailed,
     ConnectionLost,
     ResponseOverdue,
+    collect,
 )
+from tamarackshelf.net.buffers import Buffer, BuffersFull, hold
 from tamarackshelf.world import Target
 from tamarackshelf.world.job import ScoreCall
 
@@ -188,7 +190,7 @@
                 is_signed = SERVER_STAMP_HEADER in response.headers
                 yield StreamHead(response.status, response.headers, is_signed)
                 if response.status != 200:
-                    body = b"".join([chunk async for chunk in response.chunks()])
+                    body = await collect(response.chunks())
                     yield StreamEvent(-1, body)
                     return
                 async for block in _read_blocks(response):
@@ -357,7 +359,7 @@
                 timeout_s,
                 at_most_once=at_most_once,
             ) as stream:
-                data = b"".join([chunk async for chunk in stream.chunks()])
+                data = await collect(stream.chunks())
         except ConnectFailed as error:
             raise NotRun(str(error)) from error
         except ConnectionLost as error:
@@ -495,18 +497,39 @@
 
     Raise ConnectionLost if an event is too large or the last event is incomplete.
     """
-    buffer = b""
-    async for chunk in response.chunks():
-        buffer += chunk.replace(b"\r\n", b"\n")
-        *blocks, buffer = buffer.split(b"\n\n")
-        if len(buffer) > MAX_EVENT_BYTES:
-            raise ConnectionLost(f"an event exceeds {MAX_EVENT_BYTES} bytes")
-        for block in blocks:
-            yield block
+    buffer = bytearray()
+    counted = 0
+    with hold() as held:
+        try:
+            async for chunk in response.chunks():
+                # A line break may come in two chunks.
+                is_split = buffer.endswith(b"\r") and chunk.startswith(b"\n")
+                start = max(0, len(buffer) - 2)
+                if is_split:
+                    del buffer[-1:]
+                buffer += chunk.replace(b"\r\n", b"\n")
+                while (end := buffer.find(b"\n\n", start)) >= 0:
+                    block, start = bytes(buffer[:end]), 0
+                    del buffer[: end + 2]
+                    yield block
+                if len(buffer) > MAX_EVENT_BYTES:
+                    raise ConnectionLost(f"an event exceeds {MAX_EVENT_BYTES} bytes")
+                _count(held, len(buffer) - counted)
+                counted = len(buffer)
+        finally:
+            held.release(counted)
     if buffer.strip():
         raise ConnectionLost("the stream ended in the middle of an event")
 
 
+def _count(held: Buffer, size_bytes: int) -> None:
+    """Count bytes that are kept; raise ConnectionLost if they must give way."""
+    try:
+        held.add(size_bytes)
+    except BuffersFull as error:
+        raise ConnectionLost(str(error)) from error
+
+
 def _parse_event(block: bytes) -> _RawEvent | None:
     event_id, version = -1, None
     data: list[str] = []
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -7,6 +7,7 @@
 import pytest
 
 from tamarackshelf.contracts.targets import (
+    ItemEvent,
     ItemFailed,
     ItemRejected,
     NotRun,
@@ -15,6 +16,7 @@
 )
 from tamarackshelf.errors import NotFound, StoreUnavailable
 from tamarackshelf.jobs.owned_job import OwnedJob
+from tamarackshelf.net.buffers import BUDGET
 from tamarackshelf.standin.row_store import MemoryRowStore
 from tamarackshelf.store.job_store import RESULT_TABLE
 from tests.support.node import Cluster, SimulatedEngines, build_job
@@ -522,3 +524,32 @@
         assert "target_out" not in node.event_kinds()
 
     run_scenario(scenario)
+
+
+def test_text_without_end_is_discarded_and_costs_no_other_item(
+    run_scenario, monkeypatch
+):
+    """A faulty engine sent events without end, and the node kept them all."""
+    monkeypatch.setattr(BUDGET, "limit_bytes", 1_000_000)
+
+    async def scenario(cluster):
+        sound, peak_bytes = cluster.engines.run_item, 0
+
+        async def run_item(target, run):
+            nonlocal peak_bytes
+            if run.item.item_id == "j1-0" and peak_bytes <= BUDGET.limit_bytes // 2:
+                for number in range(run.after_event_id + 1, 10_000):
+                    await asyncio.sleep(0.001)
+                    peak_bytes = max(peak_bytes, BUDGET.held_bytes)
+                    yield ItemEvent(number, "a" * 60_000, 1)
+                raise AssertionError("the text had no bound")
+            async for event in sound(target, run):
+                yield event
+
+        cluster.engines.run_item = run_item
+        job = await submit(cluster)
+        check_results(await read_all_results(cluster, "a", job), job)
+        assert peak_bytes <= BUDGET.limit_bytes
+
+    run_scenario(scenario)
+    assert BUDGET.held_bytes == 0
--- a/tests/soak/nodes.py
+++ b/tests/soak/nodes.py
@@ -31,6 +31,7 @@
 seedNodes={seeds}
 portRange=7660,7675
 bootstrap=true
+limits.memoryMb=200
 bounds.gracePeriodS={grace_s}
 bounds.drainMs={drain_ms}
 bounds.leaseTtlMs={lease_ms}
