Build each attempt at a claim from the head on which it depends

Submissions whose end had been confirmed ran on after an outage of the store with a planned stop in it.

Cause: `_claim` built its value once and repeated it with the newest version as its condition; the feed had brought the end meanwhile, so ENDED became OPEN again.

Now a claim is built anew for each attempt and given up if the job is not open. By reading: answers to writes of results no longer replace a newer head, and a job that ended or was claimed while its home node was asked is not run from an older head.

--- a/src/tamarackshelf/jobs/handover.py
+++ b/src/tamarackshelf/jobs/handover.py
@@ -69,6 +69,11 @@
             # The entry is removed when the store reports the home node's claim.
             self._registry.handed_over[job.job_id] = home
             return
+        # The job may have ended, or the home node have claimed it, meanwhile.
+        newest = self._registry.heads.get(job.job_id, job.stored)
+        if newest.head.epoch != job.stored.head.epoch:
+            return
+        job.update_stored(newest)
         if outcome is HandoverOutcome.UNCERTAIN:
             # The home node may run the job too. Only the node whose claim is stored
             # first may list results.
@@ -160,14 +165,17 @@
             self._timeline.record("job_not_handed_over", job.job_id, str(error))
 
     async def _claim(self, owned: OwnedJob) -> None:
-        """Store the pending claim, which names this node as owner, then allow listing.
+        """Store a claim, which names this node as owner, then allow listing.
 
-        Retry while the store fails, and stop once the job is dropped.
+        Retry while the store fails, and stop once the job is dropped. Each attempt is
+        built from the head on which it depends: the job may have ended meanwhile.
         """
-        claim = owned.pending_claim
-        while (
-            claim is not None and owned.pending_claim is claim and not owned.is_closed
-        ):
+        while owned.pending_claim is not None and not owned.is_closed:
+            if not owned.is_open:
+                await self._runner.drop(owned.job_id, "the job is not open")
+                return
+            claim = self._registry.build_claim_head(owned.stored.head)
+            owned.pending_claim = claim
             try:
                 stored = await self._store.change_head(owned.stored, claim)
             except HeadChanged as error:
@@ -222,7 +230,7 @@
                 before.epoch,
             )
             if is_same_owner and current.head.state is JobState.OPEN:
-                owned.stored = current
+                owned.update_stored(current)
                 await self._claim(owned)
                 return
             self._registry.update(current)
--- a/src/tamarackshelf/jobs/owned_job.py
+++ b/src/tamarackshelf/jobs/owned_job.py
@@ -94,6 +94,11 @@
         self.items[result.item_id].stage = ItemStage.DONE
         self.unlisted.append(result)
 
+    def update_stored(self, stored: StoredHead) -> None:
+        """Keep a stored head, unless a newer one has arrived meanwhile."""
+        if stored.version > self.stored.version:
+            self.stored = stored
+
     def set_pending_claim(self, head: JobHead) -> None:
         """Hold back the listing of results until the store holds this head."""
         self.pending_claim = head
@@ -101,7 +106,7 @@
 
     def confirm_claim(self, stored: StoredHead) -> None:
         """Set the head that the store now holds, and allow results to be listed."""
-        self.stored = stored
+        self.update_stored(stored)
         self.pending_claim = None
         self.claim_stored.set()
 
--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -483,13 +483,14 @@
             first, batch = len(job.listed), list(job.unlisted)
             started_s = _now_s()
             try:
-                count, job.stored = await self._store.append_results(
+                count, stored = await self._store.append_results(
                     job.stored, first, batch, job.build_complete_head(len(batch))
                 )
             except HeadChanged as error:
                 if not await self._handle_head_change(job, error.current):
                     return
                 continue
+            job.update_stored(stored)
             self._metrics.observe_s("list_results", _now_s() - started_s)
             self._timeline.record(
                 "results_listed",
@@ -527,7 +528,7 @@
             reason = "a write of results met a job that is no longer open"
             asyncio.get_running_loop().create_task(self.drop(job.job_id, reason))
             return False
-        job.stored = current
+        job.update_stored(current)
         return True
 
 
