End a call at its deadline also while its request is being sent

A request of 8 MiB to a dark worker had no answer within its route's time, nor before its caller gave up.

Cause: `drain` of the client had no deadline, unlike the connection attempt and each read. Related: the server's own `drain` towards a client that stops reading had none either; it now ends after the idle limit without progress.

--- a/src/tamarackshelf/net/http_client.py
+++ b/src/tamarackshelf/net/http_client.py
@@ -16,6 +16,7 @@
 from tamarackshelf.world import Address
 
 READ_SIZE_BYTES = 16 * 1024
+SENT_SIZE_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 2.0
 POOL_SIZE_PER_ADDRESS = 16
 # A connection is closed after this many requests with an id, which it remembers.
@@ -350,13 +351,11 @@
         """Send a request and wait for the head of its response."""
         if request_id:
             self.carried_ids.add(request_id)
-        data = self._http.send(head) or b""
-        if body:
-            data += self._http.send(h11.Data(data=body)) or b""
-        data += self._http.send(h11.EndOfMessage()) or b""
         try:
-            self._writer.write(data)
-            await self._writer.drain()
+            async with asyncio.timeout_at(deadline_s):
+                await self._write(head, body)
+        except TimeoutError as error:
+            raise ResponseOverdue("the peer reads nothing") from error
         except OSError as error:
             raise ConnectionLost(str(error)) from error
         event = await self.next_event(deadline_s)
@@ -366,6 +365,17 @@
             raise ConnectionLost("the connection closed before a response")
         return StreamedResponse(self, event, deadline_s)
 
+    async def _write(self, head: h11.Request, body: bytes) -> None:
+        """Write a request, a long body piece by piece."""
+        data = self._http.send(head) or b""
+        for start in range(0, len(body), SENT_SIZE_BYTES):
+            piece = h11.Data(data=body[start : start + SENT_SIZE_BYTES])
+            self._writer.write(data + (self._http.send(piece) or b""))
+            data = b""
+            await self._writer.drain()
+        self._writer.write(data + (self._http.send(h11.EndOfMessage()) or b""))
+        await self._writer.drain()
+
     async def next_event(self, deadline_s: float) -> object:
         """Return the parser's next event; raise ConnectionLost after the deadline."""
         try:
--- a/src/tamarackshelf/net/http_server.py
+++ b/src/tamarackshelf/net/http_server.py
@@ -94,6 +94,10 @@
         host, port = self._server.sockets[0].getsockname()[:2]
         return Address(host, port)
 
+    def count_connections(self) -> int:
+        """Return the number of open connections."""
+        return len(self._connections)
+
     async def close(self, grace_s: float = 30.0, linger_s: float = 0.0) -> None:
         """Stop listening and close connections once their requests are finished.
 
@@ -438,7 +442,7 @@
             self._write(head)
             async for chunk in chunks:
                 self._write(h11.Data(data=chunk))
-                await self._writer.drain()
+                await self._drain()
         except (ShelfError, ConnectionError):
             self._break_off()
             raise ConnectionError("the handler's response failed midway") from None
@@ -449,16 +453,25 @@
             if isinstance(chunks, AsyncGenerator):
                 await chunks.aclose()
         self._write(h11.EndOfMessage())
-        await self._writer.drain()
+        await self._drain()
 
     async def _send_body(self, head: h11.Response, body: bytes) -> None:
         """Send a response with a whole body, a long one piece by piece."""
         self._write(head, h11.Data(data=body[:SENT_SIZE_BYTES]))
         for start in range(SENT_SIZE_BYTES, len(body), SENT_SIZE_BYTES):
-            await self._writer.drain()
+            await self._drain()
             self._write(h11.Data(data=body[start : start + SENT_SIZE_BYTES]))
         self._write(h11.EndOfMessage())
-        await self._writer.drain()
+        await self._drain()
+
+    async def _drain(self) -> None:
+        """Wait until the client has taken what was written, but not for ever."""
+        try:
+            async with asyncio.timeout(self._limits().idle_s):
+                await self._writer.drain()
+        except TimeoutError as error:
+            self._break_off()
+            raise ConnectionError("the client reads nothing") from error
 
     def _break_off(self) -> None:
         """Close the connection so that the client sees an incomplete response.
--- a/tests/net/test_dead_connections.py
+++ b/tests/net/test_dead_connections.py
@@ -7,11 +7,19 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import errno
 
 import pytest
 
-from tamarackshelf.net import ConnectionLost, HttpServer, Response, ServerLimits
+from tamarackshelf.net import (
+    ConnectionLost,
+    HttpClient,
+    HttpServer,
+    Response,
+    ResponseOverdue,
+    ServerLimits,
+)
 from tamarackshelf.net.http_client import _Connection, _CountingProtocol
 from tests.conftest import find_free_address
 
@@ -118,3 +126,58 @@
             await connection.next_event(asyncio.get_running_loop().time() + 1.0)
 
     run(scenario())
+
+
+async def hold_open(reader, writer):
+    """Read nothing, as a stopped process does."""
+    with contextlib.suppress(asyncio.CancelledError):
+        await asyncio.sleep(3600)
+
+
+def test_long_request_to_a_peer_that_reads_nothing_ends_at_its_deadline():
+    """A caller's long request had no answer until the kernel gave the connection up."""
+
+    async def scenario():
+        address, http = find_free_address(), HttpClient()
+        server = await asyncio.start_server(
+            hold_open, address.host, address.port, limit=1024
+        )
+        request = http.request(
+            address, "POST", "/", body=b"a" * 2**25, timeout_s=0.3, new_connection=True
+        )
+        with pytest.raises(ResponseOverdue):
+            # Less than the kernel's own time-out for unacknowledged data.
+            await asyncio.wait_for(request, 2.0)
+        server.close()
+
+    asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("is_stream", [False, True], ids=["whole", "stream"])
+def test_response_to_a_client_that_reads_nothing_is_broken_off(is_stream):
+    """A client that stopped reading kept its connection and its response for ever."""
+    piece = b"a" * 2**20
+
+    async def yield_pieces():
+        while True:
+            yield piece
+
+    async def handle(request):
+        return Response(200, yield_pieces() if is_stream else piece * 32)
+
+    async def scenario():
+        server = HttpServer(handle, ServerLimits(idle_s=0.3))
+        address = await server.start(find_free_address())
+        reader, writer = await asyncio.open_connection(
+            address.host, address.port, limit=1024
+        )
+        writer.write(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        async with asyncio.timeout(3.0):
+            while not server.count_connections():
+                await asyncio.sleep(0.05)
+            while server.count_connections():
+                await asyncio.sleep(0.05)
+        writer.close()
+        await server.abort()
+
+    asyncio.run(scenario())
