Pass header values beyond ASCII in both directions

A caller whose request, or a worker whose response, had one header value beyond ASCII got a 500 or a closed connection; the request may have run.

Cause: h11 reads such values, they are kept as Latin-1 text, and h11 encodes text as ASCII. Headers are handed to it as bytes now.

Before: both cases of the new test fail with UnicodeEncodeError. After: they pass.

--- a/src/tamarackshelf/net/http_client.py
+++ b/src/tamarackshelf/net/http_client.py
@@ -11,7 +11,7 @@
 import h11
 
 from tamarackshelf.net.buffers import BuffersFull, hold
-from tamarackshelf.net.http_types import Headers
+from tamarackshelf.net.http_types import Headers, encode_headers
 from tamarackshelf.net.sockets import limit_receive_buffer, set_keep_alive
 from tamarackshelf.world import Address
 
@@ -413,7 +413,7 @@
     address: Address, method: str, path: str, headers: Headers, body: bytes
 ) -> h11.Request:
     fields = {"host": str(address), "content-length": str(len(body)), **headers}
-    return h11.Request(method=method, target=path, headers=list(fields.items()))
+    return h11.Request(method=method, target=path, headers=encode_headers(fields))
 
 
 def _decode_headers(head: h11.Response) -> Headers:
--- a/src/tamarackshelf/net/http_server.py
+++ b/src/tamarackshelf/net/http_server.py
@@ -20,6 +20,7 @@
 from tamarackshelf.net.http_types import (
     Request,
     Response,
+    encode_headers,
     to_error_response,
 )
 from tamarackshelf.net.sockets import (
@@ -433,7 +434,9 @@
             headers["content-length"] = str(len(response.body))
         if self._close_after_response:
             headers["connection"] = "close"
-        head = h11.Response(status_code=response.status, headers=list(headers.items()))
+        head = h11.Response(
+            status_code=response.status, headers=encode_headers(headers)
+        )
         if isinstance(response.body, bytes):
             await self._send_body(head, response.body)
             return
--- a/src/tamarackshelf/net/http_types.py
+++ b/src/tamarackshelf/net/http_types.py
@@ -52,6 +52,14 @@
     headers: Headers = field(default_factory=dict)
 
 
+def encode_headers(headers: Headers) -> list[tuple[bytes, bytes]]:
+    """Return the headers as they were received: values may go beyond ASCII."""
+    return [
+        (name.encode("latin-1"), value.encode("latin-1", "replace"))
+        for name, value in headers.items()
+    ]
+
+
 def to_json_response(value: object, status: int = 200) -> Response:
     """Return a response with the value encoded as JSON."""
     return Response(status=status, body=msgspec.json.encode(value))
@@ -80,6 +88,7 @@
     "Request",
     "Response",
     "decode_error",
+    "encode_headers",
     "to_error_response",
     "to_json_response",
 ]
--- a/tests/net/test_bad_input.py
+++ b/tests/net/test_bad_input.py
@@ -208,3 +208,30 @@
         assert requests == ["first", "second"]
 
     asyncio.run(scenario())
+
+
+@pytest.mark.parametrize("is_stream", [False, True], ids=["whole", "stream"])
+def test_header_values_beyond_ascii_pass_both_ways(is_stream):
+    """A caller or worker with one such header got a closed connection or a 500."""
+    seen = []
+
+    async def yield_body():
+        yield b"body"
+
+    async def handle(request):
+        seen.append(request.headers["x-note"])
+        body = yield_body() if is_stream else b"body"
+        return Response(200, body, headers={"x-note": request.headers["x-note"]})
+
+    async def scenario():
+        server, http = HttpServer(handle), HttpClient()
+        address = await server.start(ANY_PORT)
+        sent = {"x-note": "caf\xe9 \xc3\xa9"}
+        answer = await http.request(address, "GET", "/", headers=sent, timeout_s=2.0)
+        await http.close()
+        await server.abort()
+        return answer
+
+    answer = asyncio.run(scenario())
+    assert (answer.status, answer.body) == (200, b"body")
+    assert seen == ["caf\xe9 \xc3\xa9"] == [answer.headers["x-note"]]
