Refuse items that cannot be sent, and let none frame its request

A submission with one path, id or header that HTTP does not allow was accepted; each try of its item raised an error that nobody expected, at each turn of the event loop. A Content-Length or Transfer-Encoding among an item's headers replaced that of the request.

Now such a submission is refused with 400, as it can never be run, and headers that concern a connection are not passed on, as with callers' own requests.

--- a/src/tamarackshelf/net/__init__.py
+++ b/src/tamarackshelf/net/__init__.py
@@ -17,6 +17,7 @@
     Request,
     Response,
     decode_error,
+    is_sendable,
     to_error_response,
     to_json_response,
 )
@@ -35,6 +36,7 @@
     "StreamedResponse",
     "collect",
     "decode_error",
+    "is_sendable",
     "to_error_response",
     "to_json_response",
 ]
--- a/src/tamarackshelf/net/http_types.py
+++ b/src/tamarackshelf/net/http_types.py
@@ -7,6 +7,7 @@
 from typing import TypeVar
 from urllib.parse import parse_qs
 
+import h11
 import msgspec
 
 from tamarackshelf.decoding import InvalidInput, decode_json
@@ -60,6 +61,19 @@
     ]
 
 
+def is_sendable(path: str, headers: Headers) -> bool:
+    """Return whether a request with this path and these headers can be written."""
+    try:
+        h11.Request(
+            method="POST",
+            target=path,
+            headers=[(b"host", b"-"), *encode_headers(headers)],
+        )
+    except (h11.LocalProtocolError, UnicodeEncodeError):
+        return False
+    return True
+
+
 def to_json_response(value: object, status: int = 200) -> Response:
     """Return a response with the value encoded as JSON."""
     return Response(status=status, body=msgspec.json.encode(value))
@@ -89,6 +103,7 @@
     "Response",
     "decode_error",
     "encode_headers",
+    "is_sendable",
     "to_error_response",
     "to_json_response",
 ]
--- a/src/tamarackshelf/platform/caller_api.py
+++ b/src/tamarackshelf/platform/caller_api.py
@@ -23,8 +23,11 @@
 from tamarackshelf.errors import BadRequest, NotFound, NotReady, ShelfError
 from tamarackshelf.jobs.manager import JobManager
 from tamarackshelf.jobs.reader import ResultPage
-from tamarackshelf.net import Request, Response
-from tamarackshelf.platform.target_client import UNFORWARDED_HEADERS
+from tamarackshelf.net import Request, Response, is_sendable
+from tamarackshelf.platform.target_client import (
+    REQUEST_ID_HEADER,
+    UNFORWARDED_HEADERS,
+)
 from tamarackshelf.policy.route_table import RouteTable
 from tamarackshelf.world.job import ItemResult, Job, JobItem, ScoreCall
 from tamarackshelf.world.route import Route, RouteKind
@@ -196,7 +199,10 @@
 def _to_item(item: _Item) -> JobItem:
     call = item.scorer_url
     score_call = None
+    _check_sendable(item.id, item.path, item.headers | {REQUEST_ID_HEADER: item.id})
     if call is not None:
+        names = {"x-score-host": call.host, REQUEST_ID_HEADER: call.id}
+        _check_sendable(item.id, call.path, names)
         score_call = ScoreCall(call.id, call.host, call.path, _to_bytes(call.body))
     headers = {name.lower(): value for name, value in item.headers.items()}
     hint = headers.get("x-length-hint", "")
@@ -216,6 +222,15 @@
     )
 
 
+def _check_sendable(item_id: str, path: str, headers: dict[str, str]) -> None:
+    """Raise BadRequest if no target could be sent a request with these values."""
+    if not is_sendable(path, headers):
+        raise BadRequest(
+            f"item {item_id!r} has a path, id or header that HTTP does not allow; "
+            "correct it"
+        )
+
+
 def _to_bytes(text: str) -> bytes:
     try:
         return base64.b64decode(text, validate=True)
--- a/src/tamarackshelf/platform/target_client.py
+++ b/src/tamarackshelf/platform/target_client.py
@@ -232,7 +232,8 @@
 
         Raise NotRun, OutcomeUnknown, ItemFailed or ItemRejected.
         """
-        headers = {name.lower(): value for name, value in run.item.headers.items()}
+        lowered = {name.lower(): value for name, value in run.item.headers.items()}
+        headers = {n: v for n, v in lowered.items() if n not in UNFORWARDED_HEADERS}
         headers["host"] = run.host
         headers[REQUEST_ID_HEADER] = run.item.item_id
         headers["x-expect-instance"] = target.name
--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -47,6 +47,9 @@
     return head + headers + b"\r\n" + body
 
 
+FRAMING = {"Content-Length": "1", "Transfer-Encoding": "chunked", "Connection": "close"}
+
+
 class FakeGate:
     """Records the calls sent and the limits named in their responses."""
 
@@ -505,3 +508,17 @@
 
     expected = {"item": ["a", "b", "c"], "score": "s.1"}
     assert asyncio.run(scenario()) == expected.get(kind, b"whole")
+
+
+def test_headers_of_an_item_do_not_frame_its_request():
+    """A length among an item's headers replaced that of the request's body."""
+    item = JobItem("r1", "/i/1", FRAMING, b"body", "g", 100)
+    run = ItemRun(item, "h.example", -1, 2.0, 1.0)
+
+    async def use(calls, target):
+        return [event.data async for event in calls.run_item(target, run)]
+
+    text, seen = asyncio.run(call(build_response(200, SIGNED, EVENTS), use))
+    assert text == ["a", "b", "c"]
+    assert seen[0].lower().count(b"content-length: 4") == 1
+    assert b"chunked" not in seen[0]
