--- a/src/tamarackshelf/contracts/targets.py
+++ b/src/tamarackshelf/contracts/targets.py
@@ -101,12 +101,14 @@
 class TargetLoad:
     """Numbers of requests that a target reported with a response.
 
-    `slots` is the maximum number of requests that the target runs at a time.
+    `slots` is the maximum number of requests that the target runs at a time, and
+    `slowdown` how long work takes there now relative to usual, or None if not reported.
     """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,7 +162,8 @@
     """A caller's request for a service, which is forwarded unchanged.
 
     `caller` is the identity that the caller presents, or "" if there is none.
-    `resumption` is set if the request takes up a stream.
+    `resumption` is set if the request takes up a stream. `organisation` is the name of
+    the organisation whose key the caller presented, or "".
     """
 
     request_id: str
@@ -168,6 +171,7 @@
     http: Request
     caller: str = ""
     resumption: Resumption | None = None
+    organisation: str = ""
 
     def compute_fingerprint(self) -> str:
         """Return what is equal in all attempts of the caller at this request."""
@@ -211,7 +215,7 @@
     """One run of an item.
 
     The run resumes after the event `after_event_id`, or starts from the beginning if
-    that is -1.
+    that is -1. `organisation` is the name of the organisation that owns the job, or "".
     """
 
     item: JobItem
@@ -219,6 +223,7 @@
     after_event_id: int
     first_event_timeout_s: float
     next_event_timeout_s: float
+    organisation: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/tamarackshelf/node/settings.py
+++ b/src/tamarackshelf/node/settings.py
@@ -25,6 +25,23 @@
     row_bytes: int
 
 
+@dataclass(frozen=True, slots=True)
+class DutySettings:
+    """Calls to the platform that one node makes for all, and their bounds.
+
+    The platform takes `calls_per_s` from all nodes together. Usage of each window of
+    `report_window_s` is due `report_late_s` after its end.
+    """
+
+    address: Address
+    calls_per_s: float
+    reports_usage: bool
+    orders_workers: bool
+    checks_fencing: bool
+    report_window_s: float
+    report_late_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class NodeSettings:
     """The identity, addresses and limits of a node."""
@@ -54,6 +71,8 @@
     # The memory that the process may use, or None if only the VM's memory bounds it.
     memory_bytes: int | None = None
     metrics_port: int = 0
+    # None if the platform takes no such calls.
+    duties: DutySettings | None = None
 
     @property
     def peer_address(self) -> Address:
@@ -66,4 +85,10 @@
         return Address(self.host, self.metrics_port) if self.metrics_port else None
 
 
-__all__ = ["RELOADABLE_FIELDS", "InvalidSettings", "NodeSettings", "StoreBudget"]
+__all__ = [
+    "RELOADABLE_FIELDS",
+    "DutySettings",
+    "InvalidSettings",
+    "NodeSettings",
+    "StoreBudget",
+]
--- a/src/tamarackshelf/platform/settings.py
+++ b/src/tamarackshelf/platform/settings.py
@@ -4,7 +4,12 @@
 
 from pathlib import Path
 
-from tamarackshelf.node.settings import InvalidSettings, NodeSettings, StoreBudget
+from tamarackshelf.node.settings import (
+    DutySettings,
+    InvalidSettings,
+    NodeSettings,
+    StoreBudget,
+)
 from tamarackshelf.world import Address, parse_address
 
 SETTINGS_VARIABLE = "TAMARACKSHELF_CONFIG"
@@ -67,6 +72,23 @@
         cores=float(fields.get("limits.cpuShare", "1"))
         * float(fields.get("limits.cpuCores", "1")),
         memory_bytes=_parse_memory(fields.get("limits.memoryMb", "")),
+        duties=_parse_duties(fields),
+    )
+
+
+def _parse_duties(fields: dict[str, str]) -> DutySettings | None:
+    """Return the duties that the platform names, or None if it takes no calls."""
+    if not fields.get("cloudApi.address"):
+        return None
+    tasks = fields.get("cloudApi.tasks", "").split(",")
+    return DutySettings(
+        address=parse_address(fields["cloudApi.address"]),
+        calls_per_s=float(fields["cloudApi.dutyPerS"]),
+        reports_usage="usage_report" in tasks,
+        orders_workers="autoscale" in tasks,
+        checks_fencing=fields["bounds.fencing"] == "true",
+        report_window_s=float(fields.get("bounds.reportWindowS", "5")),
+        report_late_s=float(fields.get("bounds.usageLateS", "10")),
     )
 
 
--- a/src/tamarackshelf/world/__init__.py
+++ b/src/tamarackshelf/world/__init__.py
@@ -12,6 +12,7 @@
 from tamarackshelf.world.organisation import (
     Campaign,
     Configuration,
+    Organisation,
     OrganisationParameters,
     digest_token,
     find_organisation,
@@ -28,6 +29,7 @@
     "DelayFunction",
     "EntryVm",
     "NetworkDelays",
+    "Organisation",
     "OrganisationParameters",
     "Sample",
     "Segment",
--- a/src/tamarackshelf/world/job.py
+++ b/src/tamarackshelf/world/job.py
@@ -45,6 +45,8 @@
     min_version: int
     group_count: int
     items: tuple[JobItem, ...]
+    # Organisation that submitted the job, or "" without organisations.
+    organisation: str = ""
 
 
 class JobState(enum.StrEnum):
@@ -75,6 +77,8 @@
     # Sum over the items of the job, used to divide the engines among models.
     expected_tokens: int = 0
     min_version: int = 0
+    # Organisation that submitted the job, or "" without organisations.
+    organisation: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/tamarackshelf/world/organisation.py
+++ b/src/tamarackshelf/world/organisation.py
@@ -25,6 +25,19 @@
     max_concurrent: int = 64
 
 
+@dataclass(frozen=True, slots=True)
+class Organisation:
+    """An organisation of a routing configuration and the digests of its API keys.
+
+    `priority` goes before that of a route, where 0 is the most urgent; None means that
+    the route's priority holds.
+    """
+
+    name: str
+    key_digests: tuple[str, ...] = ()
+    priority: int | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class Campaign:
     """A rollout campaign of one organisation."""
@@ -82,6 +95,7 @@
 __all__ = [
     "Campaign",
     "Configuration",
+    "Organisation",
     "OrganisationParameters",
     "digest_token",
     "find_organisation",
--- a/src/tamarackshelf/world/route.py
+++ b/src/tamarackshelf/world/route.py
@@ -5,6 +5,8 @@
 import enum
 from dataclasses import dataclass, field
 
+from tamarackshelf.world.organisation import Organisation
+
 
 class RouteKind(enum.StrEnum):
     """Kind of a route, which decides whether its requests may be repeated."""
@@ -43,17 +45,40 @@
     priority: int = 5
     is_resumable: bool = False
     is_single_version: bool = False
+    # Callers need no API key on a public route.
+    is_public: bool = False
     job_due_s: float = 0.0
     job_max_wait_s: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Scaling:
+    """Bounds and prices within which workers of a service may be ordered.
+
+    The bounds apply to each data centre and to both kinds of workers together. A new
+    worker starts to serve `startup_s` after it was ordered. `prices_per_s` holds the
+    price of one second of a worker by data centre; a preemptible worker costs
+    `preemptible_price` of it.
+    """
+
+    min_workers: int
+    max_workers: int
+    startup_s: float
+    preemptible_price: float = 1.0
+    prices_per_s: dict[str, float] = field(default_factory=dict)
+
+
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A service; `models` is empty if its targets are not engines."""
+    """A service; `models` is empty if its targets are not engines.
+
+    Without `scaling`, no workers may be ordered.
+    """
 
     name: str
     max_connections: int
     models: tuple[str, ...] = ()
+    scaling: Scaling | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,12 +93,16 @@
 
 @dataclass(frozen=True, slots=True)
 class RoutingConfiguration:
-    """Routes, services and limits; a higher version replaces a lower one."""
+    """Routes, services and limits; a higher version replaces a lower one.
+
+    `organisations` is None if callers need no API keys.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
+    organisations: tuple[Organisation, ...] | None = None
 
 
 __all__ = [
@@ -81,6 +110,7 @@
     "Route",
     "RouteKind",
     "RoutingConfiguration",
+    "Scaling",
     "Service",
     "ServiceShare",
 ]
