--- a/src/tamarackshelf/node/weights.py
+++ b/src/tamarackshelf/node/weights.py
@@ -17,11 +17,11 @@
     TargetLimited,
     VersionOrder,
 )
+from tamarackshelf.duties.lease import LEASE_CHECK_S, Lease
 from tamarackshelf.node.fleet import Fleet
 from tamarackshelf.node.targets import TargetRegistry, TargetState
 from tamarackshelf.observe import Timeline
 from tamarackshelf.policy.engine_assignment import assign_engines
-from tamarackshelf.policy.ownership import rank_owners
 from tamarackshelf.policy.weight_update import (
     EngineView,
     OrderBackoff,
@@ -30,21 +30,13 @@
     record_order_outcome,
 )
 from tamarackshelf.store.failover import FailoverStore
-from tamarackshelf.store.fleet_rows import (
-    LeaseRecord,
-    NodeRecord,
-    StoredLease,
-    acquire_lease,
-    read_lease,
-    release_lease,
-)
+from tamarackshelf.store.fleet_rows import NodeRecord, StoredLease
 from tamarackshelf.tasks import start_task, stop_tasks
 from tamarackshelf.world.job import ModelDemand
 from tamarackshelf.world.route import RoutingConfiguration
 
 LEASE_NAME = "weights"
 TICK_S = 0.1
-LEASE_CHECK_S = 0.5
 CALL_TIMEOUT_S = 1.0
 # A load takes about this long; reading reports earlier would only cost calls.
 EXPECTED_LOAD_S = 0.95
@@ -58,9 +50,6 @@
 MAX_LOADING_SHARE = 0.5
 # A request for one more engine lasts for one load; a job that is still late repeats it.
 ENGINE_REQUEST_TTL_S = 1.5
-# Added to the lease duration that a new holder waits before its first order, so that
-# orders of two holders never appear to alternate.
-LEASE_MARGIN_S = 0.3
 
 
 class OrderWithoutEffect(Exception):
@@ -107,24 +96,25 @@
         self.select_reaching: Callable[
             [Sequence[NodeRecord], Set[str]], Sequence[NodeRecord]
         ] = lambda nodes, services: nodes
-        self._store = store
         self._fleet = fleet
         self._targets = targets
         self._target_client = target_client
-        self.lease_s = lease_s
         self._timeline = timeline
-        self._lease: StoredLease | None = None
-        # The lease as it was before a claim whose outcome is not known. While there is
-        # one, the store may name this node as holder.
-        self._unsettled_claim: StoredLease | None = None
-        self._left_holder = LeaseRecord()
-        self._orders_allowed_at_s = 0.0
-        self._last_order_at_s = float("-inf")
-        self._lease_checked_at_s = float("-inf")
+        self._lease = Lease(LEASE_NAME, store, fleet, lease_s, timeline)
+        self._lease.select_nodes = self._select_reaching
         self._state = _CoordinatorState()
         self._orders_in_progress: dict[str, asyncio.Task[None]] = {}
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def lease_s(self) -> float:
+        """The duration of the lease in seconds."""
+        return self._lease.lease_s
+
+    @lease_s.setter
+    def lease_s(self, lease_s: float) -> None:
+        self._lease.lease_s = lease_s
+
     async def start(self) -> None:
         """Start to order updates of outdated engines while this node has the lease."""
         self._task = start_task("weights", self._run)
@@ -164,15 +154,17 @@
             await asyncio.sleep(TICK_S)
             # Other nodes may know of an outdated engine and leave the lease with this
             # node, so its claim is settled in any case.
-            is_settled = self._unsettled_claim is None
             if self._fleet.is_leaving or (
-                is_settled and not self._has_outdated_engine()
+                self._lease.is_settled and not self._has_outdated_engine()
             ):
                 continue
+            held = self._lease.held
             try:
-                if self._lease is not None and self._is_cut_off():
-                    await self._give_up_lease(self._lease)
-                elif await self._ensure_lease():
+                if held is not None and self._is_cut_off():
+                    await self._lease.give_up(
+                        held, "this node is cut off from the engines"
+                    )
+                elif await self._lease.ensure():
                     self._order_outdated_engines()
             except RowStoreError as error:
                 self._timeline.record("lease_unknown", LEASE_NAME, str(error))
@@ -257,113 +249,6 @@
         engines = {service.name for service in services if service.models}
         return self.select_reaching(nodes, engines)
 
-    async def _give_up_lease(self, lease: StoredLease) -> None:
-        """Release the lease, as this node does not reach the engines and others do.
-
-        Wait until the next holder may order at once, so that orders of two holders
-        never appear to alternate.
-        """
-        if _now_s() < self._last_order_at_s + self.lease_s + LEASE_MARGIN_S:
-            return
-        await release_lease(self._store, LEASE_NAME, lease)
-        self._lease = None
-        self._timeline.record(
-            "lease_released",
-            LEASE_NAME,
-            "this node is cut off from the engines",
-            fencing=lease.record.fencing_number,
-        )
-
-    async def _ensure_lease(self) -> bool:
-        """Take the lease if possible; return whether this node may give orders now."""
-        now_s = _now_s()
-        if self._lease is not None:
-            return now_s >= self._orders_allowed_at_s
-        if now_s - self._lease_checked_at_s < LEASE_CHECK_S:
-            return False
-        self._lease_checked_at_s = now_s
-        own = self._fleet.own
-        if not self._ranks_first() and self._unsettled_claim is None:
-            return False
-        current = await read_lease(self._store, LEASE_NAME)
-        record = current.record
-        if (record.holder, record.holder_incarnation) == (own.vm, own.incarnation):
-            # The store accepted this node's claim, but the answer was lost.
-            return self._record_lease(
-                current,
-                "the store's answer to this node's claim was lost",
-                must_wait=True,
-            )
-        self._settle_claim(current)
-        # The rank may have changed since the claim, or during the read.
-        if not self._ranks_first():
-            return False
-        if record.holder and not self._fleet.is_gone(
-            record.holder, record.holder_incarnation
-        ):
-            self._record_left(record, "runs and keeps the lease")
-            return False
-        if await self._fleet.check_alive(record.holder, record.holder_incarnation):
-            self._record_left(record, "still answers and keeps the lease")
-            return False
-        self._unsettled_claim = current
-        acquired = await acquire_lease(
-            self._store, LEASE_NAME, current, own.vm, own.incarnation
-        )
-        self._unsettled_claim = None
-        if acquired is None:
-            return False
-        reason = (
-            f"{record.holder} no longer runs" if record.holder else "the lease was free"
-        )
-        # To the engines, a VM that has restarted is still the same holder.
-        return self._record_lease(
-            acquired, reason, must_wait=record.holder not in ("", own.vm)
-        )
-
-    def _ranks_first(self) -> bool:
-        """Return whether this node is the one to take the lease if it is free."""
-        nodes = self._select_reaching(self._fleet.list_live_nodes())
-        ranked = rank_owners([record.vm for record in nodes], LEASE_NAME)
-        return ranked[:1] == [self._fleet.own.vm]
-
-    def _settle_claim(self, current: StoredLease) -> None:
-        """Forget an unsettled claim once the row was written by another node.
-
-        While the row is as the claim found it, the store may still execute the claim.
-        """
-        claim = self._unsettled_claim
-        if claim is not None and claim.version != current.version:
-            self._unsettled_claim = None
-
-    def _record_left(self, record: LeaseRecord, reason: str) -> None:
-        """Record once that the lease is left with its holder."""
-        if record != self._left_holder:
-            self._left_holder = record
-            self._timeline.record("lease_left", LEASE_NAME, f"{record.holder} {reason}")
-
-    def _record_lease(
-        self, lease: StoredLease, reason: str, *, must_wait: bool
-    ) -> bool:
-        """Record that this node holds the lease; return whether it may order at once.
-
-        With `must_wait`, it may order only when an earlier holder's lease has expired.
-        """
-        self._lease = lease
-        self._unsettled_claim = None
-        # An earlier process of this VM may have given an order until now.
-        self._last_order_at_s = _now_s()
-        wait_s = self.lease_s + LEASE_MARGIN_S if must_wait else 0.0
-        self._orders_allowed_at_s = _now_s() + wait_s
-        self._timeline.record(
-            "lease_taken",
-            LEASE_NAME,
-            reason,
-            fencing=lease.record.fencing_number,
-            orders_after_s=wait_s,
-        )
-        return wait_s == 0.0
-
     def _order_outdated_engines(self) -> None:
         now_s = _now_s()
         for model, engines in self._assign_engines().items():
@@ -395,7 +280,7 @@
 
     async def _order(self, engine: TargetState, model: str, version: int) -> None:
         """Send one order with the lease's fencing number and wait for its effect."""
-        lease = self._lease
+        lease = self._lease.held
         reason, succeeded = "the lease was lost", False
         denied: TargetLimited | None = None
         try:
@@ -406,9 +291,8 @@
             reason, denied = str(error), error
         except OrderRefused as error:
             reason = str(error)
-            if error.is_fenced:
-                # The store may still name this node.
-                self._lease, self._unsettled_claim = None, lease
+            if error.is_fenced and lease is not None:
+                self._lease.drop(lease)
         except (NotRun, OutcomeUnknown, OrderWithoutEffect, RowStoreError) as error:
             reason = str(error)
         if not succeeded and denied is None:
@@ -442,12 +326,12 @@
                 return
             order_count = report.orders_accepted
             self._state.order_counts[_get_count_key(engine)] = order_count
-        if not await self._verify_lease(lease):
+        if not await self._lease.verify(lease):
             raise OrderWithoutEffect("another node holds the lease now")
         order = VersionOrder(
             model, version, self._fleet.own.vm, lease.record.fencing_number, order_count
         )
-        self._last_order_at_s = _now_s()
+        self._lease.record_act()
         if await self._target_client.order_version(target, order, CALL_TIMEOUT_S):
             order_count += 1
             await asyncio.sleep(EXPECTED_LOAD_S)
@@ -492,16 +376,6 @@
             self._targets.record_version(engine.target.name, model, version)
         return report
 
-    async def _verify_lease(self, lease: StoredLease) -> bool:
-        current = await read_lease(self._store, LEASE_NAME)
-        if current == lease:
-            return True
-        self._lease = None
-        self._timeline.record(
-            "lease_lost", LEASE_NAME, f"{current.record.holder} holds the lease now"
-        )
-        return False
-
 
 def _get_count_key(engine: TargetState) -> tuple[str, int]:
     return engine.target.name, engine.target.incarnation
