--- a/src/tamarackshelf/cli/node.py
+++ b/src/tamarackshelf/cli/node.py
@@ -29,6 +29,7 @@
 from tamarackshelf.observe import Metrics, Timeline, set_up_bounded_logs
 from tamarackshelf.platform.caller_api import CallerApi
 from tamarackshelf.platform.directory import build_ready_handler, build_resolve_handler
+from tamarackshelf.platform.duty_client import PlatformDutyClient
 from tamarackshelf.platform.row_handlers import build_platform_tables
 from tamarackshelf.platform.rows import PlatformRowStore
 from tamarackshelf.platform.settings import SETTINGS_VARIABLE, load_settings
@@ -109,6 +110,9 @@
         for _ in range(2)
     )
     metrics = Metrics()
+    duty_platform = None
+    if settings.duties is not None:
+        duty_platform = PlatformDutyClient(http, settings.duties.address)
     paths = TargetPaths(
         targets_http, relay_http, timeline, metrics, lambda: int(time.time() * 1000)
     )
@@ -124,6 +128,7 @@
         (http, targets_http, relay_http),
         timeline,
         metrics,
+        duty_platform,
     )
 
 
--- a/src/tamarackshelf/duties/lease.py
+++ b/src/tamarackshelf/duties/lease.py
@@ -111,6 +111,7 @@
         # one, the store may name this node as holder.
         self._unsettled_claim: StoredLease | None = None
         self._left_holder = LeaseRecord()
+        self._refused_number = -1
         self._confirmed: Stopwatch | None = None
         self._acts_allowed_at_s = 0.0
         self._last_act_at_s = float("-inf")
@@ -137,13 +138,36 @@
             return False
         current = await read_lease(self._store, self._subject)
         record = current.record
-        if (record.holder, record.holder_incarnation) == (own.vm, own.incarnation):
+        is_own = (record.holder, record.holder_incarnation) == (
+            own.vm,
+            own.incarnation,
+        )
+        if is_own and record.fencing_number > self._refused_number:
             # The store accepted this node's claim, but the answer was lost.
             return self._record(
                 current,
                 "the store's answer to this node's claim was lost",
                 self.lease_s + self._waits.takeover_margin_s,
             )
+        if not is_own and not await self._may_claim(current):
+            return False
+        self._unsettled_claim = current
+        acquired = await acquire_lease(
+            self._store, self._subject, current, own.vm, own.incarnation
+        )
+        self._unsettled_claim = None
+        if acquired is None:
+            return False
+        reason = "the lease was free"
+        if is_own:
+            reason = "a higher number than this node's was seen"
+        elif record.holder:
+            reason = f"{record.holder} no longer runs"
+        return self._record(acquired, reason, self._compute_wait_s(record.holder))
+
+    async def _may_claim(self, current: StoredLease) -> bool:
+        """Return whether this node is to take the lease from the holder in the row."""
+        record = current.record
         self._settle_claim(current)
         # The rank may have changed since the claim, or during the read.
         if not self._ranks_first():
@@ -156,17 +180,7 @@
         if await self._fleet.check_alive(record.holder, record.holder_incarnation):
             self._record_left(record, "still answers and keeps the lease")
             return False
-        self._unsettled_claim = current
-        acquired = await acquire_lease(
-            self._store, self._subject, current, own.vm, own.incarnation
-        )
-        self._unsettled_claim = None
-        if acquired is None:
-            return False
-        reason = (
-            f"{record.holder} no longer runs" if record.holder else "the lease was free"
-        )
-        return self._record(acquired, reason, self._compute_wait_s(record.holder))
+        return True
 
     async def verify(self, held: StoredLease) -> bool:
         """Read the row; return whether it still is `held`, and drop the lease if not.
@@ -204,12 +218,15 @@
         """Note that this node acts as the holder now."""
         self._last_act_at_s = _now_s()
 
-    def drop(self, held: StoredLease) -> None:
+    def drop(self, held: StoredLease, *, needs_higher: bool = False) -> None:
         """Stop acting, as somebody saw a higher number; the row is read again.
 
-        The store may still name this node.
+        The store may still name this node. With `needs_higher` the number is not used
+        again: if the store still names this node with it, the node claims the next one.
         """
         self.held, self._unsettled_claim = None, held
+        if needs_higher:
+            self._refused_number = held.record.fencing_number
 
     async def give_up(self, held: StoredLease, reason: str) -> None:
         """Release the lease once the next holder may act at once; else do nothing.
--- a/src/tamarackshelf/entry/forwarder.py
+++ b/src/tamarackshelf/entry/forwarder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from tamarackshelf.contracts.targets import (
@@ -38,6 +39,9 @@
 # Retry delay that a refused caller is told; equals AVOID_S, the time for which a busy
 # target is avoided.
 RETRY_AFTER_S = 0.3
+# An attempt that was cancelled after this time had probably begun to run. A connection
+# and a refusal take a few milliseconds.
+MIN_RUN_S = 0.05
 # A request that no target has accepted is refused after this share of the route's
 # target latency, which is the response time up to which a response earns full credit.
 REFUSE_AFTER_SHARE = 0.2
@@ -60,6 +64,10 @@
     may_have_run: bool = False
     last_reason: str = "no target of the service is listed"
     last_response: TargetResponse | None = None
+    # When the attempts were sent that ran, may have run or are still in progress, by
+    # target, and whether the request was counted.
+    sent_at_s: dict[str, float] = field(default_factory=dict)
+    is_counted: bool = False
 
 
 class Forwarder:
@@ -75,6 +83,11 @@
         metrics: Metrics,
         planned_stop: PlannedStop | None = None,
     ) -> None:
+        # Called once for each request that ran, with the time on the event loop's clock
+        # when it began.
+        self.record_run: Callable[[ForwardedRequest, float], None] = (
+            lambda request, started_s: None
+        )
         self._planned_stop = planned_stop or PlannedStop()
         self._targets = targets
         self._target_client = target_client
@@ -268,6 +281,7 @@
         attempts.tried.add(name)
         state.in_flight += 1
         started_s = _now_s()
+        attempts.sent_at_s[name] = started_s
         try:
             response = await self._target_client.forward(
                 state.target, request, timeout_s, at_most_once=not is_repeatable
@@ -276,11 +290,13 @@
             self._targets.record_not_run(name, error)
             attempts.last_reason = str(error)
             attempts.runs -= 1
+            attempts.sent_at_s.pop(name, None)
             return None
         except OutcomeUnknown as error:
             self._targets.record_fault(name, str(error))
             attempts.last_reason = str(error)
             attempts.may_have_run = True
+            self._count_run(request, attempts)
             await self._quarantine.record_lost_answer(
                 self._build_lost_run(request, state, attempts), error
             )
@@ -291,6 +307,8 @@
             self._targets.record_min_duration(
                 name, self._relative_duration(started_s, route)
             )
+            if _now_s() - started_s >= MIN_RUN_S:
+                self._count_run(request, attempts)
             self._quarantine.record_unsettled(
                 self._build_lost_run(request, state, attempts)
             )
@@ -298,6 +316,7 @@
         finally:
             state.in_flight -= 1
         attempts.may_have_run = True
+        self._count_run(request, attempts)
         if response.is_signed:
             self._quarantine.record_answer(request)
         self._targets.record_success(name)
@@ -305,6 +324,12 @@
         self._targets.record_load(name, response.load)
         return self._to_final_response(response, name, attempts, may_retry)
 
+    def _count_run(self, request: ForwardedRequest, attempts: _Attempts) -> None:
+        """Count the request once, from the first attempt that was not refused."""
+        if not attempts.is_counted:
+            attempts.is_counted = True
+            self.record_run(request, min(attempts.sent_at_s.values()))
+
     def _build_lost_run(
         self, request: ForwardedRequest, state: TargetState, attempts: _Attempts
     ) -> LostRun:
--- a/src/tamarackshelf/entry/streamer.py
+++ b/src/tamarackshelf/entry/streamer.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from dataclasses import dataclass, field
 
 from tamarackshelf.contracts.targets import (
@@ -105,6 +105,11 @@
         metrics: Metrics,
         planned_stop: PlannedStop | None = None,
     ) -> None:
+        # Called once for each stream whose first event came, with the time then on the
+        # event loop's clock.
+        self.record_run: Callable[[ForwardedRequest, float], None] = (
+            lambda request, started_s: None
+        )
         self._planned_stop = planned_stop or PlannedStop()
         self._targets = targets
         self._target_client = target_client
@@ -298,6 +303,8 @@
         and cannot be resumed.
         """
         event_count = 0
+        # The attempt whose stream this one takes up was counted.
+        is_counted = stream.route.is_resumable and stream.last_event_id is not None
         # Stays unchanged if the caller disconnects.
         outcome = "left"
         try:
@@ -307,6 +314,9 @@
                     async with contextlib.aclosing(_follow(stream, events)) as run:
                         async for data in run:
                             event_count += 1
+                            if not is_counted:
+                                is_counted = True
+                                self.record_run(stream.request, _now_s())
                             # A run that made progress does not show what ended it.
                             self._release(stream)
                             yield data
--- a/src/tamarackshelf/node/peer_api.py
+++ b/src/tamarackshelf/node/peer_api.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 
 import msgspec
 
@@ -79,6 +79,12 @@
             TARGET_VERDICT_PATH: relay.answer_verdict,
         }
 
+    def add_handlers(
+        self, handlers: Mapping[str, Callable[[Request], Awaitable[Response]]]
+    ) -> None:
+        """Answer further calls of peers, by path."""
+        self._handlers.update(handlers)
+
     async def handle(self, request: Request) -> Response:
         """Answer one request of a peer; raise BadRequest when it cannot be decoded."""
         handler = self._handlers.get(request.path)
--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -8,8 +8,10 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from tamarackshelf.contracts.duties import DutyPlatform
 from tamarackshelf.contracts.rows import RowChange, RowStore, RowStoreError
-from tamarackshelf.contracts.targets import TargetClient
+from tamarackshelf.contracts.targets import ForwardedRequest, TargetClient
+from tamarackshelf.duties.program import UsageDuty
 from tamarackshelf.entry.forwarder import Forwarder
 from tamarackshelf.entry.planned_stop import PlannedStop
 from tamarackshelf.entry.streamer import Streamer
@@ -126,6 +128,7 @@
         clients: tuple[HttpClient, ...],
         timeline: Timeline,
         metrics: Metrics,
+        duty_platform: DutyPlatform | None = None,
     ) -> None:
         """Take over the HTTP clients, the first of which is for calls to peers.
 
@@ -232,6 +235,8 @@
             metrics,
             self.planned_stop,
         )
+        self.usage = self._build_usage_duty(duty_platform)
+        forwarder.record_run = streamer.record_run = self._record_run
         self._caller_server = HttpServer(
             factories.callers(self.configuration_view, forwarder, streamer, self.jobs),
             self.configuration_view.limits,
@@ -251,6 +256,8 @@
             self.relay,
             self._get_gossip,
         )
+        if self.usage is not None:
+            peer_api.add_handlers(self.usage.handlers)
         self._peer_server = HttpServer(
             peer_api.handle, peer_limits, cancel_on_disconnect=is_target_call
         )
@@ -324,6 +331,8 @@
         await self.runner.start()
         await self.jobs.start(fleet)
         await self.weights.start()
+        if self.usage is not None:
+            await self.usage.start(fleet, self._settings.lease_s)
         await self.retention.start(fleet)
         self._tasks = [
             start_task(
@@ -339,6 +348,8 @@
         self.retention.retention_s = settings.results_kept_s
         if self.weights is not None:
             self.weights.lease_s = settings.lease_s
+        if self.usage is not None:
+            self.usage.set_lease_s(settings.lease_s)
 
     async def stop(self) -> None:
         """Stop as planned, within the grace period.
@@ -383,6 +394,8 @@
         await self.runner.close()
         if self.weights is not None:
             await self.weights.close()
+        if self.usage is not None:
+            await self.usage.close()
         if self.fleet is not None:
             await self.fleet.close()
         for watch in self._watches.values():
@@ -398,6 +411,25 @@
         for client in self._clients:
             await client.close()
 
+    def _build_usage_duty(self, platform: DutyPlatform | None) -> UsageDuty | None:
+        """Return the duty of counting and reporting requests, if it is enabled."""
+        duties = self._settings.duties
+        if duties is None or platform is None or not duties.reports_usage:
+            return None
+        return UsageDuty(
+            duties,
+            self.row_store,
+            self._http,
+            platform,
+            lambda: self.configuration_view.configuration,
+            self._timeline,
+            self._metrics,
+        )
+
+    def _record_run(self, request: ForwardedRequest, started_s: float) -> None:
+        if self.usage is not None:
+            self.usage.recorder.record_run(request.organisation, started_s)
+
     def _connect_engine_requests(
         self, fleet: Fleet, weights: WeightCoordinator
     ) -> None:
--- a/src/tamarackshelf/store/fleet_rows.py
+++ b/src/tamarackshelf/store/fleet_rows.py
@@ -179,6 +179,7 @@
 
 
 __all__ = [
+    "LEASE_TABLE",
     "NODE_TABLE",
     "UNKNOWN_HOLDER",
     "LeaseRecord",
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -12,6 +12,7 @@
 PLATFORM_NAMES = re.compile(
     r"x-server-stamp|x-weight-versions|x-expect-instance|x-worker-load|x-not-run"
     r"|rows-tx|rows-get|rows-feed|rows-parts|blob-put|scorerUrl|scorer_url"
+    r"|replicaCounts|x-duty-holder|x-fence-token|groupCount"
     r"|/v1/lots|/v1/order|/v1/resolve|recordTtl|expectedRev|pathPrefix|trafficSplit",
     re.IGNORECASE,
 )
