--- a/src/tamarackshelf/duties/lease.py
+++ b/src/tamarackshelf/duties/lease.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -27,6 +27,10 @@
 # A read of the row confirms the lease for this share of its duration. No other holder
 # acts within the whole duration after the read began; the rest is for the act itself.
 CONFIRMED_SHARE = 0.5
+# A node that reaches no majority of the nodes takes a lease only if its row and its
+# holder's progress have not changed for this long. Otherwise the two sides of a cut
+# that both reach the store would take the lease from each other again and again.
+MINORITY_WAIT_S = 12.0
 
 
 class LeaseFleet(Protocol):
@@ -37,6 +41,9 @@
     def list_live_nodes(self) -> list[NodeRecord]:
         """Return the nodes not considered dead."""
 
+    def count_listed_nodes(self) -> int:
+        """Return the number of nodes that may be alive behind a cut, with this one."""
+
     def is_gone(self, vm: str, incarnation: int) -> bool:
         """Return whether this incarnation of a node no longer runs."""
 
@@ -56,6 +63,11 @@
     restart_s: float = 0.0
 
 
+def has_majority(fleet: LeaseFleet) -> bool:
+    """Return whether most of the nodes that may be alive are known to be."""
+    return 2 * len(fleet.list_live_nodes()) > fleet.count_listed_nodes()
+
+
 class Stopwatch:
     """Time since its creation, by the clock that ran furthest.
 
@@ -99,6 +111,9 @@
         self.select_nodes: Callable[[Sequence[NodeRecord]], Sequence[NodeRecord]] = (
             lambda nodes: nodes
         )
+        # Returns a number that changes while the holder acts. Without it, a node takes
+        # the lease from a holder that is gone without regard to majorities.
+        self.read_progress: Callable[[], Awaitable[int]] | None = None
         # The lease while this node holds it, as the store last named it.
         self.held: StoredLease | None = None
         self._subject = subject
@@ -111,6 +126,9 @@
         # one, the store may name this node as holder.
         self._unsettled_claim: StoredLease | None = None
         self._left_holder = LeaseRecord()
+        # Version of the row and progress of its holder, and since when they are so.
+        self._unchanged: tuple[int, int] | None = None
+        self._unchanged_since_s = 0.0
         self._refused_number = -1
         self._confirmed: Stopwatch | None = None
         self._acts_allowed_at_s = 0.0
@@ -180,8 +198,23 @@
         if await self._fleet.check_alive(record.holder, record.holder_incarnation):
             self._record_left(record, "still answers and keeps the lease")
             return False
+        if record.holder and not await self._outweighs_holder(current):
+            self._record_left(record, "may act behind a cut and keeps the lease")
+            return False
         return True
 
+    async def _outweighs_holder(self, current: StoredLease) -> bool:
+        """Return whether this node reaches most nodes, or the holder makes no progress.
+
+        The holder may be alive on the other side of a cut.
+        """
+        if self.read_progress is None or has_majority(self._fleet):
+            return True
+        unchanged = (current.version, await self.read_progress())
+        if unchanged != self._unchanged:
+            self._unchanged, self._unchanged_since_s = unchanged, _now_s()
+        return _now_s() - self._unchanged_since_s >= MINORITY_WAIT_S
+
     async def verify(self, held: StoredLease) -> bool:
         """Read the row; return whether it still is `held`, and drop the lease if not.
 
@@ -304,4 +337,4 @@
     return asyncio.get_running_loop().time()
 
 
-__all__ = ["Lease", "LeaseFleet", "LeaseWaits", "Stopwatch"]
+__all__ = ["Lease", "LeaseFleet", "LeaseWaits", "Stopwatch", "has_majority"]
--- a/src/tamarackshelf/duties/program.py
+++ b/src/tamarackshelf/duties/program.py
@@ -83,6 +83,7 @@
             self._metrics,
             self._has_organisations,
         )
+        self._collector.count_nodes = lambda: len(fleet.list_live_nodes())
         self.lease = Lease(USAGE_SUBJECT, self._store, fleet, lease_s, self._timeline)
         reporter = UsageReporter(
             self._settings,
--- a/src/tamarackshelf/duties/usage_counts.py
+++ b/src/tamarackshelf/duties/usage_counts.py
@@ -5,11 +5,12 @@
 import asyncio
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
-from typing import Protocol, TypeVar
+from typing import TypeVar
 
 import msgspec
 
 from tamarackshelf.decoding import InvalidInput, decode_msgpack
+from tamarackshelf.duties.lease import LeaseFleet, has_majority
 from tamarackshelf.duties.true_time import TrueClock, compute_median_s
 from tamarackshelf.net import (
     ConnectFailed,
@@ -93,15 +94,6 @@
     processes: tuple[ProcessCounts, ...] = ()
 
 
-class UsageFleet(Protocol):
-    """What the counts need to know about the nodes of the fleet."""
-
-    own: NodeRecord
-
-    def list_live_nodes(self) -> list[NodeRecord]:
-        """Return the nodes not considered dead."""
-
-
 class UsageRecorder:
     """Counts the requests that this node's callers had run, by window."""
 
@@ -151,6 +143,8 @@
     """Keeps the counts that the nodes send, and the distances of their clocks."""
 
     def __init__(self, clock: TrueClock, window_s: float) -> None:
+        # Returns the number of live nodes.
+        self.count_nodes: Callable[[], int] = lambda: 1
         self._clock = clock
         self._window_s = window_s
         self._windows: dict[int, dict[ProcessKey, dict[str, int]]] = {}
@@ -171,6 +165,9 @@
                     known[organisation] = max(known.get(organisation, 0), count)
         if message.wall_offset_s is not None:
             self._offsets[message.vm] = (message.wall_offset_s, _now_s())
+        # The first few clocks that are known may be those that are wrong.
+        if 2 * len(self._offsets) <= self.count_nodes():
+            return UsageCountsAnswer()
         median_s = compute_median_s(offset_s for offset_s, _ in self._offsets.values())
         self._clock.set_median(median_s)
         return UsageCountsAnswer(median_s)
@@ -220,7 +217,7 @@
         recorder: UsageRecorder,
         collector: UsageCollector,
         clock: TrueClock,
-        fleet: UsageFleet,
+        fleet: LeaseFleet,
         http: HttpClient,
         metrics: Metrics,
         is_enabled: Callable[[], bool],
@@ -258,11 +255,15 @@
     async def read_tables(
         self, window: int
     ) -> tuple[list[Mapping[ProcessKey, Mapping[str, int]]], bool]:
-        """Return the tables of a window, and whether all live collectors answered."""
+        """Return the tables of a window, and whether they are complete.
+
+        They are not if a live collector gave no answer, or if this node is cut off from
+        most nodes, whose counts then lie elsewhere.
+        """
         others = [r for r in self._list_collectors() if r.vm != self._fleet.own.vm]
         answers = await asyncio.gather(*(self._read_from(r, window) for r in others))
         tables = [table for table in answers if table is not None]
-        is_complete = len(tables) == len(others)
+        is_complete = len(tables) == len(others) and has_majority(self._fleet)
         return [self._collector.list_window(window), *tables], is_complete
 
     def _list_collectors(self) -> list[NodeRecord]:
--- a/src/tamarackshelf/duties/usage_report.py
+++ b/src/tamarackshelf/duties/usage_report.py
@@ -45,15 +45,15 @@
 RATE_SHARE = 0.25
 # A call without a response may be executed for this long after it was sent.
 LATE_CALL_S = 6.0
-# While a live collector does not answer, the decision waits until this time after the
-# window's end.
+# While the counts are known to be incomplete, the decision waits until this time after
+# the window's end.
 DECIDE_LATEST_S = 6.0
 # Rows are kept this long, and deleted at this interval.
 KEEP_ROWS_S = 600.0
 DELETE_INTERVAL_S = 60.0
 
 Table = Mapping[ProcessKey, Mapping[str, int]]
-# Returns the tables of a window, and whether all live collectors answered.
+# Returns the tables of a window, and whether they are complete.
 TableReader = Callable[[int], Awaitable[tuple[Sequence[Table], bool]]]
 
 
@@ -96,6 +96,7 @@
         self._next_due = 0
         self._next_call_at_s = 0.0
         self._delete_at_s = 0.0
+        lease.read_progress = self._read_progress
 
     async def run(self) -> None:
         """Report the windows whenever this node holds the lease, until cancelled."""
@@ -131,8 +132,8 @@
         Whether an earlier holder's calls with a report that is not marked as answered
         can still be executed is not known.
         """
-        window = self._find_oldest()
-        self._reports = await read_reports(self._store, window)
+        # A call with a report that is no longer in time may still be executed.
+        self._reports = await read_reports(self._store, self._find_oldest(LATE_CALL_S))
         self._accepted = {
             w for w, stored in self._reports.items() if stored.report.is_answered
         }
@@ -140,9 +141,13 @@
         self._lost_at_s = dict.fromkeys(self._reports.keys() - self._accepted, now_s)
         if self._lost_at_s and not self._settings.checks_fencing:
             self._next_call_at_s = now_s + LATE_CALL_S
-        self._next_due = window
+        self._next_due = self._find_oldest()
         self._read_under = held
 
+    async def _read_progress(self) -> int:
+        """Return the newest window with a stored report, of those still in time."""
+        return max(await read_reports(self._store, self._find_oldest()), default=0)
+
     async def _decide(self, window: int, held: StoredLease) -> None:
         """Store the report on a window, unless there is one."""
         tables, is_complete = await self._read_tables(window)
@@ -165,7 +170,7 @@
             str(window),
             "all live collectors answered"
             if is_complete
-            else "a collector did not answer in time",
+            else "not all counts could be read in time",
             requests=sum(stored.report.counts.values()),
             organisations=len(stored.report.counts),
             age_ms=round(age_s * 1000),
@@ -235,11 +240,12 @@
             default=None,
         )
 
-    def _find_oldest(self) -> int:
-        """Return the oldest window whose report is still in time."""
+    def _find_oldest(self, ago_s: float = 0.0) -> int:
+        """Return the oldest window whose report was still in time `ago_s` ago."""
         settings = self._settings
         return find_window(
-            self._clock.now_s() - settings.report_late_s, settings.report_window_s
+            self._clock.now_s() - ago_s - settings.report_late_s,
+            settings.report_window_s,
         )
 
     def _close_windows(self) -> None:
@@ -252,10 +258,7 @@
                     "usage_missed", str(window), "its report was not accepted in time"
                 )
         self._next_due = max(self._next_due, oldest)
-        kept_s = self._settings.report_late_s + 2 * LATE_CALL_S
-        oldest_kept = find_window(
-            self._clock.now_s() - kept_s, self._settings.report_window_s
-        )
+        oldest_kept = self._find_oldest(2 * LATE_CALL_S)
         for window in [w for w in self._reports if w < oldest_kept]:
             del self._reports[window]
             self._accepted.discard(window)
--- a/tests/support/duties.py
+++ b/tests/support/duties.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 
 from tamarackshelf.contracts.duties import DutyCallFailed, DutyFenced
+from tamarackshelf.contracts.rows import RowQuery, RowStoreError
 from tamarackshelf.duties.program import UsageDuty
-from tamarackshelf.net import Response
+from tamarackshelf.net import ConnectFailed, Response
+from tamarackshelf.node.peer_store import RELAY_PATH, PeerStore, answer_relay
 from tamarackshelf.node.settings import DutySettings
 from tamarackshelf.observe import Metrics, Timeline
 from tamarackshelf.platform.duty_client import PlatformDutyClient
 from tamarackshelf.standin.row_store import MemoryRowStore
 from tamarackshelf.store.failover import FailoverStore
 from tamarackshelf.store.fleet_rows import NodeRecord
+from tamarackshelf.tasks import start_task, stop_tasks
 from tamarackshelf.world import Address
 from tamarackshelf.world.organisation import Organisation
 from tamarackshelf.world.route import RoutingConfiguration
@@ -54,9 +58,8 @@
 
     async def report(self, body, stamp):
         call = (stamp.holder, stamp.fencing_number, body)
-        self.on_call(stamp.holder)
-        await asyncio.sleep(0.005)
         behaviour = self.behaviours.pop(0) if self.behaviours else ""
+        self.on_call(stamp.holder)
         if behaviour == "slow":
             await asyncio.sleep(0.6)
         if behaviour == "limited":
@@ -68,6 +71,7 @@
                 self.execute(*call)
             await asyncio.sleep(0.5)
             raise DutyCallFailed("no response", may_execute=True)
+        await asyncio.sleep(0.005)
         if self.execute(*call) == 409:
             raise DutyFenced("409")
 
@@ -106,11 +110,17 @@
     def __init__(self, name, duties):
         self.name = name
         self.skew_s = 0.0
-        self.is_frozen = False
         self.client = duties.store.connect()
         self.timeline = Timeline(name, lambda: 0)
         self.metrics = Metrics()
-        self.fleet = FakeFleet(name, duties.records, duties.dead)
+        # Other nodes that this one considers dead.
+        self.dead = set()
+        self.fleet = FakeFleet(name, duties.records, self.dead)
+        http = MemoryHttp(duties.network, name)
+        self.failover_store = FailoverStore(self.client, self.timeline)
+        self.failover_store.set_peer_source(
+            lambda: [PeerStore(http, r.peers) for r in self.fleet.peers()]
+        )
         platform = duties.platform
         encoder = PlatformDutyClient(None, Address("10.0.0.3", 1))
 
@@ -130,8 +140,8 @@
                 report_window_s=5.0,
                 report_late_s=10.0,
             ),
-            FailoverStore(self.client, self.timeline),
-            MemoryHttp(duties.network, name),
+            self.failover_store,
+            http,
             Client(),
             lambda: duties.configuration,
             self.timeline,
@@ -139,7 +149,27 @@
             lambda: START_S + asyncio.get_running_loop().time() + self.skew_s,
         )
 
+    async def start(self):
+        self.watch_task = start_task("watch", self._watch_store)
+        await self.duty.start(self.fleet, LEASE_S)
+
+    async def close(self):
+        await stop_tasks(self.watch_task)
+        await self.duty.close()
+
+    def kill(self):
+        for task in (self.watch_task, *self.duty._tasks):
+            task.cancel()
+
+    async def _watch_store(self):
+        """Read the store as a node's watches of tables do, which shows its clock."""
+        with contextlib.suppress(RowStoreError):
+            await self.failover_store.read(RowQuery("node", ""))
+        await asyncio.sleep(1.0)
+
     async def handle(self, request):
+        if request.path == RELAY_PATH:
+            return await answer_relay(self.failover_store, request.body)
         handler = self.duty.handlers.get(request.path)
         return Response(404) if handler is None else await handler(request)
 
@@ -157,10 +187,12 @@
 
     def __init__(self, names="abcd", checks_fencing=True):
         self.store = MemoryRowStore()
-        # The store applies a read before it answers, and its clock starts early.
         self.platform = FakePlatform(checks_fencing)
         self.network = Network()
+        # Nodes without a process, and nodes that are cut off from all others.
         self.dead = set()
+        self._cut_names = set()
+        self.network.before.append(self._refuse_across_cuts)
         organisations = (Organisation("org"), Organisation("small"))
         self.configuration = RoutingConfiguration(1, (), organisations=organisations)
         self.records = {}
@@ -182,20 +214,58 @@
 
     async def start(self):
         for node in self.nodes.values():
-            await node.duty.start(node.fleet, LEASE_S)
+            await node.start()
 
     async def close(self):
         for name, node in self.nodes.items():
             if name not in self.dead:
-                await node.duty.close()
+                await node.close()
 
     def kill(self, name, detected_s=2.0):
         """End a node's process at once; the others notice it after `detected_s`."""
-        for task in self.nodes[name].duty._tasks:
-            task.cancel()
+        self.nodes[name].kill()
         self.network.remove(self.records[name].peers)
-        loop = asyncio.get_running_loop()
-        loop.call_later(detected_s, self.dead.add, name)
+        self.dead.add(name)
+        killed = self.nodes[name]
+
+        def detect():
+            if self.nodes[name] is killed:
+                for node in self.nodes.values():
+                    node.dead.add(name)
+
+        asyncio.get_running_loop().call_later(detected_s, detect)
+
+    async def restart(self, name):
+        """Start a new process of a node that was killed; the others know it at once."""
+        incarnation = self.records[name].incarnation + 1
+        node = self.add(name, incarnation)
+        self.dead.discard(name)
+        for each in self.nodes.values():
+            each.dead.discard(name)
+        node.dead |= self.dead
+        await node.start()
+
+    def cut(self, name):
+        """Cut a node off from its peers, so that both sides take the other for dead."""
+        for other, node in self.nodes.items():
+            if other != name:
+                node.dead.add(name)
+                self.nodes[name].dead.add(other)
+        self._cut_names.add(name)
+
+    def heal(self, name):
+        """End the cut of a node."""
+        for other, node in self.nodes.items():
+            if other != name and not {other, name} & self.dead:
+                node.dead.discard(name)
+                self.nodes[name].dead.discard(other)
+        self._cut_names.discard(name)
+
+    async def _refuse_across_cuts(self, origin, address, path):
+        receiver = next(n for n, r in self.records.items() if r.peers == address)
+        if origin != receiver and {origin, receiver} & self._cut_names:
+            await asyncio.sleep(0.2)
+            raise ConnectFailed("the link is cut")
 
     def find_holder(self):
         """Return the name of the node that reported last."""
