--- a/tests/duties/test_usage.py
+++ b/tests/duties/test_usage.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 
 import pytest
 from hypothesis import given, settings
@@ -10,7 +11,8 @@
 
 from tamarackshelf.contracts.rows import StoreRefused
 from tamarackshelf.duties.lease import Lease
-from tamarackshelf.duties.usage_counts import USAGE_SUBJECT, UsageCounts
+from tamarackshelf.duties.usage_counts import TABLE_PATH, USAGE_SUBJECT, UsageCounts
+from tamarackshelf.net import ConnectFailed
 from tamarackshelf.policy.ownership import rank_owners
 from tamarackshelf.policy.usage import list_decidable, merge_counts
 from tamarackshelf.store.fleet_rows import acquire_lease, read_lease
@@ -102,6 +104,40 @@
     run_nodes(run, scenario, checks_fencing=checks_fencing)
 
 
+# Acts of two holders must not alternate within the duration of the lease.
+def test_new_holder_waits_for_the_duration_of_the_lease(run):
+    async def scenario(nodes):
+        await sleep_until(8.4)
+        nodes.platform.behaviours = ["unheard"]
+        nodes.platform.on_call = lambda holder: (
+            holder == FIRST and nodes.kill(FIRST, detected_s=0.1)
+        )
+        await sleep_until(20.0)
+        first_s = min(
+            at_s for at_s, name, _, _ in nodes.platform.reports if name == SECOND
+        )
+        assert 8.5 + LEASE_S < first_s < 8.5 + LEASE_S + 1.0
+
+    run_nodes(run, scenario)
+
+
+# The report was due by then, so the new holder did not read its row.
+def test_late_call_for_a_window_that_is_no_longer_in_time_breaks_no_rule(run):
+    async def scenario(nodes):
+        await sleep_until(8.0)
+        nodes.platform.behaviours = ["limited"] * 30
+        await sleep_until(12.4)
+        nodes.platform.behaviours = ["late"]
+        await sleep_until(12.95)
+        assert not nodes.platform.behaviours
+        nodes.kill(FIRST, detected_s=0.1)
+        await sleep_until(30.0)
+        assert 0 in nodes.platform.find_counts()
+        assert nodes.find_holder() == SECOND
+
+    run_nodes(run, scenario, checks_fencing=False)
+
+
 # A read of the lease row that was answered before a freeze says nothing after it.
 def test_holder_that_was_frozen_past_its_lease_sends_nothing(run):
     async def scenario(nodes):
@@ -111,7 +147,7 @@
 
         async def read_and_freeze(query):
             page = await read(query)
-            await asyncio.sleep(9.0)
+            await asyncio.sleep(14.0)
             return page
 
         async def confirm_and_freeze(held):
@@ -122,11 +158,11 @@
         await sleep_until(8.3)
         for node in nodes.nodes.values():
             node.dead.add(FIRST)
-        await sleep_until(17.0)
+        await sleep_until(22.0)
         holder.client.read, holder.duty.lease.confirm = read, confirm
         for node in nodes.nodes.values():
             node.dead.discard(FIRST)
-        await sleep_until(30.0)
+        await sleep_until(35.0)
         # Windows before the start are reported too, by the first holder.
         holders = [holder for _, holder, _, _ in nodes.platform.reports]
         assert holders == sorted(holders, key=[FIRST, SECOND].index)
@@ -310,6 +346,33 @@
     run_nodes(run, scenario)
 
 
+# The holder lacked the counts that only the other collectors had.
+def test_decision_waits_for_collectors_that_do_not_answer(run):
+    async def scenario(nodes):
+        first = nodes.records[FIRST].peers
+
+        async def refuse(origin, address, path):
+            now_s = asyncio.get_running_loop().time()
+            if now_s < 10.0 and (origin == FIRST or address == first):
+                raise ConnectFailed("no connection")
+
+        nodes.network.before.append(refuse)
+        await run_requests(nodes, 5.0)
+        await sleep_until(14.9)
+        assert nodes.platform.find_counts()[0] == {"org": 200}
+        # It does not wait until the report is late.
+        nodes.network.before[-1] = partial(refuse_tables, FIRST)
+        await sleep_until(24.9)
+        assert {1, 2} <= nodes.platform.find_counts().keys()
+
+    run_nodes(run, scenario)
+
+
+async def refuse_tables(holder, origin, address, path):
+    if origin == holder and path == TABLE_PATH:
+        raise ConnectFailed("no connection")
+
+
 def test_failed_calls_are_repeated_within_the_rate(run):
     async def scenario(nodes):
         await run_requests(nodes, 5.0)
