--- a/src/tamarackshelf/contracts/duties.py
+++ b/src/tamarackshelf/contracts/duties.py
@@ -11,12 +11,15 @@
     """The call was not accepted; it may be repeated.
 
     `may_execute` means that no response came, so that the platform may still execute
-    the call seconds later.
+    the call seconds later; `is_limited` that the platform gets too many calls.
     """
 
-    def __init__(self, reason: str, *, may_execute: bool = False) -> None:
+    def __init__(
+        self, reason: str, *, may_execute: bool = False, is_limited: bool = False
+    ) -> None:
         super().__init__(reason)
         self.may_execute = may_execute
+        self.is_limited = is_limited
 
 
 class DutyFenced(Exception):
--- a/src/tamarackshelf/duties/lease.py
+++ b/src/tamarackshelf/duties/lease.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from tamarackshelf.contracts.rows import ABSENT_VERSION
 from tamarackshelf.observe import Timeline
 from tamarackshelf.policy.ownership import rank_owners
 from tamarackshelf.store.failover import FailoverStore
@@ -116,6 +117,9 @@
         self.read_progress: Callable[[], Awaitable[int]] | None = None
         # The lease while this node holds it, as the store last named it.
         self.held: StoredLease | None = None
+        # Number of nodes, those that rank first, that take the lease once its holder
+        # has given it up. Only the first one takes the lease of a holder that is gone.
+        self.candidates = 1
         self._subject = subject
         self._store = store
         self._fleet = fleet
@@ -131,6 +135,7 @@
         self._unchanged_since_s = 0.0
         self._refused_number = -1
         self._confirmed: Stopwatch | None = None
+        self._rests_until_s = float("-inf")
         self._acts_allowed_at_s = 0.0
         self._last_act_at_s = float("-inf")
         self._checked_at_s = float("-inf")
@@ -152,7 +157,8 @@
             return False
         self._checked_at_s = now_s
         own = self._fleet.own
-        if not self._ranks_first() and self._unsettled_claim is None:
+        is_candidate = now_s >= self._rests_until_s and self._ranks_among_candidates()
+        if not is_candidate and self._unsettled_claim is None:
             return False
         current = await read_lease(self._store, self._subject)
         record = current.record
@@ -187,6 +193,11 @@
         """Return whether this node is to take the lease from the holder in the row."""
         record = current.record
         self._settle_claim(current)
+        if _now_s() < self._rests_until_s:
+            return False
+        is_given_up = not record.holder and current.version != ABSENT_VERSION
+        if is_given_up and self._ranks_among_candidates():
+            return True
         # The rank may have changed since the claim, or during the read.
         if not self._ranks_first():
             return False
@@ -261,17 +272,21 @@
         if needs_higher:
             self._refused_number = held.record.fencing_number
 
-    async def give_up(self, held: StoredLease, reason: str) -> None:
+    async def give_up(
+        self, held: StoredLease, reason: str, rest_s: float = 0.0
+    ) -> None:
         """Release the lease once the next holder may act at once; else do nothing.
 
-        Acts of two holders then never appear to alternate. Raise RowStoreError if the
-        store does not respond; call it again then.
+        Acts of two holders then never appear to alternate. This node does not claim
+        the lease again for `rest_s`. Raise RowStoreError if the store does not respond;
+        call it again then.
         """
         quiet_s = self.lease_s + self._waits.takeover_margin_s
         if _now_s() < self._last_act_at_s + quiet_s:
             return
         await release_lease(self._store, self._subject, held)
         self.held = None
+        self._rests_until_s = _now_s() + rest_s
         self._timeline.record(
             "lease_released",
             self._subject,
@@ -280,10 +295,16 @@
         )
 
     def _ranks_first(self) -> bool:
-        """Return whether this node is the one to take the lease if it is free."""
+        """Return whether this node is the one to take the lease of a gone holder."""
+        return self._rank_nodes()[:1] == [self._fleet.own.vm]
+
+    def _ranks_among_candidates(self) -> bool:
+        """Return whether this node is one of those that may take a free lease."""
+        return self._fleet.own.vm in self._rank_nodes()[: self.candidates]
+
+    def _rank_nodes(self) -> list[str]:
         nodes = self.select_nodes(self._fleet.list_live_nodes())
-        ranked = rank_owners([record.vm for record in nodes], self._subject)
-        return ranked[:1] == [self._fleet.own.vm]
+        return rank_owners([record.vm for record in nodes], self._subject)
 
     def _compute_wait_s(self, earlier_holder: str) -> float:
         if not earlier_holder:
--- a/src/tamarackshelf/duties/usage_report.py
+++ b/src/tamarackshelf/duties/usage_report.py
@@ -36,7 +36,7 @@
     store_report,
 )
 
-TICK_S = 0.1
+TICK_S = 0.2
 CALL_TIMEOUT_S = 1.5
 # Pause after a call that was not accepted. One node makes these calls, so it stays far
 # below the rate that the platform takes from all nodes.
@@ -48,6 +48,12 @@
 # While the counts are known to be incomplete, the decision waits until this time after
 # the window's end.
 DECIDE_LATEST_S = 6.0
+# A holder whose calls fail for this long gives the lease up, as the platform may be
+# unreachable for some nodes only, and does not claim it again for REST_S.
+FAILING_S = 2.5
+REST_S = 12.0
+# Nodes that take a lease that was given up.
+CANDIDATES = 4
 # Rows are kept this long, and deleted at this interval.
 KEEP_ROWS_S = 600.0
 DELETE_INTERVAL_S = 60.0
@@ -96,7 +102,10 @@
         self._next_due = 0
         self._next_call_at_s = 0.0
         self._delete_at_s = 0.0
+        # When calls began to fail, on the event loop's clock, or None.
+        self._failing_since_s: float | None = None
         lease.read_progress = self._read_progress
+        lease.candidates = CANDIDATES
 
     async def run(self) -> None:
         """Report the windows whenever this node holds the lease, until cancelled."""
@@ -123,7 +132,10 @@
                 await self._decide(window, held)
         self._close_windows()
         await self._mark_accepted(held)
-        await self._send_next(held)
+        if self._is_failing():
+            await self._lease.give_up(held, "calls to the platform fail", REST_S)
+        else:
+            await self._send_next(held)
         await self._delete_old()
 
     async def _read_stored(self, held: StoredLease) -> None:
@@ -142,6 +154,7 @@
         if self._lost_at_s and not self._settings.checks_fencing:
             self._next_call_at_s = now_s + LATE_CALL_S
         self._next_due = self._find_oldest()
+        self._failing_since_s = None
         self._read_under = held
 
     async def _read_progress(self) -> int:
@@ -197,8 +210,11 @@
             outcome = str(error)
             if error.may_execute:
                 self._lost_at_s[window] = _now_s()
+            if not error.is_limited and self._failing_since_s is None:
+                self._failing_since_s = _now_s()
         else:
             self._accepted.add(window)
+            self._failing_since_s = None
         is_accepted = window in self._accepted
         pause_s = 0.0 if is_accepted else RETRY_PAUSE_S
         spacing_s = 1.0 / (RATE_SHARE * self._settings.calls_per_s)
@@ -216,6 +232,11 @@
             age_ms=round((self._clock.now_s() - end_s) * 1000),
         )
 
+    def _is_failing(self) -> bool:
+        """Return whether the calls of this node have failed for a while."""
+        since_s = self._failing_since_s
+        return since_s is not None and _now_s() - since_s >= FAILING_S
+
     async def _mark_accepted(self, held: StoredLease) -> None:
         """Mark the accepted reports of which no call can still be executed."""
         for window in sorted(self._accepted):
--- a/src/tamarackshelf/entry/forwarder.py
+++ b/src/tamarackshelf/entry/forwarder.py
@@ -42,6 +42,9 @@
 # An attempt that was cancelled after this time had probably begun to run. A connection
 # and a refusal take a few milliseconds.
 MIN_RUN_S = 0.05
+# An attempt that is in progress for this long is counted as one that runs, so that its
+# count is there before the report on its window is decided.
+COUNT_AFTER_S = 2.5
 # A request that no target has accepted is refused after this share of the route's
 # target latency, which is the response time up to which a response earns full credit.
 REFUSE_AFTER_SHARE = 0.2
@@ -282,6 +285,9 @@
         state.in_flight += 1
         started_s = _now_s()
         attempts.sent_at_s[name] = started_s
+        count = asyncio.get_running_loop().call_later(
+            COUNT_AFTER_S, self._count_run, request, attempts
+        )
         try:
             response = await self._target_client.forward(
                 state.target, request, timeout_s, at_most_once=not is_repeatable
@@ -314,6 +320,7 @@
             )
             raise
         finally:
+            count.cancel()
             state.in_flight -= 1
         attempts.may_have_run = True
         self._count_run(request, attempts)
--- a/src/tamarackshelf/platform/duty_client.py
+++ b/src/tamarackshelf/platform/duty_client.py
@@ -33,7 +33,9 @@
         if status == 409:
             raise DutyFenced(f"{USAGE_PATH} refused number {stamp.fencing_number}")
         if not 200 <= status < 300:
-            raise DutyCallFailed(f"{USAGE_PATH} returned {status}")
+            raise DutyCallFailed(
+                f"{USAGE_PATH} returned {status}", is_limited=status == 429
+            )
 
     async def _call(
         self, path: str, body: bytes, stamp: DutyStamp, timeout_s: float
