--- a/src/tamarackshelf/cli/node.py
+++ b/src/tamarackshelf/cli/node.py
@@ -27,6 +27,7 @@
 from tamarackshelf.node.target_limits import TargetLimits
 from tamarackshelf.node.target_paths import TargetPaths
 from tamarackshelf.observe import Metrics, Timeline, set_up_bounded_logs
+from tamarackshelf.organisations import KeyAuthenticator
 from tamarackshelf.platform.caller_api import CallerApi
 from tamarackshelf.platform.directory import build_ready_handler, build_resolve_handler
 from tamarackshelf.platform.row_handlers import build_platform_tables
@@ -113,28 +114,33 @@
         targets_http, relay_http, timeline, metrics, lambda: int(time.time() * 1000)
     )
     limits = TargetLimits(http, timeline, metrics)
+    target_client = PlatformTargetClient(paths, limits)
+    authenticator = KeyAuthenticator(timeline, metrics)
+
+    def build_callers(
+        view: ConfigurationView,
+        forwarder: Forwarder,
+        streamer: Streamer,
+        manager: JobManager,
+    ) -> CallerHandler:
+        target_client.has_organisations = view.has_organisations
+        return CallerApi(
+            view.get_route_table, forwarder, streamer, manager, authenticator
+        ).handle
+
     return NodeProgram(
         settings,
         PlatformRowStore(http, settings.store_address),
-        PlatformTargetClient(paths, limits),
+        target_client,
         paths,
         limits,
         build_platform_tables(metrics, checks_fencing=settings.targets_check_fencing),
-        HandlerFactories(_build_callers, build_resolve_handler, build_ready_handler),
+        HandlerFactories(build_callers, build_resolve_handler, build_ready_handler),
         (http, targets_http, relay_http),
         timeline,
         metrics,
     )
 
 
-def _build_callers(
-    view: ConfigurationView,
-    forwarder: Forwarder,
-    streamer: Streamer,
-    manager: JobManager,
-) -> CallerHandler:
-    return CallerApi(view.get_route_table, forwarder, streamer, manager).handle
-
-
 if __name__ == "__main__":
     main()
--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -398,6 +398,7 @@
             after_event_id=state.last_event_id,
             first_event_timeout_s=FIRST_EVENT_TIMEOUT_S,
             next_event_timeout_s=NEXT_EVENT_TIMEOUT_S,
+            organisation=job.job.organisation,
         )
         last_s: float | None = None
         is_certain: bool | None = None
--- a/src/tamarackshelf/node/configuration_view.py
+++ b/src/tamarackshelf/node/configuration_view.py
@@ -46,6 +46,11 @@
         """The configuration in force on this node, or None before the first one."""
         return None if self.route_table is None else self.route_table.configuration
 
+    def has_organisations(self) -> bool:
+        """Return whether callers need the API key of an organisation."""
+        configuration = self.configuration
+        return configuration is not None and configuration.organisations is not None
+
     def limits(self) -> ServerLimits:
         """Return the limits for callers' connections."""
         return self._limits
--- a/src/tamarackshelf/observe/metrics.py
+++ b/src/tamarackshelf/observe/metrics.py
@@ -30,14 +30,20 @@
     """Counters and latency histograms of one process, created on first use."""
 
     def __init__(self) -> None:
-        self._counters: dict[str, _Counter] = {}
+        # By name and labels.
+        self._counters: dict[str, dict[tuple[tuple[str, str], ...], _Counter]] = {}
         self._histograms: dict[str, HdrHistogram] = {}
 
-    def count(self, name: str, amount: int = 1) -> None:
-        """Increase a counter by `amount`."""
-        counter = self._counters.get(name)
+    def count(self, name: str, amount: int = 1, **labels: str) -> None:
+        """Increase a counter by `amount`.
+
+        All calls with a name have the same labels; their values must be bounded.
+        """
+        series = self._counters.setdefault(name, {})
+        key = tuple(labels.items())
+        counter = series.get(key)
         if counter is None:
-            counter = self._counters[name] = _Counter(time.time())
+            counter = series[key] = _Counter(time.time())
         counter.value += amount
 
     def observe_s(self, name: str, duration_s: float) -> None:
@@ -64,13 +70,13 @@
         """Return the counters, as a collector of prometheus_client does."""
         from prometheus_client.core import CounterMetricFamily
 
-        for name, counter in self._counters.items():
-            yield CounterMetricFamily(
-                f"tamarackshelf_{name}",
-                name,
-                value=counter.value,
-                created=counter.created_s,
-            )
+        for name, series in self._counters.items():
+            labels = [label for label, _ in next(iter(series))]
+            family = CounterMetricFamily(f"tamarackshelf_{name}", name, labels=labels)
+            for key, counter in series.items():
+                values = [value for _, value in key]
+                family.add_metric(values, counter.value, created=counter.created_s)
+            yield family
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
--- /dev/null
+++ b/src/tamarackshelf/organisations/__init__.py
@@ -0,0 +1,8 @@
+"""Organisations of callers: finding them by API key, and refusing unknown keys."""
+
+from __future__ import annotations
+
+from tamarackshelf.organisations.authenticator import KeyAuthenticator
+from tamarackshelf.organisations.key_index import KeyIndex, is_usable_key
+
+__all__ = ["KeyAuthenticator", "KeyIndex", "is_usable_key"]
--- a/src/tamarackshelf/platform/caller_api.py
+++ b/src/tamarackshelf/platform/caller_api.py
@@ -7,6 +7,7 @@
 import logging
 import math
 from collections.abc import AsyncGenerator, Callable
+from dataclasses import replace
 from urllib.parse import unquote
 
 import msgspec
@@ -20,10 +21,18 @@
 from tamarackshelf.decoding import InvalidInput, parse_number
 from tamarackshelf.entry.forwarder import Forwarder
 from tamarackshelf.entry.streamer import Streamer
-from tamarackshelf.errors import BadRequest, NotFound, NotReady, ShelfError
+from tamarackshelf.errors import (
+    BadRequest,
+    NotFound,
+    NotReady,
+    ShelfError,
+    Unauthorised,
+)
 from tamarackshelf.jobs.manager import JobManager
 from tamarackshelf.jobs.reader import ResultPage
 from tamarackshelf.net import Request, Response, is_sendable
+from tamarackshelf.organisations import KeyAuthenticator
+from tamarackshelf.platform.caller_identity import CREDENTIAL_HEADER, remove_identity
 from tamarackshelf.platform.target_client import (
     REQUEST_ID_HEADER,
     UNFORWARDED_HEADERS,
@@ -81,16 +90,21 @@
         forwarder: Forwarder,
         streamer: Streamer,
         job_manager: JobManager,
+        authenticator: KeyAuthenticator,
     ) -> None:
         self._get_table = get_table
         self._forwarder = forwarder
         self._streamer = streamer
         self._job_manager = job_manager
+        self._authenticator = authenticator
 
     async def handle(self, request: Request) -> Response:
         """Handle a caller's request; log a ShelfError and return it as a response."""
         try:
             return await self._dispatch(request)
+        except Unauthorised as error:
+            # The authenticator records these within a bound.
+            return to_caller_error_response(error)
         except ShelfError as error:
             _log_refused_request(request, error)
             return to_caller_error_response(error)
@@ -103,8 +117,10 @@
                 retry_after_s=0.3,
             )
         if request.path.startswith(RESULTS_PATH):
+            self._identify(request, table)
             return await self._handle_results(request)
         if request.path.startswith(BODIES_PATH):
+            self._identify(request, table)
             job_id = unquote(request.path.removeprefix(BODIES_PATH))
             body = await self._job_manager.reader.read_body(
                 job_id, request.parameter("id")
@@ -117,16 +133,35 @@
                 f"no route of host {host!r} matches the path; check host and path"
             )
         if route.kind is RouteKind.JOB:
-            return await self._handle_job(request, host, route)
-        return await self._handle_request(request, host, route)
+            # A job always belongs to an organisation, also on a public route.
+            organisation = self._identify(request, table)
+            return await self._handle_job(request, host, route, organisation)
+        organisation = "" if route.is_public else self._identify(request, table)
+        if table.configuration.organisations is not None:
+            request = replace(request, headers=remove_identity(request.headers))
+        return await self._handle_request(request, host, route, organisation)
+
+    def _identify(self, request: Request, table: RouteTable) -> str:
+        """Return the name of the caller's organisation, or "" without organisations.
+
+        Raise Unauthorised if no organisation has the key.
+        """
+        configuration = table.configuration
+        if configuration.organisations is None:
+            return ""
+        return self._authenticator.identify(
+            configuration,
+            request.headers.get(CREDENTIAL_HEADER),
+            request.headers.get("x-request-id", ""),
+        ).name
 
     async def _handle_request(
-        self, request: Request, host: str, route: Route
+        self, request: Request, host: str, route: Route, organisation: str
     ) -> Response:
         request_id = request.headers.get("x-request-id", "")
-        caller = request.headers.get("authorization", "")
+        caller = organisation or request.headers.get("authorization", "")
         forwarded = ForwardedRequest(
-            request_id, host, request, caller, _parse_resumption(request)
+            request_id, host, request, caller, _parse_resumption(request), organisation
         )
         timeout_s = min(route.timeout_s, _parse_deadline_s(request))
         if route.kind is RouteKind.STREAMING:
@@ -135,10 +170,12 @@
         response = await self._forwarder.forward(forwarded, route, timeout_s)
         return _to_response(response)
 
-    async def _handle_job(self, request: Request, host: str, route: Route) -> Response:
+    async def _handle_job(
+        self, request: Request, host: str, route: Route, organisation: str
+    ) -> Response:
         if request.method != "POST":
             raise BadRequest("jobs are submitted with POST; use this method")
-        job = decode_job(request, host)
+        job = decode_job(request, host, organisation)
         await self._job_manager.submit(job, _now_s() + route.job_due_s)
         return Response(202)
 
@@ -166,13 +203,20 @@
     log.info("caller_refused", extra={"event": event})
 
 
-def decode_job(request: Request, host: str) -> Job:
-    """Decode a submitted job; raise BadRequest if it is invalid."""
+def decode_job(request: Request, host: str, organisation: str = "") -> Job:
+    """Decode a submitted job; raise BadRequest if it is invalid.
+
+    The items of an organisation's job lose any key and name in their own headers.
+    """
     job_id = request.headers.get("x-request-id", "")
     if not job_id:
         raise BadRequest("a job needs an id in the header X-Request-Id; add it")
     submission = request.decode(_Submission)
     items = tuple(_to_item(item) for item in submission.requests)
+    if organisation:
+        items = tuple(
+            replace(item, headers=remove_identity(item.headers)) for item in items
+        )
     if len({item.item_id for item in items}) != len(items):
         raise BadRequest("items of the job share an id; give each item its own id")
     return Job(
@@ -184,6 +228,7 @@
         min_version=submission.min_version,
         group_count=submission.group_count,
         items=items,
+        organisation=organisation,
     )
 
 
--- a/src/tamarackshelf/platform/records.py
+++ b/src/tamarackshelf/platform/records.py
@@ -5,12 +5,18 @@
 import ipaddress
 import logging
 import math
-from typing import Annotated, TypeVar
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 
 from tamarackshelf.contracts.targets import TargetRecord
 from tamarackshelf.decoding import Int64, InvalidInput, decode_json
+from tamarackshelf.platform.organisation_records import (
+    UnreadableField,
+    decode_is_public,
+    decode_organisations,
+    log_unreadable_fields,
+)
 from tamarackshelf.world import Address, Target, TargetKind, parse_address
 from tamarackshelf.world.route import (
     CallerLimits,
@@ -87,6 +93,8 @@
     single_version: bool = False
     due_ms: Duration = 0.0
     max_wait_s: Duration = 0.0
+    # Decoded field by field, so that an invalid value costs only itself.
+    public: Any = None
 
 
 class _Model(msgspec.Struct):
@@ -117,6 +125,8 @@
     # The platform calls a service an upstream.
     upstreams: list[_Upstream] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
+    # The platform calls an organisation a tenant. Decoded as `public` is.
+    tenants: list[Any] | None = None
 
 
 class _LoadedModel(msgspec.Struct):
@@ -147,7 +157,11 @@
 def decode_configuration(value: bytes) -> RoutingConfiguration:
     """Decode the operator's configuration; raise UnreadableRecord if it is invalid."""
     record = _decode(value, _Configuration)
-    routes = tuple(_to_route(route) for route in record.routes)
+    errors: list[UnreadableField] = []
+    routes = tuple(
+        _to_route(route, decode_is_public(number, route.public, errors))
+        for number, route in enumerate(record.routes)
+    )
     services = {each.name: _to_service(each) for each in record.upstreams}
     limits = CallerLimits(
         head_bytes=record.limits.max_header_bytes,
@@ -155,7 +169,11 @@
         head_timeout_s=record.limits.header_timeout_ms / 1000,
         idle_timeout_s=record.limits.idle_timeout_ms / 1000,
     )
-    return RoutingConfiguration(record.version, routes, services, limits)
+    organisations = None
+    if record.tenants is not None:
+        organisations = decode_organisations(record.tenants, errors)
+    log_unreadable_fields(errors)
+    return RoutingConfiguration(record.version, routes, services, limits, organisations)
 
 
 def decode_target(name: str, value: bytes, *, checks_fencing: bool) -> TargetRecord:
@@ -192,7 +210,7 @@
     return record.model, record.version
 
 
-def _to_route(route: _Route) -> Route:
+def _to_route(route: _Route, is_public: bool) -> Route:
     kind = _KINDS.get(route.route_type)
     if kind is None:
         # Non-idempotent requests are never repeated, which is safe for any kind.
@@ -214,6 +232,7 @@
         priority=route.priority,
         is_resumable=route.resumable,
         is_single_version=route.single_version,
+        is_public=is_public,
         job_due_s=route.due_ms / 1000,
         job_max_wait_s=route.max_wait_s or math.inf,
     )
--- a/src/tamarackshelf/platform/target_client.py
+++ b/src/tamarackshelf/platform/target_client.py
@@ -45,6 +45,7 @@
     collect,
 )
 from tamarackshelf.net.buffers import Buffer, BuffersFull, hold
+from tamarackshelf.platform.caller_identity import remove_identity, set_organisation
 from tamarackshelf.world import Target
 from tamarackshelf.world.job import ScoreCall
 
@@ -108,6 +109,8 @@
 
     def __init__(self, transport: TargetTransport, gate: CallGate) -> None:
         self.on_leaving: Callable[[Target], None] = lambda target: None
+        # Whether the configuration in force has organisations.
+        self.has_organisations: Callable[[], bool] = lambda: False
         self._transport = transport
         self._gate = gate
 
@@ -234,6 +237,10 @@
         """
         lowered = {name.lower(): value for name, value in run.item.headers.items()}
         headers = {n: v for n, v in lowered.items() if n not in UNFORWARDED_HEADERS}
+        if run.organisation or self.has_organisations():
+            # An earlier release may have stored the job with them.
+            headers = remove_identity(headers)
+        set_organisation(headers, run.organisation)
         headers["host"] = run.host
         headers[REQUEST_ID_HEADER] = run.item.item_id
         headers["x-expect-instance"] = target.name
@@ -476,6 +483,7 @@
 ) -> tuple[str, dict[str, str]]:
     http = request.http
     headers = {n: v for n, v in http.headers.items() if n not in UNFORWARDED_HEADERS}
+    set_organisation(headers, request.organisation)
     headers["host"] = request.host
     headers["x-deadline-ms"] = str(max(1, int(timeout_s * 1000)))
     headers["x-expect-instance"] = target.name
--- a/tests/entry/test_broken_answers.py
+++ b/tests/entry/test_broken_answers.py
@@ -25,6 +25,7 @@
 from tamarackshelf.node.target_relay import TargetRelay
 from tamarackshelf.node.targets import TargetRegistry
 from tamarackshelf.observe import Metrics, Timeline
+from tamarackshelf.organisations import KeyAuthenticator
 from tamarackshelf.platform.caller_api import CallerApi
 from tamarackshelf.platform.target_client import PlatformTargetClient
 from tamarackshelf.policy.route_table import RouteTable
@@ -245,6 +246,7 @@
             Forwarder(registry, client, quarantine, "dc", timeline, metrics),
             Streamer(registry, client, quarantine, origins, "dc", timeline, metrics),
             SimpleNamespace(fleet=self._fleet),
+            KeyAuthenticator(timeline, metrics),
         )
         self._servers = [
             (HttpServer(api.handle, cancel_on_disconnect=True), records[name].callers),
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -12,7 +12,8 @@
 PLATFORM_NAMES = re.compile(
     r"x-server-stamp|x-weight-versions|x-expect-instance|x-worker-load|x-not-run"
     r"|rows-tx|rows-get|rows-feed|rows-parts|blob-put|scorerUrl|scorer_url"
-    r"|/v1/lots|/v1/order|/v1/resolve|recordTtl|expectedRev|pathPrefix|trafficSplit",
+    r"|/v1/lots|/v1/order|/v1/resolve|recordTtl|expectedRev|pathPrefix|trafficSplit"
+    r"|x-credential|x-tenant|tenants|apiKeys",
     re.IGNORECASE,
 )
 OUTSIDE = [path for path in SOURCE.rglob("*.py") if ADAPTER not in path.parents]
