--- a/src/tamarackshelf/contracts/targets.py
+++ b/src/tamarackshelf/contracts/targets.py
@@ -113,11 +113,17 @@
 
 @dataclass(frozen=True, slots=True)
 class TargetRecord:
-    """A listed target; `versions` maps each model to its weight version."""
+    """A listed target; `versions` maps each model to its weight version.
+
+    The platform may reclaim a preemptible target; `leaves_in_s` is the time that was
+    left until then when the target last wrote its row, or None if it did not say so.
+    """
 
     target: Target
     is_leaving: bool = False
     versions: dict[str, int] = field(default_factory=dict)
+    is_preemptible: bool = False
+    leaves_in_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/tamarackshelf/platform/records.py
+++ b/src/tamarackshelf/platform/records.py
@@ -5,7 +5,7 @@
 import ipaddress
 import logging
 import math
-from typing import Annotated, TypeVar
+from typing import Annotated, Any, TypeVar
 
 import msgspec
 
@@ -17,6 +17,7 @@
     Route,
     RouteKind,
     RoutingConfiguration,
+    Scaling,
     Service,
     ServiceShare,
 )
@@ -40,6 +41,9 @@
 MAX_MODELS = 100
 # A larger number of places is a mistake; its worker would be given all the work.
 MAX_CAPACITY = 10_000
+# A larger number of workers to order is a mistake that would be billed.
+MAX_ORDERED_WORKERS = 10_000
+MAX_DATA_CENTRES = 100
 # Larger whole numbers are not exact in the JSON of every writer.
 MAX_EXACT_NUMBER = 2**53 - 1
 # More than a year in milliseconds, and a finite number of them.
@@ -53,6 +57,11 @@
 Duration = Annotated[float, msgspec.Meta(ge=0.0, le=MAX_DURATION_MS)]
 Weight = Annotated[float, msgspec.Meta(ge=0.0, le=float(MAX_EXACT_NUMBER))]
 
+WorkerCount = Annotated[int, msgspec.Meta(ge=0, le=MAX_ORDERED_WORKERS)]
+
+# A field that the row does not have.
+ABSENT = msgspec.Raw(b"null")
+
 T = TypeVar("T")
 
 
@@ -97,11 +106,25 @@
     models: list[_Model] = []
 
 
+class _Scaling(msgspec.Struct, rename="camel"):
+    # Bounds for each data centre and both kinds of workers together.
+    max_replicas: WorkerCount
+    startup_s: Duration
+    min_replicas: WorkerCount = 0
+    # Price of a preemptible worker relative to a regular one.
+    spot_bid: Weight = 1.0
+    zone_prices: Annotated[
+        dict[Name, Weight], msgspec.Meta(max_length=MAX_DATA_CENTRES)
+    ] = {}
+
+
 class _Upstream(msgspec.Struct, rename="camel"):
     name: Name
     # A worker counts the connections that it has from all VMs together.
     max_connections: Number = 100
     backend: _Backend | None = None
+    # Decoded on its own, so that an invalid one does not cost the configuration.
+    scaling: msgspec.Raw = ABSENT
 
 
 class _Limits(msgspec.Struct, rename="camel"):
@@ -135,6 +158,9 @@
     models: Annotated[list[_LoadedModel], msgspec.Meta(max_length=MAX_MODELS)] = []
     # Version of the worker's software; the weight versions are those in `models`.
     version: Name = ""
+    # Decoded on their own, so that an invalid one does not cost the worker.
+    preemptible: msgspec.Raw = ABSENT
+    leaves_ms: msgspec.Raw = msgspec.field(default=ABSENT, name="leaves_ms")
     # The row's `sequence` is not decoded: it counts heartbeats, whereas `sequence` in a
     # worker's report counts orders.
 
@@ -180,7 +206,17 @@
     )
     versions = {model.name: model.version for model in record.models}
     is_leaving = record.state == "draining"
-    return TargetRecord(target, is_leaving, versions)
+    row = f"{TARGETS_TABLE}/{name}"
+    leaves_ms = _decode_field(record.leaves_ms, Duration, row, "leaves_ms")
+    return TargetRecord(
+        target,
+        is_leaving,
+        versions,
+        is_preemptible=bool(
+            _decode_field(record.preemptible, bool, row, "preemptible")
+        ),
+        leaves_in_s=None if leaves_ms is None else leaves_ms / 1000,
+    )
 
 
 def decode_model_version(value: bytes) -> tuple[str, int]:
@@ -222,7 +258,41 @@
 def _to_service(record: _Upstream) -> Service:
     models = record.backend.models if record.backend is not None else []
     names = tuple(model.name for model in models)
-    return Service(record.name, record.max_connections, names)
+    scaling = _decode_scaling(record)
+    return Service(record.name, record.max_connections, names, scaling)
+
+
+def _decode_scaling(record: _Upstream) -> Scaling | None:
+    row = f"{OPERATOR_TABLE}/{CONFIGURATION_KEY}"
+    field = f"upstreams[{record.name}].scaling"
+    scaling: _Scaling | None = _decode_field(record.scaling, _Scaling, row, field)
+    if scaling is None:
+        return None
+    if scaling.min_replicas > scaling.max_replicas:
+        reason = f"{scaling.min_replicas} is above {scaling.max_replicas}"
+        _report_field(row, f"{field}.minReplicas", reason)
+        return None
+    return Scaling(
+        min_workers=scaling.min_replicas,
+        max_workers=scaling.max_replicas,
+        startup_s=scaling.startup_s,
+        preemptible_price=scaling.spot_bid,
+        prices_per_s=scaling.zone_prices,
+    )
+
+
+def _decode_field(value: msgspec.Raw, kind: Any, row: str, field: str) -> Any:
+    """Decode a value of the type `kind` or null; log an invalid one, return None."""
+    try:
+        return decode_json(bytes(value), kind | None)
+    except InvalidInput as error:
+        _report_field(row, field, str(error))
+        return None
+
+
+def _report_field(row: str, field: str, reason: str) -> None:
+    event = {"row": row, "field": field, "reason": reason}
+    log.warning("field_unreadable", extra={"event": event})
 
 
 def _parse_worker_address(text: str) -> Address:
--- a/tests/platform/test_records.py
+++ b/tests/platform/test_records.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 
 import msgspec
@@ -14,7 +15,7 @@
     decode_target,
 )
 from tamarackshelf.policy.route_table import RouteTable, pick_service
-from tamarackshelf.world.route import RouteKind
+from tamarackshelf.world.route import RouteKind, Scaling
 
 WORKER = {
     "upstream": "models",
@@ -139,3 +140,95 @@
     shares = configuration.routes[0].shares
     picked = {pick_service(shares, random.Random(n)) for n in range(50)}
     assert picked == {"app"}
+
+
+SCALING = {
+    "minReplicas": 1,
+    "maxReplicas": 8,
+    "startupS": 4,
+    "spotBid": 0.18,
+    "zonePrices": {"vestland-a": 0.002, "vestland-d": 0.003},
+}
+
+
+def decode_service(scaling):
+    upstreams = [{"name": "models", "maxConnections": 9, "scaling": scaling}]
+    row = {**CONFIGURATION, "upstreams": upstreams}
+    configuration = decode_configuration(msgspec.json.encode(row))
+    assert configuration.services["models"].max_connections == 9
+    return configuration.services["models"].scaling
+
+
+def list_invalid_fields(caplog):
+    """Return row and field of each log line about an invalid field."""
+    events = [r.event for r in caplog.records if r.message == "field_unreadable"]
+    return [(event["row"], event["field"], event["reason"]) for event in events]
+
+
+def test_bounds_and_prices_of_ordered_workers_are_decoded(caplog):
+    assert decode_service(SCALING) == Scaling(
+        1, 8, 4.0, 0.18, {"vestland-a": 0.002, "vestland-d": 0.003}
+    )
+    smallest = {"maxReplicas": 8, "startupS": 4, "newField": [1]}
+    assert decode_service(smallest) == Scaling(0, 8, 4.0)
+    assert decode_service(None) is None
+    assert "scaling" not in caplog.text
+    configuration = decode_configuration(msgspec.json.encode(CONFIGURATION))
+    assert configuration.services["models"].scaling is None
+
+
+@pytest.mark.parametrize(
+    ("changes", "named"),
+    [
+        ({"maxReplicas": "eight"}, "maxReplicas"),
+        ({"maxReplicas": None}, "maxReplicas"),
+        ({"maxReplicas": 10**9}, "maxReplicas"),
+        ({"minReplicas": -1}, "minReplicas"),
+        ({"minReplicas": 9}, "minReplicas"),
+        ({"startupS": -4}, "startupS"),
+        ({"spotBid": -0.1}, "spotBid"),
+        ({"spotBid": "low"}, "spotBid"),
+        ({"zonePrices": ["vestland-a"]}, "zonePrices"),
+        ({"zonePrices": {"vestland-a": -1}}, "zonePrices"),
+        ({"zonePrices": {str(n): 1 for n in range(101)}}, "zonePrices"),
+    ],
+)
+def test_invalid_scaling_costs_only_itself_and_is_named(changes, named, caplog):
+    """Guards against a lost configuration, and against orders by wrong bounds."""
+    with caplog.at_level(logging.WARNING, "tamarackshelf"):
+        assert decode_service({**SCALING, **changes}) is None
+    ((row, field, reason),) = list_invalid_fields(caplog)
+    assert row == "op/config"
+    assert field.startswith("upstreams[models].scaling")
+    assert named in field + reason
+
+
+@pytest.mark.parametrize("scaling", [5, "x", [], True])
+def test_scaling_of_another_type_costs_only_itself(scaling, caplog):
+    with caplog.at_level(logging.WARNING, "tamarackshelf"):
+        assert decode_service(scaling) is None
+    assert len(list_invalid_fields(caplog)) == 1
+
+
+def test_preemptible_worker_and_its_remaining_time_are_decoded():
+    regular = decode_worker()
+    assert not regular.is_preemptible
+    assert regular.leaves_in_s is None
+    leaving = decode_worker(preemptible=True, state="draining", leaves_ms=2500)
+    assert leaving.is_preemptible
+    assert leaving.is_leaving
+    assert leaving.leaves_in_s == 2.5
+
+
+@pytest.mark.parametrize(
+    "changes", [{"preemptible": "yes"}, {"leaves_ms": -1}, {"leaves_ms": [2500]}]
+)
+def test_invalid_hint_of_a_worker_does_not_cost_the_worker(changes, caplog):
+    """Earlier releases ignored these fields, whatever they contained."""
+    with caplog.at_level(logging.WARNING, "tamarackshelf"):
+        record = decode_worker(**changes)
+    assert record.target.name == "i-1"
+    assert not record.is_preemptible
+    assert record.leaves_in_s is None
+    ((row, field, _),) = list_invalid_fields(caplog)
+    assert (row, field) == ("servers/i-1", next(iter(changes)))
