--- a/src/tamarackshelf/contracts/targets.py
+++ b/src/tamarackshelf/contracts/targets.py
@@ -102,15 +102,21 @@
     """Numbers of requests that a target reported with a response.
 
     `slots` is the maximum number of requests that the target runs at a time, and
-    `slowdown` how long work takes there now relative to usual, or None if not reported.
+    `slowdown` how long work takes there now relative to usual. A figure is None if it
+    was not reported or not readable.
     """
 
-    running: int
-    waiting: int
-    slots: int
+    running: int | None
+    waiting: int | None
+    slots: int | None
     slowdown: float | None = None
 
 
+# Called with a target, the load that its response reports, and whether the call that it
+# answers was counted as in flight and has ended.
+LoadListener = Callable[[Target, TargetLoad, bool], None]
+
+
 @dataclass(frozen=True, slots=True)
 class TargetRecord:
     """A listed target; `versions` maps each model to its weight version."""
@@ -143,7 +149,6 @@
 
     http: ClientResponse
     is_signed: bool
-    load: TargetLoad | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -207,7 +212,6 @@
     event_id: int
     data: str
     version: int
-    load: TargetLoad | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -309,10 +313,12 @@
 class TargetClient(Protocol):
     """Calls to targets in the protocol that the targets use.
 
-    `on_leaving` is called when a response of a target says that the target leaves.
+    `on_leaving` is called when a response of a target says that the target leaves, and
+    `on_load` when one reports the target's load.
     """
 
     on_leaving: Callable[[Target], None]
+    on_load: LoadListener
 
     def observe_response(
         self, target: Target, status: int, headers: dict[str, str]
@@ -389,6 +395,7 @@
     "ItemFailed",
     "ItemRejected",
     "ItemRun",
+    "LoadListener",
     "NamedLimit",
     "NotRun",
     "OrderRefused",
--- a/src/tamarackshelf/entry/forwarder.py
+++ b/src/tamarackshelf/entry/forwarder.py
@@ -302,7 +302,6 @@
             self._quarantine.record_answer(request)
         self._targets.record_success(name)
         self._targets.record_duration(name, self._relative_duration(started_s, route))
-        self._targets.record_load(name, response.load)
         return self._to_final_response(response, name, attempts, may_retry)
 
     def _build_lost_run(
--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -429,11 +429,10 @@
         route: Route,
         event: ItemEvent,
     ) -> None:
-        """Record the target's load and version; raise VersionMismatch if unusable.
+        """Record the target's version; raise VersionMismatch if unusable.
 
         The text is discarded when a route allows a single version and it has changed.
         """
-        self._targets.record_load(target.name, event.load)
         self._targets.record_version(target.name, job.job.model, event.version)
         if event.version < job.job.min_version:
             raise VersionMismatch(
--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -161,6 +161,7 @@
         )
         self.leaving_targets = LeavingTargets(self.targets)
         target_client.on_leaving = self.leaving_targets.record
+        target_client.on_load = self.targets.record_load
         scorer = Scorer(
             self.targets,
             target_client,
--- a/src/tamarackshelf/node/targets.py
+++ b/src/tamarackshelf/node/targets.py
@@ -371,14 +371,20 @@
             state.health.record_success()
             self._timeline.record("target_sound", name, "the target answers again")
 
-    def record_load(self, name: str, load: TargetLoad | None) -> None:
-        """Record the load that a target reported; ignore None."""
-        state = self._states.get(name)
-        if state is not None and load is not None:
-            state.others_in_flight = max(
-                0, load.running + load.waiting - state.in_flight
-            )
-            state.reported_at_s = _now_s()
+    def record_load(self, target: Target, load: TargetLoad, has_ended: bool) -> None:
+        """Record the load that a response of a target reports.
+
+        `has_ended` tells that the response is that of a call in flight which it ends.
+        """
+        state = self._states.get(target.name)
+        if state is None or state.target.incarnation != target.incarnation:
+            return
+        if load.running is None and load.waiting is None:
+            return
+        own = state.in_flight - has_ended
+        total = (load.running or 0) + (load.waiting or 0)
+        state.others_in_flight = max(0, total - own)
+        state.reported_at_s = _now_s()
 
     def record_queue(self, name: str) -> None:
         """Record that a run is queued at an engine, so its whole capacity is in use."""
--- a/src/tamarackshelf/platform/target_client.py
+++ b/src/tamarackshelf/platform/target_client.py
@@ -21,6 +21,7 @@
     ItemFailed,
     ItemRejected,
     ItemRun,
+    LoadListener,
     NamedLimit,
     NotRun,
     OrderRefused,
@@ -55,6 +56,14 @@
 LIMIT_HEADER = "server-limit"
 # "1" in all responses of a worker that leaves.
 LEAVING_HEADER = "server-leaving"
+# Running, waiting, slots and, from some workers, how long work takes now (100: usual).
+LOAD_HEADER = "x-worker-load"
+# Higher numbers of requests, and slowdowns outside these bounds, are taken for errors.
+MAX_LOAD_FIGURE = 100_000
+MIN_SLOWDOWN = 0.05
+MAX_SLOWDOWN = 100.0
+# Calls that the registry of targets counts as in flight while they last.
+COUNTED_KINDS = frozenset({CallKind.REQUEST, CallKind.ITEM, CallKind.SCORE})
 EVENT_STREAM_TYPE = "text/event-stream"
 # Headers that apply to a single connection or that this service sets itself.
 UNFORWARDED_HEADERS = frozenset(
@@ -108,6 +117,7 @@
 
     def __init__(self, transport: TargetTransport, gate: CallGate) -> None:
         self.on_leaving: Callable[[Target], None] = lambda target: None
+        self.on_load: LoadListener = lambda target, load, has_ended: None
         self._transport = transport
         self._gate = gate
 
@@ -118,11 +128,24 @@
     def observe_response(
         self, target: Target, status: int, headers: dict[str, str]
     ) -> None:
-        """Note whether a response says that the worker leaves."""
+        """Note whether the worker leaves, and its load, from a peer's response."""
+        self._note_leaving(target, status, headers)
+        self._note_load(target, status, headers, has_ended=False)
+
+    def _note_leaving(
+        self, target: Target, status: int, headers: dict[str, str]
+    ) -> None:
         # Another worker sends 421 if the address was assigned to it.
         if status != 421 and headers.get(LEAVING_HEADER) == "1":
             self.on_leaving(target)
 
+    def _note_load(
+        self, target: Target, status: int, headers: dict[str, str], *, has_ended: bool
+    ) -> None:
+        load = None if status == 421 else _parse_load(headers)
+        if load is not None:
+            self.on_load(target, load, has_ended)
+
     async def has_ended(self, target: Target) -> bool:
         """Return whether it is certain that the worker's process has ended."""
         return await self._transport.has_ended(target)
@@ -253,12 +276,10 @@
             ) as response:
                 await _check_item_response(target, run.item.item_id, response)
                 version = _parse_number(response.headers.get(WEIGHT_VERSIONS_HEADER), 0)
-                load = _parse_load(response.headers)
                 async for raw in _read_events(response):
                     response.set_deadline(loop.time() + run.next_event_timeout_s)
                     version = version if raw.version is None else raw.version
-                    yield ItemEvent(raw.event_id, raw.data, version, load)
-                    load = None
+                    yield ItemEvent(raw.event_id, raw.data, version)
         except ConnectFailed as error:
             raise NotRun(str(error)) from error
         except ConnectionLost as error:
@@ -367,11 +388,7 @@
             raise _to_outcome(target, error) from error
         response = ClientResponse(stream.status, stream.headers, data)
         _raise_if_not_run(target, response.status, response.headers)
-        return TargetResponse(
-            response,
-            SERVER_STAMP_HEADER in response.headers,
-            _parse_load(response.headers),
-        )
+        return TargetResponse(response, SERVER_STAMP_HEADER in response.headers)
 
     @contextlib.asynccontextmanager
     async def _call(
@@ -409,8 +426,13 @@
             resend=resend and not is_single,
         )
         async with self._transport.stream(target, call) as response:
-            self.observe_response(target, response.status, response.headers)
+            self._note_leaving(target, response.status, response.headers)
             _check_request_id(target, request_id, response)
+            # Not before the check: the late copy of a response has an old load.
+            has_ended = kind in COUNTED_KINDS and not _is_stream(response)
+            self._note_load(
+                target, response.status, response.headers, has_ended=has_ended
+            )
             # Another worker sends 421 if the address was assigned to it.
             if response.status != 421:
                 limit = _parse_limit(response.headers)
@@ -552,14 +574,28 @@
     return all(line.startswith(b":") for line in block.split(b"\n") if line)
 
 
+def _is_stream(response: TargetStream) -> bool:
+    content_type = response.headers.get("content-type", "")
+    return response.status == 200 and content_type.startswith(EVENT_STREAM_TYPE)
+
+
 def _parse_load(headers: dict[str, str]) -> TargetLoad | None:
-    parts = headers.get("x-worker-load", "").split(",")
-    if len(parts) != 3:
-        return None
-    running, waiting, slots = (_parse_number(part, -1) for part in parts)
-    if min(running, waiting, slots) < 0:
-        return None
-    return TargetLoad(running, waiting, slots)
+    """Return the readable figures of a load report, or None if there are none."""
+    parts = [part.strip() for part in headers.get(LOAD_HEADER, "").split(",")]
+    parts += [""] * 4
+    running, waiting, slots = (_parse_load_figure(part) for part in parts[:3])
+    slowdown = None
+    if _DECIMAL.fullmatch(parts[3]):
+        slowdown = float(parts[3]) / 100
+    if slowdown is not None and not MIN_SLOWDOWN <= slowdown <= MAX_SLOWDOWN:
+        slowdown = None
+    load = TargetLoad(running, waiting, slots or None, slowdown)
+    return None if load == TargetLoad(None, None, None) else load
+
+
+def _parse_load_figure(text: str) -> int | None:
+    number = _parse_number(text, -1)
+    return number if 0 <= number <= MAX_LOAD_FIGURE else None
 
 
 def _parse_limit(headers: dict[str, str]) -> NamedLimit | None:
--- a/tests/platform/test_target_client.py
+++ b/tests/platform/test_target_client.py
@@ -24,6 +24,7 @@
     OutcomeUnknown,
     TargetBusy,
     TargetChanged,
+    TargetLoad,
     VersionOrder,
 )
 from tamarackshelf.net import HttpClient, HttpServer, Request
@@ -112,9 +113,7 @@
 
 
 def test_request_is_forwarded_unchanged_with_the_headers_for_the_worker():
-    got, seen = forward(
-        build_response(200, SIGNED + b"X-Worker-Load: 3,1,8\r\n", b"ok")
-    )
+    got, seen = forward(build_response(200, SIGNED, b"ok"))
     head = seen[0].decode().lower()
     assert head.startswith("post /a/b?q=1 http/1.1")
     for line in (
@@ -127,7 +126,6 @@
         assert line in head
     assert got.is_signed
     assert got.http.body == b"ok"
-    assert (got.load.running, got.load.waiting, got.load.slots) == (3, 1, 8)
 
 
 @pytest.mark.parametrize(
@@ -308,6 +306,70 @@
     assert find_leaving(_forward, build_response(status, SIGNED + header, b"")) == []
 
 
+# Reports with four figures were discarded, and only those of complete responses to
+# plain requests and of running items were read: a full target looked idle.
+@pytest.mark.parametrize("use", [_forward, _stream, _run_item, _score, _order, _report])
+@pytest.mark.parametrize("status", [200, 404, 500, 503])
+def test_any_response_reports_the_load(use, status):
+    not_run = b"X-Not-Run: 1\r\n" if status == 503 else b""
+    head = b"X-Server-Stamp: s.1\r\nX-Worker-Load: 6,18,6,250\r\n" + not_run
+    assert find_loads(use, build_response(status, head, EVENTS)) == [
+        TargetLoad(6, 18, 6, 2.5)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("text", "load"),
+    [
+        ("3,1,8", TargetLoad(3, 1, 8)),
+        ("3,1,8,100", TargetLoad(3, 1, 8, 1.0)),
+        (" 3 , 1, 8 ,90.5", TargetLoad(3, 1, 8, 0.905)),
+        ("3,1", TargetLoad(3, 1, None)),
+        ("3", TargetLoad(3, None, None)),
+        ("3,1,8,150,9", TargetLoad(3, 1, 8, 1.5)),
+        ("3,1,0,0", TargetLoad(3, 1, None)),
+        ("-1,1,8,-100", TargetLoad(None, 1, 8)),
+        ("1000000000,1,8,1000000000", TargetLoad(None, 1, 8)),
+        ("a,b,,130", TargetLoad(None, None, None, 1.3)),
+        ("3,1,8,nan", TargetLoad(3, 1, 8)),
+        (f"{'9' * 400},1,8,{'9' * 300}", TargetLoad(None, 1, 8)),
+        ("", None),
+        (",,,", None),
+        ("none", None),
+    ],
+)
+def test_readable_figures_of_an_odd_report_are_kept(text, load):
+    head = SIGNED + f"X-Worker-Load: {text}\r\n".encode()
+    found = find_loads(_forward, build_response(200, head, b"ok"))
+    assert found == ([] if load is None else [load])
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        build_response(421, SIGNED + b"X-Worker-Load: 6,0,6\r\n", b""),
+        build_response(200, b"X-Request-Id: r0\r\nX-Worker-Load: 6,0,6\r\n", b""),
+    ],
+    ids=["another worker", "late copy"],
+)
+def test_load_in_a_response_that_is_not_the_answer_is_ignored(raw):
+    assert find_loads(_forward, raw) == []
+
+
+def find_loads(use, raw):
+    loads = []
+
+    async def use_and_observe(calls, target):
+        calls.on_load = lambda each, load, has_ended: loads.append(load)
+        with contextlib.suppress(
+            NotRun, OutcomeUnknown, OrderRefused, ItemFailed, ItemRejected
+        ):
+            await use(calls, target)
+
+    asyncio.run(call(raw, use_and_observe))
+    return loads
+
+
 def find_leaving(use, raw):
     leaving = []
 
--- a/tests/support/cut_off.py
+++ b/tests/support/cut_off.py
@@ -99,6 +99,7 @@
         self.target_client = PlatformTargetClient(self.paths, OpenGate())
         self.leaving_targets = LeavingTargets(self.registry)
         self.target_client.on_leaving = self.leaving_targets.record
+        self.target_client.on_load = self.registry.record_load
         self.relay = TargetRelay(
             self.registry,
             self.paths.open_direct,
