--- a/src/tamarackshelf/jobs/handover.py
+++ b/src/tamarackshelf/jobs/handover.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 from tamarackshelf.contracts.rows import RowStoreError
 from tamarackshelf.jobs.owned_job import OwnedJob
@@ -96,10 +97,14 @@
         if job_id in self._runner.jobs or registry.is_in_transition(job_id):
             return False
         texts = {text.item_id: text for text in handover.texts}
-        head = handover.stored.head
-        owned = OwnedJob(
-            handover.job, handover.stored, handover.listed, texts, handover.unlisted
-        )
+        job, stored = handover.job, handover.stored
+        if known is not None and not job.organisation:
+            # A node of an earlier release hands jobs over without the name.
+            name = known.head.organisation
+            job = replace(job, organisation=name)
+            stored = replace(stored, head=replace(stored.head, organisation=name))
+        head = stored.head
+        owned = OwnedJob(job, stored, handover.listed, texts, handover.unlisted)
         owned.set_pending_claim(registry.build_claim_head(head))
         self._runner.add(owned, registry.compute_due_s(head))
         self._timeline.record(
--- a/src/tamarackshelf/jobs/manager.py
+++ b/src/tamarackshelf/jobs/manager.py
@@ -14,7 +14,7 @@
     StoreRefused,
 )
 from tamarackshelf.decoding import InvalidInput
-from tamarackshelf.errors import OutcomeUnknown, StoreUnavailable
+from tamarackshelf.errors import NotFound, OutcomeUnknown, StoreUnavailable
 from tamarackshelf.jobs.adoption import JobAdoption
 from tamarackshelf.jobs.handover import JobHandovers
 from tamarackshelf.jobs.owned_job import OwnedJob
@@ -25,6 +25,7 @@
 from tamarackshelf.net import HttpClient
 from tamarackshelf.node.fleet import Fleet
 from tamarackshelf.observe import Timeline
+from tamarackshelf.organisations.job_access import list_stored_ids, may_access
 from tamarackshelf.policy.ownership import rank_owners
 from tamarackshelf.store.failover import FailoverStore
 from tamarackshelf.store.job_store import (
@@ -96,23 +97,34 @@
     async def submit(self, job: Job, due_s: float) -> None:
         """Store a job and start to place it on a node; ignore a job known already.
 
-        `due_s` is when the results are due, on the event loop's clock. Raise
+        `due_s` is when the results are due, on the event loop's clock. If a job of
+        another organisation has the id, the job is stored under a second id. Raise
         StoreUnavailable when the job is certainly not stored, OutcomeUnknown when it
         may be stored.
         """
-        if job.job_id in self._registry.heads:
+        heads = self._registry.heads
+        ids = list_stored_ids(job.job_id, job.organisation)
+        known = [heads[each].head for each in ids if each in heads]
+        if any(may_access(head.organisation, job.organisation) for head in known):
             return
-        self._registry.accepting.add(job.job_id)
-        try:
-            await self._accept(job, due_s)
-        finally:
-            self._registry.accepting.discard(job.job_id)
+        for stored_id in ids:
+            if stored_id in heads:
+                continue
+            self._registry.accepting.add(stored_id)
+            try:
+                if await self._accept(replace(job, job_id=stored_id), due_s):
+                    return
+            finally:
+                self._registry.accepting.discard(stored_id)
+        # Only an id that was chosen to be another organisation's second id leads here.
+        raise NotFound(f"there is no job {job.job_id}; choose another id")
 
-    async def end(self, job_id: str) -> None:
+    async def end(self, job_id: str, organisation: str = "") -> None:
         """Store that a job has ended, and stop its runs if they are at this node.
 
         Raise NotFound, or StoreUnavailable when the end may not be stored.
         """
+        job_id = await self.reader.find_stored_id(job_id, organisation)
         for _ in range(MAX_CHANGE_ATTEMPTS):
             stored = await self.reader.read_head(job_id)
             if stored.head.state is JobState.ENDED:
@@ -153,7 +165,8 @@
             if stored is not None:
                 await self._update_head(stored)
 
-    async def _accept(self, job: Job, due_s: float) -> None:
+    async def _accept(self, job: Job, due_s: float) -> bool:
+        """Store a job; return False if a job of another organisation has the id."""
         head = self._build_head(job)
         is_uncertain = False
         deadline_s = _now_s() + ACCEPT_TIMEOUT_S
@@ -161,8 +174,14 @@
             try:
                 stored = await self._store.insert(job, head)
             except HeadChanged as error:
-                self._record_accepted(job, error.current, "the job was already stored")
-                return
+                current = error.current
+                if current is not None and not may_access(
+                    current.head.organisation, job.organisation
+                ):
+                    self._registry.update(current)
+                    return False
+                self._record_accepted(job, current, "the job was already stored")
+                return True
             except StoreOutcomeUnknown:
                 is_uncertain = True
             except StoreRefused as error:
@@ -175,7 +194,7 @@
                 self._record_accepted(job, stored, "the job is stored")
                 if stored.head.owner == self._registry.own.vm:
                     self._start_job(OwnedJob(job, stored), due_s)
-                return
+                return True
             if _now_s() >= deadline_s:
                 raise OutcomeUnknown(
                     "the store did not confirm the job; send the job again"
@@ -208,6 +227,7 @@
             model=job.model,
             expected_tokens=sum(item.expected_tokens for item in job.items),
             min_version=job.min_version,
+            organisation=job.organisation,
         )
 
     def _record_accepted(
@@ -222,6 +242,7 @@
             items=len(job.items),
             min_version=job.min_version,
             owner=stored.head.owner if stored else "",
+            organisation=job.organisation,
         )
         if stored is not None:
             self._registry.update(stored)
--- a/src/tamarackshelf/jobs/reader.py
+++ b/src/tamarackshelf/jobs/reader.py
@@ -13,6 +13,7 @@
 from tamarackshelf.net import HttpClient
 from tamarackshelf.node.fleet import Fleet
 from tamarackshelf.node.peer_jobs import JobReadAnswer, JobReadRequest, read_from_owner
+from tamarackshelf.organisations.job_access import list_stored_ids, may_access
 from tamarackshelf.store.job_store import JobStore, StoredHead
 from tamarackshelf.world.job import ItemResult, Job
 
@@ -57,12 +58,15 @@
         self._http = http
         self._job_cache: OrderedDict[str, Job] = OrderedDict()
 
-    async def read(self, job_id: str, after: int, wait_s: float) -> ResultPage:
+    async def read(
+        self, job_id: str, after: int, wait_s: float, organisation: str = ""
+    ) -> ResultPage:
         """Return stored results from position `after` on; if none, wait up to `wait_s`.
 
         Raise NotFound or StoreUnavailable.
         """
         deadline_s = _now_s() + min(wait_s, self.compute_left_s())
+        job_id = await self.find_stored_id(job_id, organisation)
         owned = self._runner.jobs.get(job_id)
         # Until this node's claim is stored, another node may list results of the job.
         while owned is not None and not owned.is_closed and owned.pending_claim is None:
@@ -76,9 +80,11 @@
                 continue
         return await self._read_stored(job_id, after, deadline_s)
 
-    async def read_body(self, job_id: str, item_id: str) -> bytes:
+    async def read_body(
+        self, job_id: str, item_id: str, organisation: str = ""
+    ) -> bytes:
         """Return an item's body; raise NotFound or StoreUnavailable."""
-        job = await self._find_job(job_id)
+        job = await self._find_job(await self.find_stored_id(job_id, organisation))
         for item in job.items:
             if item.item_id == item_id:
                 return item.body
@@ -108,6 +114,33 @@
             raise NotFound(f"there is no job {job_id}; check the id")
         return stored
 
+    async def find_stored_id(self, job_id: str, organisation: str) -> str:
+        """Return the id under which an organisation's job is stored.
+
+        Raise NotFound if the organisation has no such job, whether another one has it
+        or not, and StoreUnavailable.
+        """
+        if not organisation:
+            return job_id
+        for stored_id in list_stored_ids(job_id, organisation):
+            owner = await self._find_organisation(stored_id)
+            if owner is not None and may_access(owner, organisation):
+                return stored_id
+        raise NotFound(f"there is no job {job_id}; check the id")
+
+    async def _find_organisation(self, stored_id: str) -> str | None:
+        """Return the organisation of a job, or None if there is no such job."""
+        owned = self._runner.jobs.get(stored_id)
+        if owned is not None and owned.job.organisation:
+            return owned.job.organisation
+        stored = self._heads.get(stored_id)
+        if stored is None:
+            try:
+                stored = await self._store.read_head(stored_id)
+            except RowStoreError as error:
+                raise to_unavailable(error) from error
+        return None if stored is None else stored.head.organisation
+
     async def _read_stored(
         self, job_id: str, after: int, deadline_s: float
     ) -> ResultPage:
--- a/src/tamarackshelf/jobs/registry.py
+++ b/src/tamarackshelf/jobs/registry.py
@@ -51,6 +51,10 @@
         """Keep a head unless a newer one is known."""
         known = self.heads.get(stored.job_id)
         if known is None or stored.version > known.version:
+            if known is not None and not stored.head.organisation:
+                # A node of an earlier release writes heads without the name.
+                head = replace(stored.head, organisation=known.head.organisation)
+                stored = replace(stored, head=head)
             self.heads[stored.job_id] = stored
             if self.fleet is not None and stored.head.owner != self.own.vm:
                 self.handed_over.pop(stored.job_id, None)
--- a/src/tamarackshelf/platform/caller_api.py
+++ b/src/tamarackshelf/platform/caller_api.py
@@ -117,13 +117,13 @@
                 retry_after_s=0.3,
             )
         if request.path.startswith(RESULTS_PATH):
-            self._identify(request, table)
-            return await self._handle_results(request)
+            organisation = self._identify(request, table)
+            return await self._handle_results(request, organisation)
         if request.path.startswith(BODIES_PATH):
-            self._identify(request, table)
+            organisation = self._identify(request, table)
             job_id = unquote(request.path.removeprefix(BODIES_PATH))
             body = await self._job_manager.reader.read_body(
-                job_id, request.parameter("id")
+                job_id, request.parameter("id"), organisation
             )
             return Response(200, body, content_type="application/octet-stream")
         host = request.headers.get("host", "")
@@ -179,14 +179,14 @@
         await self._job_manager.submit(job, _now_s() + route.job_due_s)
         return Response(202)
 
-    async def _handle_results(self, request: Request) -> Response:
+    async def _handle_results(self, request: Request, organisation: str) -> Response:
         job_id = unquote(request.path.removeprefix(RESULTS_PATH))
         if request.method == "DELETE":
-            await self._job_manager.end(job_id)
+            await self._job_manager.end(job_id, organisation)
             return Response(200)
         wait_s = min(MAX_WAIT_S, _parse_ms(request, "x-wait-ms", 0.0))
         after = _parse_after(request)
-        page = await self._job_manager.reader.read(job_id, after, wait_s)
+        page = await self._job_manager.reader.read(job_id, after, wait_s, organisation)
         return Response(200, msgspec.json.encode(_encode_page(page)))
 
 
--- a/src/tamarackshelf/store/job_store.py
+++ b/src/tamarackshelf/store/job_store.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import TypeVar
@@ -46,6 +47,9 @@
 # Results are due soon after the store is available again, so there is no backoff.
 RETRY_PAUSE_S = 0.08
 
+# Submissions of large bodies with the same id at the same moment begin anew this often.
+MAX_INSERT_ATTEMPTS = 5
+
 T = TypeVar("T")
 
 log = logging.getLogger("tamarackshelf")
@@ -89,23 +93,41 @@
             RowWrite(RowKey(BODY_TABLE, job.job_id, f"{n:04d}"), chunk)
             for n, chunk in enumerate(chunks)
         ]
+        for _ in range(MAX_INSERT_ATTEMPTS):
+            try:
+                version = await self._insert_once(job.job_id, writes, head)
+            except RowConflict as conflict:
+                current = _find_head(job.job_id, conflict.rows)
+                if current is not None and current.head == head:
+                    return current
+                if _find_head_row(job.job_id, conflict.rows) is not None:
+                    raise HeadChanged(current) from conflict
+                # Another submission with the id writes its chunks at the same time.
+                await asyncio.sleep(random.uniform(0.5, 1.5) * RETRY_PAUSE_S)
+            else:
+                return StoredHead(job.job_id, head, version)
+        raise StoreRefused("other submissions with the job's id are in progress")
+
+    async def _insert_once(
+        self, job_id: str, writes: list[RowWrite], head: JobHead
+    ) -> int:
+        """Write the chunks of a body and then the head; return the head's version.
+
+        Each transaction requires that there is no head and that the first chunk is
+        still this call's own, so that bodies of several submissions are never mixed.
+        Raise RowConflict if that does not hold.
+        """
+        key = _head_key(job_id)
+        conditions: tuple[RowCondition, ...] = (RowCondition(key, ABSENT_VERSION),)
         *early, last = _batch_writes(writes)
-        for batch in early:
-            # Chunks without a head do not make a job, and a repeated submission of the
-            # job writes the same bytes, so these writes need no condition.
-            await self._store.commit(RowTransaction((), tuple(batch)))
-        key = _head_key(job.job_id)
-        write = RowWrite(key, msgspec.msgpack.encode(head))
-        condition = RowCondition(key, ABSENT_VERSION)
-        transaction = RowTransaction((condition,), (*last, write))
-        try:
-            done = await self._store.commit(transaction)
-        except RowConflict as conflict:
-            current = _find_head(job.job_id, conflict.rows)
-            if current is not None and current.head == head:
-                return current
-            raise HeadChanged(current) from conflict
-        return StoredHead(job.job_id, head, done.version)
+        for number, batch in enumerate(early):
+            done = await self._store.commit(RowTransaction(conditions, tuple(batch)))
+            if number == 0:
+                conditions += (RowCondition(batch[0].at, done.version),)
+        last = [*last, RowWrite(key, msgspec.msgpack.encode(head))]
+        return (
+            await self._store.commit(RowTransaction(conditions, tuple(last)))
+        ).version
 
     async def read_head(self, job_id: str) -> StoredHead | None:
         """Read the head of a job; return None if there is no such job.
@@ -139,8 +161,12 @@
         rows = await self._read_all(BODY_TABLE, job_id, "")
         if not rows:
             return None
-        body = b"".join(row.value for row in rows)
-        return _decode(f"{BODY_TABLE}/{job_id}", body, Job)
+        try:
+            return decode_msgpack(_join_newest_body(rows), Job)
+        except InvalidInput:
+            # An earlier release wrote the early chunks again after the head.
+            body = b"".join(row.value for row in rows)
+            return _decode(f"{BODY_TABLE}/{job_id}", body, Job)
 
     async def append_results(
         self,
@@ -305,6 +331,16 @@
     log.warning("row_unreadable", extra={"event": event})
 
 
+def _join_newest_body(rows: Sequence[StoredRow]) -> bytes:
+    """Return a body without the chunks that a longer, unfinished one left behind it.
+
+    A body's last chunk is written with the head, after all other chunks.
+    """
+    newest = max(row.version for row in rows)
+    end = max(row.at.key for row in rows if row.version == newest)
+    return b"".join(row.value for row in rows if row.at.key <= end)
+
+
 def _holds_all(writes: list[RowWrite], rows: Iterable[StoredRow]) -> bool:
     stored = {row.at: row.value for row in rows}
     return all(stored.get(write.at) == write.value for write in writes)
--- a/tests/platform/test_caller_keys.py
+++ b/tests/platform/test_caller_keys.py
@@ -9,6 +9,7 @@
 import pytest
 
 from tamarackshelf.contracts.targets import ItemRun
+from tamarackshelf.jobs.reader import ResultPage
 from tamarackshelf.net import ConnectFailed, ConnectionLost
 from tamarackshelf.world.job import JobItem
 from tests.support.keyed import EVENT_COUNT, TENANTS, KeyedNode, build_row
@@ -252,3 +253,36 @@
     keyed, plain = submitted
     assert (keyed.organisation, keyed.items[0].headers) == ("north", {})
     assert (plain.organisation, plain.items[0].headers) == ("", item["headers"])
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "expected"),
+    [
+        ("GET", "/v1/lots/j%2F1", ("read", "j/1", "south")),
+        ("DELETE", "/v1/lots/j1", ("end", "j1", "south")),
+        ("GET", "/v1/items/j1", ("read_body", "j1", "south")),
+    ],
+)
+def test_calls_about_a_job_are_made_for_the_organisation(run, method, path, expected):
+    calls = []
+
+    class Manager:
+        fleet = object()
+
+        def __init__(self):
+            self.reader = self
+
+        async def read(self, job_id, after, wait_s, organisation):
+            calls.append(("read", job_id, organisation))
+            return ResultPage(0, 0, ())
+
+        async def read_body(self, job_id, item_id, organisation):
+            calls.append(("read_body", job_id, organisation))
+            return b""
+
+        async def end(self, job_id, organisation):
+            calls.append(("end", job_id, organisation))
+
+    node = KeyedNode(build_row(), Manager())
+    assert run(node.send(path, {"x-credential": "key-s1"}, method)).status == 200
+    assert calls == [expected]
