--- a/src/tamarackshelf/node/configuration_view.py
+++ b/src/tamarackshelf/node/configuration_view.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from tamarackshelf.net import ServerLimits
 from tamarackshelf.observe import Timeline
 from tamarackshelf.policy.route_table import RouteTable
@@ -13,14 +15,20 @@
 
 
 class ConfigurationView:
-    """The newest configuration that this node has read; an older one is ignored."""
+    """The newest configuration that this node has read; an older one is ignored.
+
+    `on_update` is called with each newer one.
+    """
 
     def __init__(self, timeline: Timeline) -> None:
+        self.on_update: Callable[[RoutingConfiguration], None] = lambda _: None
         self.route_table: RouteTable | None = None
         self._timeline = timeline
         self._limits = ServerLimits()
 
-    def update(self, configuration: RoutingConfiguration) -> None:
+    def update(
+        self, configuration: RoutingConfiguration, reason: str = "read from the store"
+    ) -> None:
         """Replace the configuration with a newer one; ignore any other."""
         before = self.configuration
         if before is not None and configuration.version <= before.version:
@@ -36,10 +44,12 @@
         self._timeline.record(
             "configuration_taken",
             f"version {configuration.version}",
-            "read from the store",
+            reason,
             before=before.version if before else 0,
             routes=len(configuration.routes),
+            organisations=len(configuration.organisations or ()),
         )
+        self.on_update(configuration)
 
     @property
     def configuration(self) -> RoutingConfiguration | None:
--- a/src/tamarackshelf/node/peer_api.py
+++ b/src/tamarackshelf/node/peer_api.py
@@ -79,6 +79,12 @@
             TARGET_VERDICT_PATH: relay.answer_verdict,
         }
 
+    def add_handler(
+        self, path: str, handler: Callable[[Request], Awaitable[Response]]
+    ) -> None:
+        """Answer the requests to a path with a handler."""
+        self._handlers[path] = handler
+
     async def handle(self, request: Request) -> Response:
         """Answer one request of a peer; raise BadRequest when it cannot be decoded."""
         handler = self._handlers.get(request.path)
--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -25,6 +25,10 @@
     Response,
     ServerLimits,
 )
+from tamarackshelf.node.configuration_follower import (
+    CONFIGURATION_PATH,
+    ConfigurationFollower,
+)
 from tamarackshelf.node.configuration_view import ConfigurationView
 from tamarackshelf.node.fleet import Fleet
 from tamarackshelf.node.freeze import watch_for_freezes
@@ -251,6 +255,10 @@
             self.relay,
             self._get_gossip,
         )
+        self.configuration_follower = ConfigurationFollower(
+            self.configuration_view, self._http, timeline, metrics
+        )
+        peer_api.add_handler(CONFIGURATION_PATH, self.configuration_follower.answer)
         self._peer_server = HttpServer(
             peer_api.handle, peer_limits, cancel_on_disconnect=is_target_call
         )
@@ -319,6 +327,7 @@
             self._watches[CRASH_TABLE],
         )
         await self.origins.start(fleet, self.row_store)
+        await self.configuration_follower.start(fleet)
         await fleet.start()
         self.fleet = fleet
         await self.runner.start()
@@ -375,6 +384,7 @@
     async def close(self) -> None:
         """Close everything at once, without handing over jobs."""
         await stop_tasks(*self._tasks)
+        await self.configuration_follower.close()
         await self.paths.close()
         await self.quarantine.close()
         await self.origins.close()
