--- a/src/tamarackshelf/gateway/caller.py
+++ b/src/tamarackshelf/gateway/caller.py
@@ -9,8 +9,9 @@
 
 from tamarackshelf.errors import BadRequest, Unauthorised
 from tamarackshelf.net import Request
+from tamarackshelf.organisations import ConfigurationKeys
 from tamarackshelf.policy.admission import WorkClass
-from tamarackshelf.world import Configuration, OrganisationParameters, find_organisation
+from tamarackshelf.world import Configuration, OrganisationParameters
 
 DEFAULT_DEADLINE_S = 30.0
 MAX_DEADLINE_S = 600.0
@@ -36,7 +37,7 @@
     Raise Unauthorised for an unknown token and BadRequest for an invalid idempotency
     key or deadline.
     """
-    organisation = find_organisation(configuration, read_token(request))
+    organisation = _TOKENS.find(configuration, read_token(request))
     if organisation is None:
         raise Unauthorised(
             "the token does not belong to any organisation; send a valid one as a "
@@ -88,4 +89,13 @@
     return remaining_s
 
 
+def _list_owners(
+    configuration: Configuration,
+) -> list[tuple[OrganisationParameters, tuple[str, ...]]]:
+    found = configuration.organisations.values()
+    return [(parameters, parameters.token_digests) for parameters in found]
+
+
+_TOKENS = ConfigurationKeys(_list_owners)
+
 __all__ = ["Caller", "identify_caller", "read_token"]
--- a/src/tamarackshelf/organisations/__init__.py
+++ b/src/tamarackshelf/organisations/__init__.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 from tamarackshelf.organisations.authenticator import KeyAuthenticator
-from tamarackshelf.organisations.key_index import KeyIndex, is_usable_key
+from tamarackshelf.organisations.key_index import (
+    ConfigurationKeys,
+    KeyIndex,
+    is_usable_key,
+)
 
-__all__ = ["KeyAuthenticator", "KeyIndex", "is_usable_key"]
+__all__ = ["ConfigurationKeys", "KeyAuthenticator", "KeyIndex", "is_usable_key"]
--- a/src/tamarackshelf/organisations/authenticator.py
+++ b/src/tamarackshelf/organisations/authenticator.py
@@ -9,7 +9,7 @@
 from tamarackshelf.observe import Metrics, Timeline
 from tamarackshelf.organisations.key_index import (
     MAX_KEY_CHARACTERS,
-    KeyIndex,
+    ConfigurationKeys,
     is_usable_key,
 )
 from tamarackshelf.world import Organisation
@@ -49,8 +49,7 @@
     def __init__(self, timeline: Timeline, metrics: Metrics) -> None:
         self._timeline = timeline
         self._metrics = metrics
-        self._configuration: RoutingConfiguration | None = None
-        self._index: KeyIndex[Organisation] = KeyIndex(())
+        self._keys = ConfigurationKeys(_list_owners)
         self._named: set[str] = set()
         self._window_s = float("-inf")
         self._events = 0
@@ -64,12 +63,7 @@
         `key` is None if the request has none. The error, the log and the timeline do
         not contain the key.
         """
-        if configuration is not self._configuration:
-            self._index = KeyIndex(
-                (each, each.key_digests) for each in configuration.organisations or ()
-            )
-            self._configuration = configuration
-        found = None if key is None else self._index.find(key)
+        found = None if key is None else self._keys.find(configuration, key)
         if found is None:
             raise self._refuse(_find_refusal(key), configuration.version, request_id)
         self._count_request(found.name)
@@ -108,6 +102,12 @@
         )
 
 
+def _list_owners(
+    configuration: RoutingConfiguration,
+) -> list[tuple[Organisation, tuple[str, ...]]]:
+    return [(each, each.key_digests) for each in configuration.organisations or ()]
+
+
 def _find_refusal(key: str | None) -> KeyRefusal:
     if key is None:
         return KeyRefusal.MISSING
--- a/src/tamarackshelf/organisations/key_index.py
+++ b/src/tamarackshelf/organisations/key_index.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Generic, TypeVar
 
 from tamarackshelf.world import digest_token
@@ -11,6 +11,7 @@
 MAX_KEY_CHARACTERS = 4096
 
 T = TypeVar("T")
+C = TypeVar("C")
 
 
 class KeyIndex(Generic[T]):
@@ -31,9 +32,30 @@
         return self._owners.get(digest_token(key)) if is_usable_key(key) else None
 
 
+class ConfigurationKeys(Generic[C, T]):
+    """The key index of the newest configuration, built once for each of them.
+
+    `list_owners` returns the owners of a configuration and the digests of their keys.
+    """
+
+    def __init__(
+        self, list_owners: Callable[[C], Iterable[tuple[T, Iterable[str]]]]
+    ) -> None:
+        self._list_owners = list_owners
+        self._configuration: C | None = None
+        self._index: KeyIndex[T] = KeyIndex(())
+
+    def find(self, configuration: C, key: str) -> T | None:
+        """Return the owner of the key in a configuration, or None."""
+        if configuration is not self._configuration:
+            self._index = KeyIndex(self._list_owners(configuration))
+            self._configuration = configuration
+        return self._index.find(key)
+
+
 def is_usable_key(key: str) -> bool:
     """Return whether any owner could have this key."""
     return 0 < len(key) <= MAX_KEY_CHARACTERS and key.isascii() and key.isprintable()
 
 
-__all__ = ["MAX_KEY_CHARACTERS", "KeyIndex", "is_usable_key"]
+__all__ = ["MAX_KEY_CHARACTERS", "ConfigurationKeys", "KeyIndex", "is_usable_key"]
--- a/src/tamarackshelf/world/__init__.py
+++ b/src/tamarackshelf/world/__init__.py
@@ -15,7 +15,6 @@
     Organisation,
     OrganisationParameters,
     digest_token,
-    find_organisation,
     is_operator,
     matches_route,
 )
@@ -40,7 +39,6 @@
     "VmState",
     "build_delay_function",
     "digest_token",
-    "find_organisation",
     "is_operator",
     "matches_route",
     "no_delay",
--- a/src/tamarackshelf/world/organisation.py
+++ b/src/tamarackshelf/world/organisation.py
@@ -66,19 +66,6 @@
     return hashlib.sha256(token.encode()).hexdigest()
 
 
-def find_organisation(
-    configuration: Configuration, token: str
-) -> OrganisationParameters | None:
-    """Return the organisation that the token belongs to, or None."""
-    digest = digest_token(token)
-    found: OrganisationParameters | None = None
-    for parameters in configuration.organisations.values():
-        for known in parameters.token_digests:
-            if hmac.compare_digest(known, digest):
-                found = parameters
-    return found
-
-
 def is_operator(configuration: Configuration, token: str) -> bool:
     """Return whether the token belongs to an operator."""
     digest = digest_token(token)
@@ -98,7 +85,6 @@
     "Organisation",
     "OrganisationParameters",
     "digest_token",
-    "find_organisation",
     "is_operator",
     "matches_route",
 ]
