--- a/src/tamarackshelf/cli/explain.py
+++ b/src/tamarackshelf/cli/explain.py
@@ -10,6 +10,11 @@
     "request_dispatched": "{subject} was sent to {target}, because of {reason}",
     "request_retried": "{subject} was retried: {reason}",
     "request_suspected": "{subject} is suspected to crash targets: {reason} ({target})",
+    "key_refused": (
+        "{subject} was refused with 401: {reason}, in configuration {configuration} of "
+        "this node ({omitted} earlier refusals were only counted)"
+    ),
+    "configuration_taken": "{subject} came into force: {reason}",
     "sample_produced": "sample {subject} was produced on version {version}",
     "sample_restarted": "sample {subject} was restarted: {reason}",
     "sample_too_old": "sample {subject} was not delivered: {reason}",
--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -447,6 +447,8 @@
             watch.on_change(listener)
             if rows:
                 notify_of_rows(listener, rows)
+        # They contain API keys, of which the decoded configuration has digests only.
+        self._watches[tables.operator_table].discard_values()
 
     def _get_gossip(self) -> GossipTask | None:
         return None if self.fleet is None else self.fleet.gossip
--- a/src/tamarackshelf/policy/route_table.py
+++ b/src/tamarackshelf/policy/route_table.py
@@ -16,6 +16,11 @@
         self._by_host: dict[str, dict[str, Route]] = {}
         for route in configuration.routes:
             self._by_host.setdefault(route.host, {})[route.path_prefix] = route
+        self._priorities = {
+            each.name: each.priority
+            for each in reversed(configuration.organisations or ())
+            if each.priority is not None
+        }
 
     def find(self, host: str, path: str) -> Route | None:
         """Return the host's route with the longest matching path prefix, or None."""
@@ -30,6 +35,10 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def get_priority(self, route: Route, organisation: str) -> int:
+        """Return the organisation's priority, or the route's if it has none."""
+        return self._priorities.get(organisation, route.priority)
+
     def has_host(self, host: str) -> bool:
         """Return whether any route has this host."""
         return host.lower() in self._by_host
--- a/src/tamarackshelf/store/table_watch.py
+++ b/src/tamarackshelf/store/table_watch.py
@@ -55,11 +55,21 @@
         self._listeners: list[Listener] = []
         self._task: asyncio.Task[None] | None = None
         self._is_failing = False
+        self._keeps_values = True
 
     def on_change(self, listener: Listener) -> None:
         """Call the listener with each batch of changes; deleted rows have no value."""
         self._listeners.append(listener)
 
+    def discard_values(self) -> None:
+        """Keep only the versions of rows from now on, as values may contain secrets.
+
+        Listeners get the values of later changes.
+        """
+        self._keeps_values = False
+        for at, row in self.rows.items():
+            self.rows[at] = StoredRow(at, b"", row.version)
+
     async def start(self) -> None:
         """Start to read the table and to follow its feed."""
         self._task = start_task(f"watch_{self._table}", self._run)
@@ -137,7 +147,8 @@
             return False
         if change.value is None:
             return self.rows.pop(change.at, None) is not None
-        self.rows[change.at] = StoredRow(change.at, change.value, change.version)
+        value = change.value if self._keeps_values else b""
+        self.rows[change.at] = StoredRow(change.at, value, change.version)
         return True
 
 
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -9,8 +9,11 @@
 
 from tamarackshelf.cli.explain import explain_subject
 from tamarackshelf.cli.timeline import format_events
-from tamarackshelf.observe import Timeline, merge_pages
+from tamarackshelf.errors import Unauthorised
+from tamarackshelf.observe import Metrics, Timeline, merge_pages
 from tamarackshelf.observe.logs import set_up_logs
+from tamarackshelf.organisations import KeyAuthenticator
+from tamarackshelf.world.route import RoutingConfiguration
 
 
 def build_pages():
@@ -74,3 +77,19 @@
     else:
         assert 'event=kind process=p subject="s 1"' in lines[0]
         assert "target=e1" in lines[0]
+
+
+# An operator who is told of a 401 sees which configuration of which node refused it.
+def test_explain_tells_why_a_request_got_401(run):
+    async def scenario():
+        timeline = Timeline("n1", lambda: 1000)
+        authenticator = KeyAuthenticator(timeline, Metrics())
+        configuration = RoutingConfiguration(7, (), organisations=())
+        with pytest.raises(Unauthorised):
+            authenticator.identify(configuration, "secret-key", "r1")
+        return explain_subject("request", "r1", [timeline.page()], [])
+
+    text = "\n".join(run(scenario()))
+    assert "n1: r1 was refused with 401: no organisation has this API key" in text
+    assert "configuration 7" in text
+    assert "secret-key" not in text
--- a/tests/platform/test_caller_keys.py
+++ b/tests/platform/test_caller_keys.py
@@ -8,12 +8,15 @@
 import msgspec
 import pytest
 
-from tamarackshelf.contracts.targets import ItemRun
+from tamarackshelf.contracts.targets import ForwardedRequest, ItemRun
 from tamarackshelf.jobs.reader import ResultPage
-from tamarackshelf.net import ConnectFailed, ConnectionLost
+from tamarackshelf.net import ConnectFailed, ConnectionLost, Request
+from tamarackshelf.platform.records import decode_configuration
+from tamarackshelf.policy.route_table import RouteTable
 from tamarackshelf.world.job import JobItem
+from tests.support.cut_off import CutOffCluster
 from tests.support.keyed import EVENT_COUNT, TENANTS, KeyedNode, build_row
-from tests.support.node import HOST, build_target
+from tests.support.node import HOST, build_configuration, build_target
 
 KEY = {"x-credential": "key-n1"}
 FORGED = {"x-tenant": "south"}
@@ -149,6 +152,44 @@
     assert not any("x-credential" in headers for headers in sent)
 
 
+def test_hedge_names_the_organisation_too(run):
+    node = KeyedNode(build_row())
+    node.transport.failures = ["slow"]
+    assert run(node.send("/score/x", KEY | FORGED)).status == 200
+    sent = node.list_sent_headers()
+    assert len(sent) == 2
+    assert {headers["x-tenant"] for headers in sent} == {"north"}
+    assert not any("x-credential" in headers for headers in sent)
+
+
+# The peer has no key to look at: the call that it relays names the organisation.
+def test_call_that_a_peer_relays_names_the_organisation(run):
+    async def scenario():
+        cluster = CutOffCluster(nodes="ab", refuses=True)
+        await cluster.start()
+        seen = []
+        for record in cluster.targets.values():
+            address = record.target.address
+            handler = cluster.network.handlers[address]
+
+            async def serve(request, handler=handler):
+                seen.append(request.headers)
+                return await handler(request)
+
+            cluster.network.handlers[address] = serve
+        await asyncio.sleep(1.0)
+        cluster.cut.add("a")
+        route = RouteTable(build_configuration()).find(HOST, "/score/x")
+        http = Request("POST", "/score/x", "", {"x-request-id": "r"}, b"")
+        request = ForwardedRequest("r", HOST, http, "north", None, "north")
+        response = await cluster.nodes["a"].forwarder.forward(request, route, 1.5)
+        await cluster.stop()
+        assert response.http.status == 200
+        assert [headers["x-tenant"] for headers in seen] == ["north"]
+
+    run(scenario())
+
+
 def test_resumed_stream_names_the_organisation_at_each_target(run):
     node = KeyedNode(build_row())
     node.transport.failures = [2, 3]
@@ -286,3 +327,11 @@
     node = KeyedNode(build_row(), Manager())
     assert run(node.send(path, {"x-credential": "key-s1"}, method)).status == 200
     assert calls == [expected]
+
+
+def test_priority_of_the_organisation_goes_before_that_of_the_route():
+    table = RouteTable(decode_configuration(build_row()))
+    route = table.find(HOST, "/score/x")
+    assert route.priority == 5
+    priorities = [table.get_priority(route, n) for n in ("north", "south", "", "gone")]
+    assert priorities == [1, 5, 5, 5]
--- a/tests/store/test_rows.py
+++ b/tests/store/test_rows.py
@@ -131,6 +131,29 @@
     run(scenario())
 
 
+# Operators' rows contain API keys, which stayed in memory after decoding.
+def test_watch_without_values_passes_them_to_listeners_only(run):
+    async def scenario():
+        store = MemoryRowStore()
+        store.put("t", "a", b"secret-1")
+        watch = TableWatch(store.connect(), "t", build_timeline(), has_parts=False)
+        seen = []
+        watch.on_change(lambda rows: seen.extend(row.value for row in rows))
+        await watch.start()
+        await watch.loaded.wait()
+        watch.discard_values()
+        store.put("t", "b", b"secret-2")
+        await asyncio.sleep(0.1)
+        store.truncate_history()
+        await asyncio.sleep(3)
+        await watch.close()
+        assert seen == [b"secret-1", b"secret-2"]
+        assert len(watch.rows) == 2
+        assert {row.value for row in watch.rows.values()} == {b""}
+
+    run(scenario())
+
+
 def test_watch_follows_parts_and_survives_an_outage(run):
     async def scenario():
         store = MemoryRowStore()
--- a/tests/support/keyed.py
+++ b/tests/support/keyed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import random
 from types import SimpleNamespace
@@ -68,7 +69,7 @@
     """TargetTransport that records all calls and answers each of them.
 
     The next entry of `failures` is raised, or breaks a stream off before the event
-    with that number; None answers completely.
+    with that number; None answers completely, and "slow" does so after a second.
     """
 
     def __init__(self):
@@ -87,6 +88,8 @@
         failure = self.failures.pop(0) if self.failures else None
         if isinstance(failure, Exception):
             raise failure
+        if failure == "slow":
+            await asyncio.sleep(1.0)
         headers = {"x-server-stamp": "s", "x-request-id": call.request_id}
         if call.path.startswith("/stream/"):
             headers["content-type"] = "text/event-stream"
