--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -25,6 +25,10 @@
     Response,
     ServerLimits,
 )
+from tamarackshelf.node.configuration_follower import (
+    CONFIGURATION_PATH,
+    ConfigurationFollower,
+)
 from tamarackshelf.node.configuration_view import ConfigurationView
 from tamarackshelf.node.fleet import Fleet
 from tamarackshelf.node.freeze import watch_for_freezes
@@ -252,6 +256,10 @@
             self.relay,
             self._get_gossip,
         )
+        self.configuration_follower = ConfigurationFollower(
+            self.configuration_view, self._http, timeline, metrics
+        )
+        peer_api.add_handler(CONFIGURATION_PATH, self.configuration_follower.answer)
         self._peer_server = HttpServer(
             peer_api.handle, peer_limits, cancel_on_disconnect=is_target_call
         )
@@ -320,6 +328,7 @@
             self._watches[CRASH_TABLE],
         )
         await self.origins.start(fleet, self.row_store)
+        await self.configuration_follower.start(fleet)
         await fleet.start()
         self.fleet = fleet
         await self.runner.start()
@@ -376,6 +385,7 @@
     async def close(self) -> None:
         """Close everything at once, without handing over jobs."""
         await stop_tasks(*self._tasks)
+        await self.configuration_follower.close()
         await self.paths.close()
         await self.quarantine.close()
         await self.origins.close()
@@ -438,6 +448,8 @@
             watch.on_change(listener)
             if rows:
                 notify_of_rows(listener, rows)
+        # They contain API keys, of which the decoded configuration has digests only.
+        self._watches[tables.operator_table].discard_values()
 
     def _get_gossip(self) -> GossipTask | None:
         return None if self.fleet is None else self.fleet.gossip
