--- a/src/tamarackshelf/jobs/handover.py
+++ b/src/tamarackshelf/jobs/handover.py
@@ -8,6 +8,7 @@
 import asyncio
 
 from tamarackshelf.contracts.rows import RowStoreError
+from tamarackshelf.jobs.item_state import StopCause
 from tamarackshelf.jobs.owned_job import OwnedJob
 from tamarackshelf.jobs.registry import JobRegistry
 from tamarackshelf.jobs.runner import JobRunner
@@ -149,7 +150,9 @@
         assert fleet is not None
         peers = {record.vm: record for record in fleet.peers()}
         ranked = rank_weighted({vm: peers[vm].cores for vm in peers}, job.job.model)
-        await self._runner.drop(job.job_id, "this node is stopping")
+        await self._runner.drop(
+            job.job_id, "this node is stopping", StopCause.HANDED_OVER
+        )
         handover = _build_handover(job)
         for name in ranked[:MAX_PEERS_TRIED]:
             outcome = await hand_over_job(self._http, peers[name].peers, handover)
@@ -172,7 +175,9 @@
         """
         while owned.pending_claim is not None and not owned.is_closed:
             if not owned.is_open:
-                await self._runner.drop(owned.job_id, "the job is not open")
+                await self._runner.drop(
+                    owned.job_id, "the job is not open", StopCause.JOB_ENDED
+                )
                 return
             claim = self._registry.build_claim_head(owned.stored.head)
             owned.pending_claim = claim
@@ -214,7 +219,9 @@
         known = {result.item_id for result in listed}
         unlisted = [each for each in owned.unlisted if each.item_id not in known]
         await self._runner.drop(
-            owned.job_id, "the store lists more results of the job than this node knew"
+            owned.job_id,
+            "the store lists more results of the job than this node knew",
+            StopCause.HANDED_OVER,
         )
         renewed = OwnedJob(owned.job, stored, listed, texts, unlisted)
         self._runner.add(renewed, self._registry.compute_due_s(stored.head))
@@ -235,7 +242,9 @@
                 return
             self._registry.update(current)
         await self._runner.drop(
-            owned.job_id, "another node owns the job, or the job is not open"
+            owned.job_id,
+            "another node owns the job, or the job is not open",
+            StopCause.HANDED_OVER,
         )
 
     def _record_handover(
--- a/src/tamarackshelf/jobs/item_state.py
+++ b/src/tamarackshelf/jobs/item_state.py
@@ -20,6 +20,20 @@
     DONE = "done"
 
 
+class StopCause(enum.StrEnum):
+    """Why this node stopped a run; each is a metric `item_runs_stopped_NAME`."""
+
+    SLOW = "slow"
+    QUEUED = "queued"
+    SILENT = "silent"
+    PAUSED = "paused"
+    HANDED_OVER = "handed_over"
+    JOB_ENDED = "job_ended"
+    SHUTDOWN = "shutdown"
+    VERSION = "version"
+    OTHER = "other"
+
+
 class EventOutOfOrder(Exception):
     """An event that does not follow the last event of its item's text."""
 
@@ -31,6 +45,7 @@
     target: TargetState
     started_s: float
     last_event_at_s: float | None = None
+    stop_cause: StopCause = StopCause.OTHER
 
     @property
     def engine(self) -> str:
@@ -155,4 +170,4 @@
         return ItemResult(self.item.item_id, True, text, versions, score)
 
 
-__all__ = ["CurrentRun", "EventOutOfOrder", "ItemStage", "ItemState"]
+__all__ = ["CurrentRun", "EventOutOfOrder", "ItemStage", "ItemState", "StopCause"]
--- a/src/tamarackshelf/jobs/owned_job.py
+++ b/src/tamarackshelf/jobs/owned_job.py
@@ -6,7 +6,7 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
-from tamarackshelf.jobs.item_state import ItemStage, ItemState
+from tamarackshelf.jobs.item_state import ItemStage, ItemState, StopCause
 from tamarackshelf.store.job_store import StoredHead
 from tamarackshelf.world.job import (
     ItemProgress,
@@ -116,12 +116,25 @@
         del self.unlisted[:count]
         self.notify_readers()
 
-    def stop_run(self, item_id: str) -> None:
+    def stop_run(self, item_id: str, cause: StopCause = StopCause.OTHER) -> None:
         """Cancel an item's run; the item then waits for another engine."""
         task = self.tasks.get(item_id)
         if task is not None:
+            self._set_stop_cause(item_id, cause)
             task.cancel()
 
+    def cancel_all(self, cause: StopCause) -> list[asyncio.Task[None]]:
+        """Cancel all runs and score calls and return their tasks."""
+        tasks = list(self.tasks.values())
+        for item_id in list(self.tasks):
+            self.stop_run(item_id, cause)
+        return tasks
+
+    def _set_stop_cause(self, item_id: str, cause: StopCause) -> None:
+        run = self.items[item_id].run
+        if run is not None:
+            run.stop_cause = cause
+
     def discard_task(self, item_id: str, task: asyncio.Task[None]) -> None:
         """Remove an item's ended task, unless a newer task has replaced it."""
         if self.tasks.get(item_id) is task:
--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -15,7 +15,10 @@
     ItemRun,
     NotRun,
     OutcomeUnknown,
+    TargetBusy,
+    TargetChanged,
     TargetClient,
+    TargetLimited,
 )
 from tamarackshelf.jobs.continuation import EngineUnverified, TextContinuation
 from tamarackshelf.jobs.item_state import (
@@ -23,6 +26,7 @@
     EventOutOfOrder,
     ItemStage,
     ItemState,
+    StopCause,
 )
 from tamarackshelf.jobs.owned_job import OwnedJob
 from tamarackshelf.jobs.scorer import RouteTableGetter, Scorer, ScoringFailed
@@ -103,7 +107,7 @@
         """Stop all runs and drop all jobs."""
         await stop_tasks(*self._tasks)
         for job in list(self.jobs.values()):
-            await self.drop(job.job_id, "this process is stopping")
+            await self.drop(job.job_id, "this process is stopping", StopCause.SHUTDOWN)
 
     def add(self, job: OwnedJob, due_s: float) -> None:
         """Add a job; its results are due at `due_s` on the event loop's clock."""
@@ -113,15 +117,20 @@
         self._start_listing(job)
         self._wake.set()
 
-    async def drop(self, job_id: str, reason: str) -> None:
-        """Stop a job's runs, remove it from memory and wake its readers."""
+    async def drop(
+        self, job_id: str, reason: str, cause: StopCause = StopCause.OTHER
+    ) -> None:
+        """Stop a job's runs, remove it from memory and wake its readers.
+
+        The stopped runs are counted under `cause`.
+        """
         job = self.jobs.pop(job_id, None)
         if job is None:
             return
         del self._due_s[job_id]
         job.is_closed = True
         self._timeline.record("job_dropped", job_id, reason)
-        await stop_tasks(*job.tasks.values(), job.listing_task)
+        await stop_tasks(*job.cancel_all(cause), job.listing_task)
         job.notify_readers()
 
     async def pause(self) -> None:
@@ -129,7 +138,7 @@
         self.is_paused = True
         # A job may be added or dropped while the runs of another one stop.
         for job in list(self.jobs.values()):
-            await stop_tasks(*job.tasks.values())
+            await stop_tasks(*job.cancel_all(StopCause.PAUSED))
 
     def resume(self) -> None:
         """Allow items to run again."""
@@ -146,14 +155,15 @@
             return
         before = job.stored.head
         if (stored.head.owner, stored.head.epoch) != (before.owner, before.epoch):
-            await self.drop(stored.job_id, f"{stored.head.owner} owns the job now")
+            reason = f"{stored.head.owner} owns the job now"
+            await self.drop(stored.job_id, reason, StopCause.HANDED_OVER)
             return
         job.stored = stored
         if stored.head.state is JobState.ENDED:
             self._timeline.record(
                 "job_ended", stored.job_id, "the end of the job was stored"
             )
-            await stop_tasks(*job.tasks.values())
+            await stop_tasks(*job.cancel_all(StopCause.JOB_ENDED))
             job.notify_readers()
 
     async def save_progress(self, job: OwnedJob, min_pieces: int = 1) -> None:
@@ -338,11 +348,15 @@
         first_piece = len(state.pieces)
         started_s = _now_s()
         reason = "this node stopped the run"
+        run = state.run
         try:
             with hold() as held:
                 await self._stream_events(job, state, target.target, route, held)
             reason = "whole"
             return True
+        except asyncio.CancelledError:
+            self._count_stop(StopCause.OTHER if run is None else run.stop_cause)
+            raise
         except BuffersFull as error:
             # No engine could continue the text without exceeding the memory again.
             state.reset()
@@ -350,11 +364,13 @@
             reason = str(error)
         except NotRun as error:
             self._targets.record_not_run(name, error, FULL_ENGINE_BACKOFF_S)
+            self._metrics.count(f"item_runs_not_run_{_name_refusal(error)}")
             reason = str(error)
         except (OutcomeUnknown, EventOutOfOrder) as error:
             self._targets.record_fault(name, str(error))
             reason = str(error)
         except VersionMismatch as error:
+            self._count_stop(StopCause.VERSION)
             reason = str(error)
         except EngineUnverified as error:
             reason = str(error)
@@ -383,6 +399,9 @@
             )
         return False
 
+    def _count_stop(self, cause: StopCause) -> None:
+        self._metrics.count(f"item_runs_stopped_{cause}")
+
     async def _stream_events(
         self,
         job: OwnedJob,
@@ -526,12 +545,22 @@
             return False
         if current.head.state is not JobState.OPEN:
             reason = "a write of results met a job that is no longer open"
-            asyncio.get_running_loop().create_task(self.drop(job.job_id, reason))
+            drop = self.drop(job.job_id, reason, StopCause.JOB_ENDED)
+            asyncio.get_running_loop().create_task(drop)
             return False
         job.update_stored(current)
         return True
 
 
+def _name_refusal(error: NotRun) -> str:
+    """Return why an engine did not run an item, one of four names of metrics."""
+    if isinstance(error, TargetBusy):
+        return "busy"
+    if isinstance(error, TargetLimited):
+        return "limited"
+    return "replaced" if isinstance(error, TargetChanged) else "unreachable"
+
+
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
 
--- a/src/tamarackshelf/jobs/stragglers.py
+++ b/src/tamarackshelf/jobs/stragglers.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable, Iterable, Mapping
 
 from tamarackshelf.jobs.continuation import DEFAULT_EVENT_S
-from tamarackshelf.jobs.item_state import CurrentRun, ItemStage
+from tamarackshelf.jobs.item_state import CurrentRun, ItemStage, StopCause
 from tamarackshelf.jobs.owned_job import OwnedJob
 from tamarackshelf.jobs.scorer import RouteTableGetter
 from tamarackshelf.node.targets import TargetRegistry
@@ -91,7 +91,7 @@
                 self._timeline.record(
                     "item_moved", item.item_id, "the engine is slow", target=item.engine
                 )
-                job.stop_run(item.item_id)
+                job.stop_run(item.item_id, StopCause.SLOW)
 
     def _move_silent_runs(self, job: OwnedJob, now_s: float) -> None:
         """Stop runs that receive no events when another engine has free capacity."""
@@ -117,15 +117,14 @@
             if engine_name is None:
                 continue
             engines = [reserve_capacity(engine, engine_name) for engine in engines]
-            reason = (
-                "the run waits for capacity of the engine"
-                if run.last_event_at_s is None
-                else "the run receives no events"
-            )
+            reason, cause = "the run receives no events", StopCause.SILENT
+            if run.last_event_at_s is None:
+                reason = "the run waits for capacity of the engine"
+                cause = StopCause.QUEUED
             self._timeline.record(
                 "item_moved", state.item.item_id, reason, target=run.engine
             )
-            job.stop_run(state.item.item_id)
+            job.stop_run(state.item.item_id, cause)
 
     def _is_silent(self, run: CurrentRun, now_s: float) -> bool:
         usual_s = self._targets.median_event_s(run.engine) or DEFAULT_EVENT_S
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 
 import pytest
 
@@ -367,6 +368,50 @@
     run_scenario(scenario)
 
 
+def count_metric(node, name):
+    text = node.metrics.render().decode()
+    found = re.search(rf"^tamarackshelf_{name}_total (\d+)", text, re.MULTILINE)
+    return int(found[1]) if found else 0
+
+
+@pytest.mark.parametrize("cause", ["paused", "job_ended", "shutdown"])
+def test_stopped_runs_are_counted_by_cause(run_scenario, cause):
+    """All cancelled runs of a day looked alike, so no cause could be told from it."""
+
+    async def scenario(cluster):
+        node = cluster.nodes["a"]
+        job = await submit(cluster)
+        await asyncio.sleep(0.1)
+        if cause == "paused":
+            await node.runner.pause()
+            node.runner.resume()
+        elif cause == "job_ended":
+            await node.job_manager.end(job.job_id)
+        else:
+            await cluster.kill("a")
+        await asyncio.sleep(0.1)
+        assert count_metric(node, f"item_runs_stopped_{cause}") == len(job.items)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    ("error", "name"),
+    [(TargetBusy("full"), "busy"), (NotRun("no connection"), "unreachable")],
+)
+def test_runs_that_an_engine_refuses_are_counted_by_reason(run_scenario, error, name):
+    """A full engine is no fault, and an unreachable one is."""
+
+    async def scenario(cluster):
+        job = build_job()
+        cluster.engines.faults["j1-2"] = error
+        await submit(cluster, job=job)
+        await read_all_results(cluster, "a", job)
+        assert count_metric(cluster.nodes["a"], f"item_runs_not_run_{name}") == 1
+
+    run_scenario(scenario)
+
+
 def test_runs_queued_at_a_full_engine_move_to_another(run_scenario):
     """The runs of another node have just taken the whole capacity of an engine."""
 
--- a/tests/support/node.py
+++ b/tests/support/node.py
@@ -213,6 +213,7 @@
     def __init__(self, name, cluster):
         self.client = cluster.store.connect()
         self.timeline = Timeline(name, lambda: 0)
+        self.metrics = Metrics()
         self.failover_store = FailoverStore(self.client, self.timeline)
         self.target_registry = TargetRegistry(
             self.timeline, lambda: self.failover_store.recovered_at_s, random.Random(1)
@@ -229,7 +230,7 @@
             scorer,
             lambda: table,
             self.timeline,
-            Metrics(),
+            self.metrics,
         )
         self.watch = TableWatch(
             self.failover_store, HEAD_TABLE, self.timeline, has_parts=True
