--- a/src/tamarackshelf/jobs/continuation.py
+++ b/src/tamarackshelf/jobs/continuation.py
@@ -62,13 +62,15 @@
         than it saves.
         """
         reason = self._explain_discard(state, service)
-        name = place_item(engines, min_version, software=state.software)
+        name = place_item(
+            engines, min_version, software=state.software, rng=self._targets.rng
+        )
         if not reason and (name is not None or state.origin is None):
             return name
         if not reason and now_s < self._compute_wait_end_s(state, service, now_s):
             return None
         self._discard(state, reason or "no engine that may continue it takes it soon")
-        return place_item(engines, min_version)
+        return place_item(engines, min_version, rng=self._targets.rng)
 
     async def verify(self, state: ItemState, target: Target) -> bool:
         """Return whether the engine of a run is the one that the list describes.
--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -37,6 +37,7 @@
 from tamarackshelf.policy.item_placement import (
     EngineCandidate,
     WaitingItem,
+    mark_full,
     order_items,
     reserve_capacity,
 )
@@ -234,6 +235,7 @@
     def _place_all(self) -> None:
         now_s = _now_s()
         self._resume_scoring()
+        queued = self.stragglers.find_queues(self.jobs.values(), now_s)
         engines: dict[tuple[str, str], list[EngineCandidate]] = {}
         for waiting in order_items(self._list_waiting(now_s)):
             job = self.jobs[waiting.job_id]
@@ -244,7 +246,10 @@
             service = self._continuation.choose_service(state, route)
             key = (service, job.job.model)
             if key not in engines:
-                engines[key] = self._targets.list_engine_candidates(*key)
+                engines[key] = [
+                    mark_full(engine) if engine.name in queued else engine
+                    for engine in self._targets.list_engine_candidates(*key)
+                ]
             name = self._continuation.choose_engine(
                 state, service, engines[key], job.job.min_version, now_s
             )
@@ -433,6 +438,8 @@
                 self._targets.record_success(target.name)
                 now_s = _now_s()
                 if state.run is not None:
+                    if state.run.last_event_at_s is None:
+                        self.stragglers.record_start(state.run, now_s)
                     state.run.last_event_at_s = now_s
                 if last_s is not None:
                     self._targets.record_duration(target.name, now_s - last_s)
--- a/src/tamarackshelf/jobs/stragglers.py
+++ b/src/tamarackshelf/jobs/stragglers.py
@@ -13,11 +13,13 @@
 from tamarackshelf.jobs.scorer import RouteTableGetter
 from tamarackshelf.node.targets import TargetRegistry
 from tamarackshelf.observe import Timeline
+from tamarackshelf.policy.engine_queue import EngineQueues, is_queued
 from tamarackshelf.policy.extra_engine import choose_extra_engine
 from tamarackshelf.policy.item_placement import (
     EngineCandidate,
     RunningItem,
     choose_moves,
+    mark_full,
     place_item,
     reserve_capacity,
 )
@@ -50,6 +52,26 @@
         self._targets = targets
         self._get_route_table = get_route_table
         self._timeline = timeline
+        self._queues = EngineQueues()
+
+    def record_start(self, run: CurrentRun, now_s: float) -> None:
+        """Record that a run receives its first event."""
+        event_s = self._targets.median_event_s(run.engine) or DEFAULT_EVENT_S
+        self._queues.record_start(run.engine, now_s - run.started_s, event_s, now_s)
+
+    def find_queues(self, jobs: Iterable[OwnedJob], now_s: float) -> set[str]:
+        """Return the engines that have a run of this node in their queue."""
+        runs = [
+            state.run
+            for job in jobs
+            for state in job.items.values()
+            if state.run is not None and state.run.last_event_at_s is None
+        ]
+        return {run.engine for run in runs if self._is_queued(run, now_s)}
+
+    def _is_queued(self, run: CurrentRun, now_s: float) -> bool:
+        event_s = self._targets.median_event_s(run.engine) or DEFAULT_EVENT_S
+        return is_queued(now_s - run.started_s, event_s)
 
     def check(
         self, jobs: Iterable[OwnedJob], due_s: Mapping[str, float], now_s: float
@@ -60,13 +82,16 @@
         the event loop's clock. A stopped run's item is placed on another engine.
         """
         open_jobs = [job for job in jobs if job.is_open]
-        self._move_slow_runs(open_jobs, now_s)
+        queues = self.find_queues(open_jobs, now_s)
+        self._move_slow_runs(open_jobs, queues, now_s)
         for job in open_jobs:
-            self._move_silent_runs(job, now_s)
+            self._move_silent_runs(job, queues, now_s)
         for job in open_jobs:
             self._request_engine(job, due_s[job.job_id] - now_s, now_s)
 
-    def _move_slow_runs(self, jobs: list[OwnedJob], now_s: float) -> None:
+    def _move_slow_runs(
+        self, jobs: list[OwnedJob], queues: set[str], now_s: float
+    ) -> None:
         """Stop runs on slow engines when a much faster engine has free capacity."""
         running: dict[tuple[str, str], list[RunningItem]] = {}
         by_id = {job.job_id: job for job in jobs}
@@ -86,14 +111,18 @@
                 )
                 running.setdefault((run.service, job.job.model), []).append(item)
         for key, items in running.items():
-            for item in choose_moves(items, self._targets.list_engine_candidates(*key)):
+            engines = [
+                mark_full(engine) if engine.name in queues else engine
+                for engine in self._targets.list_engine_candidates(*key)
+            ]
+            for item in choose_moves(items, engines):
                 job = by_id[item.job_id]
                 self._timeline.record(
                     "item_moved", item.item_id, "the engine is slow", target=item.engine
                 )
                 job.stop_run(item.item_id, StopCause.SLOW)
 
-    def _move_silent_runs(self, job: OwnedJob, now_s: float) -> None:
+    def _move_silent_runs(self, job: OwnedJob, queues: set[str], now_s: float) -> None:
         """Stop runs that receive no events when another engine has free capacity."""
         silent = [
             (state, state.run)
@@ -109,10 +138,23 @@
                 for engine in self._targets.list_engine_candidates(
                     run.service, job.job.model
                 )
-                if engine.limit_per_s is None
+                if engine.limit_per_s is None and engine.name not in queues
             ]
+            usable = engines
+            if run.last_event_at_s is None:
+                # Its place in the queue is worth more than a guess that another engine
+                # is free, so it moves only where a run has just begun at once.
+                usable = [
+                    engine
+                    for engine in engines
+                    if self._queues.has_started_promptly(engine.name, now_s)
+                ]
             engine_name = place_item(
-                engines, job.job.min_version, (run.engine,), state.software
+                usable,
+                job.job.min_version,
+                (run.engine,),
+                state.software,
+                self._targets.rng,
             )
             if engine_name is None:
                 continue
--- a/src/tamarackshelf/policy/item_placement.py
+++ b/src/tamarackshelf/policy/item_placement.py
@@ -11,6 +11,7 @@
 import math
 from collections.abc import Collection, Sequence
 from dataclasses import dataclass, replace
+from random import Random
 
 # A run is moved when an event takes this many times as long on its engine as on one
 # with free capacity: prefilling the text again costs less than two events.
@@ -25,6 +26,9 @@
 # of a full engine, so a model's own engines are filled first: steps of several models
 # begin together and would compete for each other's engines.
 OTHER_MODEL_COST = 0.1
+# Engines whose costs differ by less than this share count as equal: it is less than the
+# error of a measured time of an event.
+NEAR_COST = 0.03
 # Share of its capacity that an engine reserves for items of its own model.
 RESERVED_SHARE = 0.34
 
@@ -116,11 +120,14 @@
     min_version: int,
     excluded: Collection[str] = (),
     software: str | None = None,
+    rng: Random | None = None,
 ) -> str | None:
     """Return the name of the cheapest usable engine for an item, or None.
 
     An engine of unknown version counts as having `min_version`. With `software`, only
-    engines with this version of their software are usable.
+    engines with this version of their software are usable. With `rng`, one of the
+    engines that cost nearly the least is drawn, so that nodes that place at the same
+    moment do not all choose the same engine.
     """
     usable = [
         engine
@@ -133,7 +140,10 @@
     if not usable:
         return None
     best = min(usable, key=_cost)
-    return best.name
+    if rng is None:
+        return best.name
+    limit = _cost(best)[0] * (1.0 + NEAR_COST)
+    return rng.choice([engine for engine in usable if _cost(engine)[0] <= limit]).name
 
 
 def reserve_capacity(engine: EngineCandidate, chosen: str) -> EngineCandidate:
@@ -148,6 +158,11 @@
     return replace(engine, in_use=engine.in_use + 1)
 
 
+def mark_full(engine: EngineCandidate) -> EngineCandidate:
+    """Return the engine without free capacity."""
+    return replace(engine, in_use=max(engine.in_use, engine.concurrency))
+
+
 def choose_moves(
     running: Sequence[RunningItem], engines: Sequence[EngineCandidate]
 ) -> list[RunningItem]:
@@ -199,6 +214,7 @@
     "RunningItem",
     "WaitingItem",
     "choose_moves",
+    "mark_full",
     "order_items",
     "place_item",
     "reserve_capacity",
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -426,6 +426,36 @@
     run_scenario(scenario)
 
 
+def test_run_stays_in_a_queue_when_nothing_shows_that_another_engine_is_free(
+    run_scenario,
+):
+    """Runs were sent around between full engines that their owner took for free."""
+
+    async def scenario(cluster):
+        cluster.engines.queue_s.update(e1=1.2, e2=1.2)
+        job = await submit(cluster, job=build_job(items=1))
+        check_results(await read_all_results(cluster, "a", job), job)
+        assert len(cluster.engines.runs) == 1
+
+    run_scenario(scenario)
+
+
+def test_no_more_runs_are_sent_to_an_engine_while_it_queues_one(run_scenario):
+    """Other owners filled an engine after its last report, which shows it as free."""
+
+    async def scenario(cluster):
+        cluster.engines.queue_s["e2"] = 1.0
+        await submit(cluster, job=build_job(items=8))
+        await asyncio.sleep(0.3)
+        later = build_job("j2")
+        await submit(cluster, job=later)
+        await asyncio.sleep(0.05)
+        runs = [run for run in cluster.engines.runs if run[0].startswith("j2")]
+        assert [name for _, name, _ in runs] == ["e1"] * 4
+
+    run_scenario(scenario)
+
+
 def test_runs_on_an_engine_that_stops_sending_events_move_to_another(run_scenario):
     """An engine stops sending events while runs are streaming."""
 
--- a/tests/policy/test_item_placement.py
+++ b/tests/policy/test_item_placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from random import Random
 
 import pytest
@@ -59,6 +60,22 @@
     assert place_item(engines, 0) == "b-fast"
 
 
+def test_owners_that_place_at_once_use_all_equal_engines():
+    """Many owners place at once on engines whose last reports show them free.
+
+    All of them chose the engine whose name sorts first.
+    """
+    engines = [build_engine(f"e{n}", slowness=1.0 + 0.001 * n) for n in range(5)]
+    chosen = Counter(place_item(engines, 0, rng=Random(n)) for n in range(40))
+    assert len(chosen) == 5
+    assert max(chosen.values()) <= 16
+
+
+def test_owners_draw_no_engine_that_is_clearly_slower():
+    engines = [build_engine("fast", in_use=6), build_engine("slow", slowness=1.2)]
+    assert {place_item(engines, 0, rng=Random(n)) for n in range(20)} == {"fast"}
+
+
 def test_runs_move_only_to_a_much_faster_engine_with_free_capacity():
     slow = build_engine("slow", in_use=3, slowness=2.6)
     runs = [RunningItem("j", f"r{n}", "slow", 5, 100 * n) for n in range(3)]
