--- a/src/tamarackshelf/cli/node.py
+++ b/src/tamarackshelf/cli/node.py
@@ -14,6 +14,7 @@
 from tamarackshelf.entry.streamer import Streamer
 from tamarackshelf.jobs.manager import JobManager
 from tamarackshelf.net import HttpClient
+from tamarackshelf.net.allocator import return_large_blocks_to_system
 from tamarackshelf.net.buffers import BUDGET
 from tamarackshelf.node.configuration_view import ConfigurationView
 from tamarackshelf.node.program import (
@@ -64,6 +65,7 @@
     # A SIGHUP must not end the process before the event loop handles the signal.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     set_up_bounded_logs()
+    return_large_blocks_to_system()
     asyncio.run(_run(load, settings))
 
 
--- a/src/tamarackshelf/net/http_client.py
+++ b/src/tamarackshelf/net/http_client.py
@@ -13,9 +13,13 @@
 from tamarackshelf.net.buffers import BuffersFull, hold
 from tamarackshelf.net.http_types import Headers, encode_headers
 from tamarackshelf.net.sockets import limit_receive_buffer, set_keep_alive
+from tamarackshelf.net.streams import (
+    READ_SIZE_BYTES,
+    BoundedStreamProtocol,
+    create_reader,
+)
 from tamarackshelf.world import Address
 
-READ_SIZE_BYTES = 16 * 1024
 SENT_SIZE_BYTES = 64 * 1024
 CONNECT_TIMEOUT_S = 2.0
 POOL_SIZE_PER_ADDRESS = 16
@@ -264,25 +268,10 @@
             return bytes(body)
     except BuffersFull as error:
         raise ConnectionLost(str(error)) from error
-
-
-class _CountingProtocol(asyncio.StreamReaderProtocol, asyncio.BufferedProtocol):
-    """Protocol of a stream that counts the bytes received, read or not.
-
-    It reads into one buffer for all connections; the event loop would allocate much
-    more for each read.
-    """
-
-    received_bytes = 0
-
-    def get_buffer(self, sizehint: int) -> memoryview:
-        """Return the buffer for the next read."""
-        return _READ_BUFFER
-
-    def buffer_updated(self, nbytes: int) -> None:
-        """Count the bytes read and hand them to the reader."""
-        self.received_bytes += nbytes
-        self.data_received(bytes(_READ_BUFFER[:nbytes]))
+    finally:
+        # An error's traceback refers to this frame, often until the next collection
+        # of cycles, while the budget counts these bytes no longer.
+        body.clear()
 
 
 class _Connection:
@@ -290,7 +279,7 @@
 
     def __init__(
         self,
-        protocol: _CountingProtocol,
+        protocol: BoundedStreamProtocol,
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
@@ -429,9 +418,9 @@
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout_at(deadline_s):
-            reader = asyncio.StreamReader(limit=READ_SIZE_BYTES)
+            reader = create_reader()
             transport, protocol = await loop.create_connection(
-                lambda: _CountingProtocol(reader),
+                lambda: BoundedStreamProtocol(reader),
                 address.host,
                 address.port,
             )
@@ -445,7 +434,6 @@
     return _Connection(protocol, reader, writer)
 
 
-_READ_BUFFER = memoryview(bytearray(READ_SIZE_BYTES))
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
 __all__ = [
--- a/src/tamarackshelf/net/http_server.py
+++ b/src/tamarackshelf/net/http_server.py
@@ -28,13 +28,17 @@
     reset_on_close,
     set_keep_alive,
 )
+from tamarackshelf.net.streams import (
+    READ_SIZE_BYTES,
+    BoundedStreamProtocol,
+    create_reader,
+)
 from tamarackshelf.world import Address
 
 Handler = Callable[[Request], Awaitable[Response]]
 LimitsSource = Callable[[], "ServerLimits"]
 RequestFilter = Callable[[Request], bool]
 
-READ_SIZE_BYTES = 16 * 1024
 # A long body is sent in pieces of this size.
 SENT_SIZE_BYTES = 64 * 1024
 # HttpServer.close waits this long for the answers to requests that it gives up.
@@ -89,8 +93,10 @@
 
     async def start(self, address: Address) -> Address:
         """Listen on the address and return the bound address."""
-        self._server = await asyncio.start_server(
-            self._accept, address.host, address.port, limit=READ_SIZE_BYTES
+        self._server = await asyncio.get_running_loop().create_server(
+            lambda: BoundedStreamProtocol(create_reader(), self._accept),
+            address.host,
+            address.port,
         )
         host, port = self._server.sockets[0].getsockname()[:2]
         return Address(host, port)
--- a/tests/net/test_dead_connections.py
+++ b/tests/net/test_dead_connections.py
@@ -20,7 +20,8 @@
     ResponseOverdue,
     ServerLimits,
 )
-from tamarackshelf.net.http_client import _Connection, _CountingProtocol
+from tamarackshelf.net.http_client import _Connection
+from tamarackshelf.net.streams import BoundedStreamProtocol
 from tests.conftest import find_free_address
 
 MAX_READS = 50
@@ -121,7 +122,7 @@
     async def scenario():
         reader = asyncio.StreamReader()
         reader.set_exception(error)
-        connection = _Connection(_CountingProtocol(reader), reader, Writer())
+        connection = _Connection(BoundedStreamProtocol(reader), reader, Writer())
         with pytest.raises(ConnectionLost):
             await connection.next_event(asyncio.get_running_loop().time() + 1.0)
 
