--- a/src/tamarackshelf/trials/contention.py
+++ b/src/tamarackshelf/trials/contention.py
@@ -14,7 +14,9 @@
 from collections import Counter, OrderedDict, deque
 from collections.abc import AsyncGenerator, Iterable, Sequence
 from dataclasses import dataclass, field, replace
+from functools import partial
 from random import Random
+from types import SimpleNamespace
 from typing import cast
 
 import fire
@@ -24,6 +26,7 @@
     EngineReport,
     ItemEvent,
     ItemRun,
+    LoadListener,
     OutcomeUnknown,
     TargetBusy,
     TargetClient,
@@ -279,7 +282,7 @@
         self._known_prefixes: set[str] = set()
 
     async def run_item(
-        self, target: Target, run: ItemRun
+        self, target: Target, run: ItemRun, on_load: LoadListener
     ) -> AsyncGenerator[ItemEvent, None]:
         engine, report = self.engines[target.name], self.report
         report.runs += 1
@@ -307,8 +310,9 @@
             for number in range(done, self.lengths[run.item.item_id]):
                 await asyncio.sleep(engine.compute_event_s(_now_s()))
                 report.events += 1
-                is_first = number == done and self._has_reports
-                yield ItemEvent(number, "t", 1, load if is_first else None)
+                if number == done and self._has_reports:
+                    on_load(target, load, False)
+                yield ItemEvent(number, "t", 1)
         finally:
             engine.busy_s += _now_s() - entered_s
             engine.leave()
@@ -386,7 +390,13 @@
         registry.find_assigned_model = lambda engine: assigned.get(engine, "")
         registry.is_connected = lambda target: True
         self.metrics = Metrics()
-        client = cast("TargetClient", engines)
+        client = cast(
+            "TargetClient",
+            SimpleNamespace(
+                run_item=partial(engines.run_item, on_load=registry.record_load),
+                read_report=engines.read_report,
+            ),
+        )
         table = RouteTable(_build_configuration())
         scorer = Scorer(registry, client, lambda: table, "dc", timeline)
         self.runner = JobRunner(
--- a/tests/node/test_configuration_follower.py
+++ b/tests/node/test_configuration_follower.py
@@ -78,7 +78,7 @@
             self.view, MemoryHttp(cluster.network, name), self.timeline, self.metrics
         )
         api = PeerApi(None, None, None, None, None, cluster, lambda: None)
-        api.add_handler(CONFIGURATION_PATH, self.follower.answer)
+        api.add_handlers({CONFIGURATION_PATH: self.follower.answer})
         cluster.network.add(api.handle, cluster.records[name].peers)
 
     async def start(self):
