--- a/src/tamarackshelf/node/configuration_follower.py
+++ b/src/tamarackshelf/node/configuration_follower.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 
 import msgspec
 
@@ -32,8 +33,10 @@
 # The value of the rumour is the node that published it first.
 VERSION_SUBJECT = "configuration"
 # A node that follows the store's feed has a new version within this time; only the
-# others ask peers.
+# others ask peers. They begin at different times, so that the later ones find the
+# version at any peer and do not all ask its publisher.
 FEED_LEAD_S = 0.6
+MAX_JITTER_S = 1.0
 # Peers asked in a round, one after another, before the node that published the version.
 # It alone has it if all other nodes are refused, and need not serve all of them if not.
 RANDOM_PEERS = 4
@@ -106,7 +109,7 @@
     async def _run(self) -> None:
         while True:
             await self._is_behind.wait()
-            await asyncio.sleep(FEED_LEAD_S)
+            await asyncio.sleep(FEED_LEAD_S + random.uniform(0.0, MAX_JITTER_S))
             pause_s = MIN_PAUSE_S
             while self._newest.version > self._version:
                 newest = self._newest
--- a/tests/jobs/test_organisations.py
+++ b/tests/jobs/test_organisations.py
@@ -194,6 +194,21 @@
     run_scenario(scenario)
 
 
+def test_head_that_an_earlier_release_writes_opens_the_job_to_nobody(run_scenario):
+    async def scenario(cluster):
+        await submit(cluster, job=build_owned())
+        await asyncio.sleep(0.1)
+        (head,) = read_heads(cluster)
+        row = msgspec.msgpack.encode(replace(head, epoch=2, owner="b", organisation=""))
+        cluster.store.put(HEAD_TABLE, "head", row, part="j1")
+        await asyncio.sleep(0.1)
+        await check_hidden(cluster, "j1", "south")
+        page = await cluster.nodes["c"].job_manager.reader.read("j1", 0, 0.0, "north")
+        assert page.total == 4
+
+    run_scenario(scenario)
+
+
 # Jobs stored before organisations existed have no name, and their trainers must not
 # lose them.
 def test_job_without_an_organisation_is_served_to_every_key(run_scenario):
--- a/tests/node/test_configuration_follower.py
+++ b/tests/node/test_configuration_follower.py
@@ -54,6 +54,14 @@
         return await self._peer.store.call_direct(lambda store: store.feed(query))
 
 
+class ShufflingFleet(FakeFleet):
+    """Returns the peers in random order, as a Fleet does."""
+
+    def peers(self):
+        found = super().peers()
+        return random.sample(found, len(found))
+
+
 class Node:
     """A node that follows all its tables, directly or through its peers."""
 
@@ -71,7 +79,7 @@
         ]
         tables = build_platform_tables(Metrics(), checks_fencing=True)
         self.watches[0].on_change(tables.build_operator_listener(self.view, None))
-        self.fleet = FakeFleet(name, cluster.records, cluster.dead)
+        self.fleet = ShufflingFleet(name, cluster.records, cluster.dead)
         self.fleet.gossip = FakeGossip(cluster.listeners, cluster.newest)
         self.metrics = Metrics()
         self.follower = ConfigurationFollower(
@@ -136,13 +144,15 @@
 
 # Without hints by gossip, nodes of which the store refused nine in ten asked two random
 # peers a second for all their tables together, most of which it refused as well.
-@pytest.mark.parametrize("refused", [1, 10, 18, 19])
+@pytest.mark.parametrize(
+    ("nodes", "refused"), [(20, 1), (20, 10), (20, 18), (20, 19), (60, 59)]
+)
 @pytest.mark.parametrize("refused_before_s", [0.0, 20.0])
 def test_refused_nodes_follow_the_configuration_through_peers(
-    run, refused, refused_before_s
+    run, nodes, refused, refused_before_s
 ):
     async def scenario():
-        cluster = Cluster(seed=refused)
+        cluster = Cluster(seed=refused, nodes=nodes)
         await cluster.start()
         for node in cluster.nodes[:refused]:
             node.client.is_refused = True
--- a/tests/platform/test_caller_keys.py
+++ b/tests/platform/test_caller_keys.py
@@ -33,6 +33,14 @@
     assert "x-credential" not in headers
 
 
+# Headers are written as latin-1, which replaced the characters by question marks.
+def test_name_beyond_ascii_is_sent_as_utf_8(run):
+    node = KeyedNode(build_row(tenants=[{"name": "modèle 模型", "apiKeys": ["k"]}]))
+    assert run(node.send("/score/x", {"x-credential": "k"})).status == 200
+    (headers,) = node.list_sent_headers()
+    assert headers["x-tenant"].encode("latin-1").decode() == "modèle 模型"
+
+
 def test_every_key_of_an_organisation_is_accepted(run):
     node = KeyedNode(build_row())
     for key in ("key-n1", "key-n2", "key-s1"):
