--- a/src/tamarackshelf/policy/scaling.py
+++ b/src/tamarackshelf/policy/scaling.py
@@ -214,8 +214,8 @@
     def decide(self, inputs: ScalingInputs, now_s: float) -> tuple[WorkerOrder, ...]:
         """Return the orders to send now, one after the other.
 
-        The outcome of each is recorded before the next decision. Orders that reduce a
-        number come first, so that the bounds hold between two calls.
+        The outcome of each is recorded before the next decision. Workers get the room
+        of others only once these have ended, so the bounds hold between two orders.
         """
         scaling = inputs.scaling
         if scaling is None:
@@ -260,7 +260,6 @@
         ]
         if is_lacking:
             changed += self._list_withdrawn(pools, present, changed, now_s)
-        changed.sort(key=lambda pool: self.wanted[pool] > present.counts[pool])
         for pool in changed:
             state = self._pools[pool]
             state.earlier = state.attempt
--- a/src/tamarackshelf/policy/slot_demand.py
+++ b/src/tamarackshelf/policy/slot_demand.py
@@ -16,8 +16,8 @@
 # Bounds the time of one computation, which grows with the square of the jobs.
 MAX_ARRIVALS = 100
 # Demand counts as growing if the work of the newer half of the window exceeds that of
-# the older half by this factor. Steps of 32 to 64 items from four trainers alone make the
-# halves differ by up to a third.
+# the older half by this factor. Steps of 32 to 64 items from four trainers alone made
+# the halves differ by more than a quarter within a minute.
 GROWTH_THRESHOLD = 1.4
 MAX_GROWTH = 1.6
 MIN_ARRIVALS_PER_HALF = 3
--- a/tests/policy/test_scaling.py
+++ b/tests/policy/test_scaling.py
@@ -185,6 +185,30 @@
             )
 
 
+def test_growth_of_the_work_is_expected_to_go_on():
+    """Guards against too few slots for the next jobs, which are larger."""
+    ages_s = [0.5 + 2 * n for n in range(12)]
+    even = [JobArrival(age_s, 40, 2.0, 7.5) for age_s in ages_s]
+    grown = [replace(job, items=20) if job.age_s > 12 else job for job in even]
+    slots = [
+        compute_needed_slots(OfferedLoad(arrivals=tuple(arrivals)), 0, STARTUP_S)
+        for arrivals in (even, grown, grown[:6])
+    ]
+    assert slots[1] >= 1.4 * slots[2]
+    assert slots[0] < slots[1]
+
+
+def test_workers_reclaimed_between_two_bursts_are_made_up_for_the_next():
+    """Guards against the need of the moment, which is low between bursts."""
+    scaler, platform = WorkerScaler(), Platform()
+    run(scaler, platform, serve_requests(80), 0, 20)
+    for data_centre in ("a", "b"):
+        platform.reclaim(data_centre, 20)
+    run(scaler, platform, serve_requests(0), 20, 30)
+    needed = math.ceil(compute_needed_slots(serve_requests(80)(0), 0, 0) / SLOTS)
+    assert sum(platform.present.values()) >= needed
+
+
 def test_lost_requests_raise_the_number_though_the_estimate_is_met():
     """Guards against a wrong duration of requests, with which losses would stay."""
     scaler, platform = WorkerScaler(), Platform()
@@ -203,11 +227,12 @@
     get_load = serve_requests(80)
     run(scaler, platform, get_load, 0, 30)
     needed = math.ceil(compute_needed_slots(get_load(0), 0, STARTUP_S) / SLOTS)
-    (most, _), *_ = Counter(
+    (most, reclaimed), *_ = Counter(
         {pool: n for pool, n in platform.present.items() if pool.is_preemptible}
     ).most_common()
     platform.reclaim(most.data_centre, 30)
     platform.refuses = lambda order: order.pool == most
+    assert reclaimed > 1
     assert sum(platform.present.values()) >= needed
     sent = run(scaler, platform, get_load, 30, 36)
     assert sent
@@ -215,6 +240,13 @@
     assert is_sufficient(platform.present, needed)
 
 
+def test_preemptible_workers_in_one_place_are_not_relied_on():
+    """Guards against counting workers that one reclaim would take."""
+    bounds = PlanBounds(SCALING)
+    plan = plan_workers(8, {WorkerPool("a", True): 10}, ["a", "b", "c"], bounds)
+    assert sum(plan.values()) - plan[WorkerPool("a", True)] >= 8
+
+
 def test_room_of_reclaimed_workers_is_used_by_regular_ones_within_the_bounds():
     """Guards against an earlier order that keeps the room, and against both at once."""
     scaling = Scaling(0, 10, STARTUP_S, 0.18, {"a": 1.0, "b": 1.0})
@@ -264,18 +296,33 @@
 def test_unanswered_order_keeps_its_room_while_it_may_be_executed():
     """Guards against a late call that takes a data centre above its maximum."""
     scaling = Scaling(0, 4, STARTUP_S, 0.18, {"a": 1.0})
-    scaler = WorkerScaler()
-    seen = ScalingInputs(scaling, (), serve_requests(6)(0))
-    orders = scaler.decide(seen, 0.0)
-    unanswered = Counter()
-    for order in orders:
-        unanswered[order.pool] = order.count
-        scaler.record_outcome(order, OrderOutcome.UNANSWERED, 0.0)
-    for tick in range(1, 12):
-        for order in scaler.decide(seen, tick * TICK_S):
-            other = WorkerPool("a", not order.pool.is_preemptible)
-            assert order.count + unanswered[other] <= scaling.max_workers
-            scaler.record_outcome(order, OrderOutcome.REFUSED, tick * TICK_S)
+    scaler, seen = WorkerScaler(), ScalingInputs(scaling, (), serve_requests(6)(0))
+    unanswered = 0
+    for order in scaler.decide(seen, 0.0):
+        if order.pool.is_preemptible:
+            unanswered = order.count
+            scaler.record_outcome(order, OrderOutcome.UNANSWERED, 0.0)
+        else:
+            scaler.record_outcome(order, OrderOutcome.ACCEPTED, 0.0)
+    assert unanswered
+    (order,) = scaler.decide(replace(seen, load=serve_requests(30)(0)), 0.5)
+    assert not order.pool.is_preemptible
+    assert order.count == scaling.max_workers - unanswered
+
+
+def test_refused_increase_leaves_the_earlier_order_in_force():
+    """Guards against giving up workers that start, because no more are available."""
+    scaler, seen = WorkerScaler(), ScalingInputs(SCALING, (), serve_requests(40)(0))
+    for order in scaler.decide(seen, 0.0):
+        scaler.record_outcome(order, OrderOutcome.ACCEPTED, 0.0)
+    starting = dict(scaler.wanted)
+    more = replace(seen, load=serve_requests(90)(0))
+    while orders := scaler.decide(more, 1.0):
+        for order in orders:
+            assert order.count > starting[order.pool]
+            scaler.record_outcome(order, OrderOutcome.REFUSED, 1.0)
+    scaler.decide(more, 1.5)
+    assert scaler.wanted == starting
 
 
 def test_accepted_order_without_effect_is_made_up_elsewhere_after_the_startup_time():
@@ -440,7 +487,9 @@
             disturbed_at_s = now_s
         refused = data.draw(st.sets(pools, max_size=3))
         platform.refuses = lambda order, refused=refused: order.pool in refused
-        if refused:
+        ignored = data.draw(st.sets(pools, max_size=2))
+        platform.ignores = ignored.__contains__
+        if refused or ignored:
             disturbed_at_s = now_s
         seen = ScalingInputs(scaling, platform.list_workers(), load)
         ordered = []
