--- a/src/tamarackshelf/cli/node.py
+++ b/src/tamarackshelf/cli/node.py
@@ -14,6 +14,7 @@
 from tamarackshelf.entry.streamer import Streamer
 from tamarackshelf.jobs.manager import JobManager
 from tamarackshelf.net import HttpClient
+from tamarackshelf.net.allocator import return_large_blocks_to_system
 from tamarackshelf.net.buffers import BUDGET
 from tamarackshelf.node.configuration_view import ConfigurationView
 from tamarackshelf.node.program import (
@@ -27,8 +28,10 @@
 from tamarackshelf.node.target_limits import TargetLimits
 from tamarackshelf.node.target_paths import TargetPaths
 from tamarackshelf.observe import Metrics, Timeline, set_up_bounded_logs
+from tamarackshelf.organisations import KeyAuthenticator
 from tamarackshelf.platform.caller_api import CallerApi
 from tamarackshelf.platform.directory import build_ready_handler, build_resolve_handler
+from tamarackshelf.platform.duty_client import PlatformDutyClient
 from tamarackshelf.platform.row_handlers import build_platform_tables
 from tamarackshelf.platform.rows import PlatformRowStore
 from tamarackshelf.platform.settings import SETTINGS_VARIABLE, load_settings
@@ -64,6 +67,7 @@
     # A SIGHUP must not end the process before the event loop handles the signal.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     set_up_bounded_logs()
+    return_large_blocks_to_system()
     asyncio.run(_run(load, settings))
 
 
@@ -109,32 +113,41 @@
         for _ in range(2)
     )
     metrics = Metrics()
+    duty_platform = None
+    if settings.duties is not None:
+        duty_platform = PlatformDutyClient(http, settings.duties.address)
     paths = TargetPaths(
         targets_http, relay_http, timeline, metrics, lambda: int(time.time() * 1000)
     )
     limits = TargetLimits(http, timeline, metrics)
+    target_client = PlatformTargetClient(paths, limits)
+    authenticator = KeyAuthenticator(timeline, metrics)
+
+    def build_callers(
+        view: ConfigurationView,
+        forwarder: Forwarder,
+        streamer: Streamer,
+        manager: JobManager,
+    ) -> CallerHandler:
+        target_client.has_organisations = view.has_organisations
+        return CallerApi(
+            view.get_route_table, forwarder, streamer, manager, authenticator
+        ).handle
+
     return NodeProgram(
         settings,
         PlatformRowStore(http, settings.store_address),
-        PlatformTargetClient(paths, limits),
+        target_client,
         paths,
         limits,
         build_platform_tables(metrics, checks_fencing=settings.targets_check_fencing),
-        HandlerFactories(_build_callers, build_resolve_handler, build_ready_handler),
+        HandlerFactories(build_callers, build_resolve_handler, build_ready_handler),
         (http, targets_http, relay_http),
         timeline,
         metrics,
+        duty_platform,
     )
 
 
-def _build_callers(
-    view: ConfigurationView,
-    forwarder: Forwarder,
-    streamer: Streamer,
-    manager: JobManager,
-) -> CallerHandler:
-    return CallerApi(view.get_route_table, forwarder, streamer, manager).handle
-
-
 if __name__ == "__main__":
     main()
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 
 import pytest
 
@@ -367,6 +368,50 @@
     run_scenario(scenario)
 
 
+def count_metric(node, name):
+    text = node.metrics.render().decode()
+    found = re.search(rf"^tamarackshelf_{name}_total (\d+)", text, re.MULTILINE)
+    return int(found[1]) if found else 0
+
+
+@pytest.mark.parametrize("cause", ["paused", "job_ended", "shutdown"])
+def test_stopped_runs_are_counted_by_cause(run_scenario, cause):
+    """All cancelled runs of a day looked alike, so no cause could be told from it."""
+
+    async def scenario(cluster):
+        node = cluster.nodes["a"]
+        job = await submit(cluster)
+        await asyncio.sleep(0.1)
+        if cause == "paused":
+            await node.runner.pause()
+            node.runner.resume()
+        elif cause == "job_ended":
+            await node.job_manager.end(job.job_id)
+        else:
+            await cluster.kill("a")
+        await asyncio.sleep(0.1)
+        assert count_metric(node, f"item_runs_stopped_{cause}") == len(job.items)
+
+    run_scenario(scenario)
+
+
+@pytest.mark.parametrize(
+    ("error", "name"),
+    [(TargetBusy("full"), "busy"), (NotRun("no connection"), "unreachable")],
+)
+def test_runs_that_an_engine_refuses_are_counted_by_reason(run_scenario, error, name):
+    """A full engine is no fault, and an unreachable one is."""
+
+    async def scenario(cluster):
+        job = build_job()
+        cluster.engines.faults["j1-2"] = error
+        await submit(cluster, job=job)
+        await read_all_results(cluster, "a", job)
+        assert count_metric(cluster.nodes["a"], f"item_runs_not_run_{name}") == 1
+
+    run_scenario(scenario)
+
+
 def test_runs_queued_at_a_full_engine_move_to_another(run_scenario):
     """The runs of another node have just taken the whole capacity of an engine."""
 
@@ -381,6 +426,36 @@
     run_scenario(scenario)
 
 
+def test_run_stays_in_a_queue_when_nothing_shows_that_another_engine_is_free(
+    run_scenario,
+):
+    """Runs were sent around between full engines that their owner took for free."""
+
+    async def scenario(cluster):
+        cluster.engines.queue_s.update(e1=1.2, e2=1.2)
+        job = await submit(cluster, job=build_job(items=1))
+        check_results(await read_all_results(cluster, "a", job), job)
+        assert len(cluster.engines.runs) == 1
+
+    run_scenario(scenario)
+
+
+def test_no_more_runs_are_sent_to_an_engine_while_it_queues_one(run_scenario):
+    """Other owners filled an engine after its last report, which shows it as free."""
+
+    async def scenario(cluster):
+        cluster.engines.queue_s["e2"] = 1.0
+        await submit(cluster, job=build_job(items=8))
+        await asyncio.sleep(0.3)
+        later = build_job("j2")
+        await submit(cluster, job=later)
+        await asyncio.sleep(0.05)
+        runs = [run for run in cluster.engines.runs if run[0].startswith("j2")]
+        assert [name for _, name, _ in runs] == ["e1"] * 4
+
+    run_scenario(scenario)
+
+
 def test_runs_on_an_engine_that_stops_sending_events_move_to_another(run_scenario):
     """An engine stops sending events while runs are streaming."""
 
