--- a/src/tamarackshelf/gossip/link.py
+++ b/src/tamarackshelf/gossip/link.py
@@ -7,9 +7,11 @@
 import hmac
 import logging
 from collections.abc import Callable
+from dataclasses import replace
 from typing import Any
 
 import msgspec
+from msgspec import UNSET
 
 from tamarackshelf.decoding import InvalidInput, decode_msgpack
 from tamarackshelf.policy.membership import Datagram
@@ -62,6 +64,10 @@
         Log an error instead when it is larger than MAX_DATAGRAM_BYTES.
         """
         data = encode_signed(self._key, self._wall_ms(), datagram)
+        if len(data) > MAX_DATAGRAM_BYTES and datagram.loads is not UNSET:
+            # Other nodes need the rumours more than the loads.
+            datagram = replace(datagram, loads=UNSET)
+            data = encode_signed(self._key, self._wall_ms(), datagram)
         if len(data) > MAX_DATAGRAM_BYTES:
             event = {
                 "to": str(address),
--- a/src/tamarackshelf/gossip/task.py
+++ b/src/tamarackshelf/gossip/task.py
@@ -5,14 +5,17 @@
 import asyncio
 import contextlib
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Protocol
 
+from msgspec import UNSET
+
 from tamarackshelf.contracts import call_json
 from tamarackshelf.net import HttpClient
 from tamarackshelf.observe import Timeline
 from tamarackshelf.peers.view_watch import CALL_ERRORS
+from tamarackshelf.policy.gossip_types import LoadShare
 from tamarackshelf.policy.membership import (
     MEMBER_PREFIX,
     Datagram,
@@ -79,6 +82,10 @@
         self._sync_task: asyncio.Task[None] | None = None
         self._last_statuses: dict[str, MemberStatus] = {}
         self.has_joined = False
+        # Returns the loads that the next datagrams tell.
+        self.build_loads: Callable[[], tuple[LoadShare, ...]] = tuple
+        # Called with the loads that a datagram told.
+        self.receive_loads: Callable[[tuple[LoadShare, ...]], None] = lambda loads: None
         self._is_paused = False
 
     def on_change(self, listener: Callable[[], None]) -> None:
@@ -169,17 +176,23 @@
         if datagram.sender not in self._entries:
             # A new member must get answers even before the platform lists it.
             self._unlisted_addresses[datagram.sender] = source
+        if datagram.loads is not UNSET:
+            self.receive_loads(datagram.loads)
         self._send(self.membership.receive(datagram, _now_s()))
         self._notify_listeners()
 
     def _send(self, outgoing: list[Outgoing]) -> None:
+        loads = self.build_loads() if outgoing else ()
         for message in outgoing:
             entry = self._entries.get(message.to)
             address = (
                 entry.gossip if entry else self._unlisted_addresses.get(message.to)
             )
             if address is not None:
-                self.link.send(address, message.datagram)
+                datagram = message.datagram
+                if loads:
+                    datagram = replace(datagram, loads=loads)
+                self.link.send(address, datagram)
 
     def _notify_listeners(self) -> None:
         new_rumours = self.membership.rumours.drain_new()
--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -29,6 +29,7 @@
 from tamarackshelf.node.fleet import Fleet
 from tamarackshelf.node.freeze import watch_for_freezes
 from tamarackshelf.node.leaving_targets import LeavingTargets
+from tamarackshelf.node.load_sharing import share_loads
 from tamarackshelf.node.peer_api import PeerApi, is_target_call
 from tamarackshelf.node.peer_store import PeerStore
 from tamarackshelf.node.quarantine import RequestQuarantine
@@ -311,6 +312,7 @@
         self.limits.connect(fleet)
         self.paths.connect(fleet, self.targets)
         self.leaving_targets.connect(fleet)
+        share_loads(fleet, self.targets, _wall_ms())
         self._connect_engine_requests(fleet, self.weights)
         await self._watches[NODE_TABLE].loaded.wait()
         await self.quarantine.start(
--- a/src/tamarackshelf/node/targets.py
+++ b/src/tamarackshelf/node/targets.py
@@ -21,7 +21,13 @@
 from tamarackshelf.observe import Timeline
 from tamarackshelf.policy.ejection import TargetHealth, compute_healthy_share
 from tamarackshelf.policy.item_placement import EngineCandidate
+from tamarackshelf.policy.load_estimate import (
+    LoadEstimate,
+    LoadReport,
+    compute_usual_others,
+)
 from tamarackshelf.policy.routing import Candidate, TargetRequirements, route
+from tamarackshelf.policy.shared_loads import ExpectedLoads, build_key
 from tamarackshelf.world import Address, Target, TargetKind
 
 # A target that refused a request because it is busy gets no new work for this long.
@@ -31,6 +37,16 @@
 # Reports of engines count for longer: generating a text takes seconds, so the reported
 # runs last longer than the reported requests of other targets.
 ENGINE_REPORT_DECAY_S = 2.0
+# An engine's report counts for about this long beside what the nodes tell each other;
+# without that, and at other targets, the others' requests then approach their mean.
+ENGINE_HOLD_S = 1.0
+PLAIN_HOLD_S = 0.2
+# Engines queue three times what they run; higher totals are taken for this many times
+# their concurrency.
+MAX_REPORTED_FACTOR = 4
+# Share of a target's concurrency that other nodes are expected to use at most, without
+# news from them: a node that sends nothing to a target gets no report from it either.
+MAX_EXPECTED_SHARE = 0.75
 # Numbers of last durations whose median is used at most and at least; a median is not
 # affected by single pauses.
 MAX_DURATIONS = 7
@@ -98,7 +114,8 @@
 class TargetState:
     """One listed target and what this node has observed of it.
 
-    `others_in_flight` estimates the requests of other nodes from the last load report.
+    `others_in_flight` estimates the requests of other nodes from the last load report;
+    `estimate` does so for services whose targets report how long work takes.
     """
 
     record: TargetRecord
@@ -112,6 +129,11 @@
     measured_at_s: float = float("-inf")
     versions: dict[str, int] = field(default_factory=dict)
     health: TargetHealth = field(default_factory=TargetHealth)
+    estimate: LoadEstimate = field(init=False)
+
+    def __post_init__(self) -> None:
+        is_engine = self.target.kind is TargetKind.ENGINE
+        self.estimate = LoadEstimate(ENGINE_HOLD_S if is_engine else PLAIN_HOLD_S)
 
     @property
     def target(self) -> Target:
@@ -148,6 +170,10 @@
         self.find_assigned_model: Callable[[str], str] = lambda engine: ""
         # Returns whether the list shows every target as it is, but for short delays.
         self.is_list_current: Callable[[], bool] = lambda: True
+        # Returns what the other nodes told of their requests, or None without any news.
+        self.estimate_shared: Callable[[float], ExpectedLoads | None] = lambda now_s: (
+            None
+        )
         self._limits: LimitView = NoLimits()
         self._timeline = timeline
         self._recovered_at_s = recovered_at_s
@@ -379,12 +405,16 @@
         state = self._states.get(target.name)
         if state is None or state.target.incarnation != target.incarnation:
             return
-        if load.running is None and load.waiting is None:
-            return
         own = state.in_flight - has_ended
-        total = (load.running or 0) + (load.waiting or 0)
-        state.others_in_flight = max(0, total - own)
-        state.reported_at_s = _now_s()
+        now_s = _now_s()
+        total = None
+        if load.running is not None or load.waiting is not None:
+            total = (load.running or 0) + (load.waiting or 0)
+            # A figure beyond what a target can queue must not keep work away for long.
+            total = min(total, MAX_REPORTED_FACTOR * state.target.concurrency)
+            state.others_in_flight = max(0, total - own)
+            state.reported_at_s = now_s
+        state.estimate.record(LoadReport(now_s, total, load.slowdown), own)
 
     def record_queue(self, name: str) -> None:
         """Record that a run is queued at an engine, so its whole capacity is in use."""
@@ -393,6 +423,8 @@
             taken = state.target.concurrency - state.in_flight
             state.others_in_flight = max(state.others_in_flight, taken)
             state.reported_at_s = _now_s()
+            report = LoadReport(_now_s(), state.target.concurrency)
+            state.estimate.record(report, state.in_flight)
 
     def record_duration(self, name: str, duration: float) -> None:
         """Record how long a request or an event took at a target.
@@ -432,15 +464,23 @@
         fastest = _find_fastest(states)
         now_s = _now_s()
         healthy_share = compute_healthy_share([state.health for state in states], now_s)
+        expected = self._expect_others(states, now_s)
+        if expected is not None:
+            # The router compares the first connected target with the random ones.
+            self.rng.shuffle(states)
         return [
             Candidate(
                 target=state.target,
                 own_in_flight=state.in_flight,
-                others_in_flight=round(_decay_load(state, now_s)),
+                others_in_flight=round(_decay_load(state, now_s))
+                if expected is None
+                else state.estimate.estimate_others(now_s, expected[state.target.name]),
                 share=state.target.concurrency,
                 ruled_out=_explain_exclusion(state, healthy_share, now_s)
                 or self._explain_limit(state.target, kind),
-                slowness=_compute_slowness(state.median_duration(), fastest),
+                slowness=_compute_slowness(state.median_duration(), fastest)
+                if expected is None
+                else _estimate_slowness(state, fastest, now_s),
                 is_connected=self.is_connected(state.target),
             )
             for state in states
@@ -514,6 +554,7 @@
         fastest = _find_fastest(states)
         now_s = _now_s()
         healthy_share = compute_healthy_share([state.health for state in states], now_s)
+        expected = self._expect_others(states, now_s)
         return [
             EngineCandidate(
                 name=state.target.name,
@@ -521,9 +562,18 @@
                 concurrency=state.target.concurrency
                 if state.health.is_healthy(now_s)
                 else 1,
-                in_use=state.in_flight + round(_decay_load(state, now_s)),
+                in_use=state.in_flight
+                + round(
+                    _decay_load(state, now_s)
+                    if expected is None
+                    else state.estimate.estimate_others(
+                        now_s, expected[state.target.name]
+                    )
+                ),
                 version=state.find_version(model),
-                slowness=_compute_slowness(state.median_duration(), fastest),
+                slowness=_compute_slowness(state.median_duration(), fastest)
+                if expected is None
+                else _estimate_usual_slowness(state, fastest, now_s),
                 is_connected=self.is_connected(state.target),
                 serves_other_model=self.find_assigned_model(state.target.name)
                 not in ("", model),
@@ -544,6 +594,44 @@
         """Return the median seconds per event of the fastest engine, or None."""
         return _find_fastest(self.list_available(service))
 
+    def list_own_loads(self) -> dict[str, int]:
+        """Return this node's requests in flight at engines that report a slowdown.
+
+        The keys are those of SharedLoads.
+        """
+        return {
+            build_key(state.target): state.in_flight
+            for state in self._states.values()
+            if state.in_flight
+            and state.target.kind is TargetKind.ENGINE
+            and state.estimate.reports_slowdown
+        }
+
+    def _expect_others(
+        self, states: list[TargetState], now_s: float
+    ) -> dict[str, float] | None:
+        """Return by target the requests expected of other nodes without a report.
+
+        Return None for a service whose targets do not report how long work takes.
+        """
+        estimates = [state.estimate for state in states]
+        if not any(estimate.reports_slowdown for estimate in estimates):
+            return None
+        usual = compute_usual_others(estimates)
+        told = self.estimate_shared(now_s)
+        expected = {}
+        for state in states:
+            target = state.target
+            if told is not None and target.kind is TargetKind.ENGINE:
+                expected[target.name] = told.find(target)
+            else:
+                # A target counts as full by a report only, and only for a short time.
+                mean = state.estimate.expect_others(now_s, usual)
+                expected[target.name] = min(
+                    mean, MAX_EXPECTED_SHARE * target.concurrency
+                )
+        return expected
+
     def _explain_limit(self, target: Target, kind: CallKind) -> str:
         """Return why the target's rate limit admits no call now, or ""."""
         if self._limits.compute_wait_s(target, kind) > 0.0:
@@ -592,6 +680,27 @@
     return min(MAX_SLOWNESS, max(1.0, median_duration / fastest))
 
 
+def _estimate_usual_slowness(
+    state: TargetState, fastest: float | None, now_s: float
+) -> float:
+    """Return the time of work on a target relative to the fastest one.
+
+    It is measured if this node has sent enough there lately, else as reported.
+    """
+    measured = state.median_duration()
+    if measured is not None:
+        return _compute_slowness(measured, fastest)
+    return min(MAX_SLOWNESS, max(1.0, state.estimate.expect_slowdown(now_s)))
+
+
+def _estimate_slowness(
+    state: TargetState, fastest: float | None, now_s: float
+) -> float:
+    """Return the time of work on a target at this moment, relative to the fastest."""
+    usual = _estimate_usual_slowness(state, fastest, now_s)
+    return min(MAX_SLOWNESS, usual * state.estimate.compare_slowdown(now_s))
+
+
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
 
--- a/src/tamarackshelf/policy/gossip_types.py
+++ b/src/tamarackshelf/policy/gossip_types.py
@@ -4,9 +4,20 @@
 
 import enum
 from dataclasses import dataclass
+from typing import Annotated
+
+import msgspec
+from msgspec import UNSET, UnsetType
 
 from tamarackshelf.policy.rumours import Rumour
 
+_Hash = Annotated[int, msgspec.Meta(ge=0, lt=1 << 32)]
+_Sequence = Annotated[int, msgspec.Meta(ge=0, lt=1 << 16)]
+_Byte = Annotated[int, msgspec.Meta(ge=0, lt=1 << 8)]
+# Hash of a node's name, sequence and age of its numbers, and its requests in flight by
+# hash of the target.
+LoadShare = tuple[_Hash, _Sequence, _Byte, dict[_Hash, _Byte]]
+
 
 class MemberStatus(enum.IntEnum):
     """Status of a member; among rumours of one incarnation, the highest value wins."""
@@ -27,7 +38,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Datagram:
-    """One message; in a ping request, `about` names the member to probe."""
+    """One message; in a ping request, `about` names the member to probe.
+
+    `loads` is not sent if it is unset; older releases ignore it.
+    """
 
     kind: DatagramKind
     sender: str
@@ -35,6 +49,7 @@
     digest: int
     about: str = ""
     rumours: tuple[Rumour, ...] = ()
+    loads: tuple[LoadShare, ...] | UnsetType = UNSET
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,6 +87,7 @@
     "Datagram",
     "DatagramKind",
     "GossipTimes",
+    "LoadShare",
     "MemberStatus",
     "MemberView",
     "Outgoing",
--- a/src/tamarackshelf/policy/routing.py
+++ b/src/tamarackshelf/policy/routing.py
@@ -35,7 +35,7 @@
 
     target: Target
     own_in_flight: int = 0
-    others_in_flight: int = 0
+    others_in_flight: float = 0
     share: int = 1
     ruled_out: str = ""
     slowness: float = 1.0
--- a/tests/node/test_targets.py
+++ b/tests/node/test_targets.py
@@ -8,8 +8,10 @@
 
 import pytest
 
+from tamarackshelf.contracts.targets import TargetLoad
 from tamarackshelf.node.targets import TargetRegistry
 from tamarackshelf.observe import Timeline
+from tamarackshelf.policy.shared_loads import SharedLoads, build_key
 from tests.support.node import build_target
 
 MAX_USE_AFTER_LEAVING_S = 2.0
@@ -148,3 +150,112 @@
         assert count_choices(registry)["t2"] > 0
 
     run(scenario())
+
+
+def build_engine_registry():
+    timeline = Timeline("n", lambda: 0)
+    registry = TargetRegistry(timeline, lambda: float("-inf"), random.Random(3))
+    for name in ("t1", "t2", "t3"):
+        registry.put(build_target(name, "models", places=6, versions={"m": 1}))
+    return registry
+
+
+def report(registry, name, running, slowdown=None, waiting=0):
+    load = TargetLoad(running, waiting, 6, slowdown)
+    registry.record_load(registry.get(name).target, load, has_ended=False)
+
+
+def count_in_use(registry):
+    candidates = registry.list_engine_candidates("models", "m")
+    return {each.name: each.in_use for each in candidates}
+
+
+def test_engines_that_another_node_filled_are_not_taken_for_free(run):
+    """Owners of jobs each filled the same engines, as reports fade before texts end."""
+
+    async def scenario():
+        registry = build_engine_registry()
+        for name in ("t1", "t2", "t3"):
+            report(registry, name, 0, 1.0)
+        other, own = SharedLoads("b", 1), SharedLoads("a", 1)
+        registry.estimate_shared = own.estimate
+        registry.get("t1").in_flight = 1
+        await asyncio.sleep(3.0)
+        now_s = asyncio.get_running_loop().time()
+        told = {build_key(registry.get("t1").target): 5}
+        own.receive(other.build(told, now_s), now_s)
+        assert count_in_use(registry) == {"t1": 6, "t2": 0, "t3": 0}
+        assert list(registry.list_own_loads().values()) == [1]
+
+    run(scenario())
+
+
+def test_mean_of_reports_counts_while_other_nodes_tell_nothing(run):
+    async def scenario():
+        registry = build_engine_registry()
+        for _ in range(3):
+            report(registry, "t1", 5, 1.0)
+            report(registry, "t2", 1, 1.0)
+            await asyncio.sleep(1.0)
+        await asyncio.sleep(2.0)
+        assert count_in_use(registry)["t1"] >= 4 > count_in_use(registry)["t2"]
+
+    run(scenario())
+
+
+def test_reports_with_three_figures_fade_as_before(run):
+    """Deployments whose targets report no slowdown are served as before."""
+
+    async def scenario():
+        registry = build_engine_registry()
+        report(registry, "t1", 6)
+        assert count_in_use(registry)["t1"] == 6
+        await asyncio.sleep(1.0)
+        assert count_in_use(registry)["t1"] == 3
+        await asyncio.sleep(1.0)
+        assert count_in_use(registry)["t1"] == 0
+        registry.get("t1").in_flight = 4
+        assert registry.list_own_loads() == {}
+
+    run(scenario())
+
+
+def test_target_slowed_by_others_on_its_machine_gets_less_for_a_moment(run):
+    async def scenario():
+        registry = build_app_registry()
+        for name in ("t1", "t2", "t3", "t4"):
+            report(registry, name, 1, 1.0)
+        report(registry, "t2", 1, 4.0)
+        assert count_choices(registry)["t2"] < 20
+        await asyncio.sleep(30.0)
+        assert count_choices(registry)["t2"] > 30
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("figure", [0, 100_000])
+@pytest.mark.parametrize("slowdown", [0.05, 100.0])
+def test_odd_report_rules_out_no_target(run, figure, slowdown):
+    async def scenario():
+        registry = build_app_registry()
+        for name in ("t1", "t2", "t3", "t4"):
+            report(registry, name, figure, slowdown, waiting=figure)
+        assert sum(count_choices(registry, 50).values()) == 50
+        report(registry, "t1", None, slowdown, waiting=None)
+        assert sum(count_choices(registry, 50).values()) == 50
+
+    run(scenario())
+
+
+@pytest.mark.parametrize("slowdown", [None, 1.0])
+def test_engine_with_an_odd_report_is_free_again_after_a_moment(run, slowdown):
+    async def scenario():
+        registry = build_engine_registry()
+        for _ in range(5):
+            for name in ("t1", "t2", "t3"):
+                report(registry, name, 100_000, slowdown)
+            await asyncio.sleep(1.0)
+        await asyncio.sleep(2.0)
+        assert max(count_in_use(registry).values()) < 6
+
+    run(scenario())
