--- a/src/tamarackshelf/node/targets.py
+++ b/src/tamarackshelf/node/targets.py
@@ -18,7 +18,7 @@
     TargetLoad,
     TargetRecord,
 )
-from tamarackshelf.observe import Timeline
+from tamarackshelf.observe import Metrics, Timeline
 from tamarackshelf.policy.ejection import TargetHealth, compute_healthy_share
 from tamarackshelf.policy.item_placement import EngineCandidate
 from tamarackshelf.policy.load_estimate import (
@@ -47,6 +47,9 @@
 # Share of a target's concurrency that other nodes are expected to use at most, without
 # news from them: a node that sends nothing to a target gets no report from it either.
 MAX_EXPECTED_SHARE = 0.75
+# An estimate of others' requests counts as wrong if it differs from the next report by
+# more than this share of the target's concurrency.
+WRONG_SHARE = 0.34
 # Numbers of last durations whose median is used at most and at least; a median is not
 # affected by single pauses.
 MAX_DURATIONS = 7
@@ -174,6 +177,7 @@
         self.estimate_shared: Callable[[float], ExpectedLoads | None] = lambda now_s: (
             None
         )
+        self.metrics = Metrics()
         self._limits: LimitView = NoLimits()
         self._timeline = timeline
         self._recovered_at_s = recovered_at_s
@@ -383,6 +387,9 @@
         if isinstance(error, TargetChanged) or type(error) is NotRun:
             self.record_fault(name, str(error))
         else:
+            state = self._states.get(name)
+            if state is not None:
+                self.metrics.count(f"{state.target.kind}_calls_not_run")
             self.avoid(name, str(error), busy_s)
 
     def is_on_probation(self, name: str) -> bool:
@@ -412,6 +419,7 @@
             total = (load.running or 0) + (load.waiting or 0)
             # A figure beyond what a target can queue must not keep work away for long.
             total = min(total, MAX_REPORTED_FACTOR * state.target.concurrency)
+            self._count_report(state, total - own, now_s)
             state.others_in_flight = max(0, total - own)
             state.reported_at_s = now_s
         state.estimate.record(LoadReport(now_s, total, load.slowdown), own)
@@ -607,6 +615,20 @@
             and state.estimate.reports_slowdown
         }
 
+    def _count_report(self, state: TargetState, others: int, now_s: float) -> None:
+        """Count a report, its distance from the one before, and a wrong estimate."""
+        self.metrics.count("load_reports")
+        if not state.estimate.has_report:
+            return
+        self.metrics.observe_s("load_report_gap", now_s - state.estimate.others_at_s)
+        states = self.list_available(state.target.service)
+        expected = self._expect_others(states, now_s)
+        if expected is None or state.target.name not in expected:
+            return
+        estimated = state.estimate.estimate_others(now_s, expected[state.target.name])
+        if abs(estimated - others) > WRONG_SHARE * state.target.concurrency:
+            self.metrics.count("load_estimates_wrong")
+
     def _expect_others(
         self, states: list[TargetState], now_s: float
     ) -> dict[str, float] | None:
--- a/tests/node/test_targets.py
+++ b/tests/node/test_targets.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tamarackshelf.contracts.targets import TargetLoad
+from tamarackshelf.contracts.targets import TargetBusy, TargetLoad
 from tamarackshelf.node.targets import TargetRegistry
 from tamarackshelf.observe import Timeline
 from tamarackshelf.policy.shared_loads import SharedLoads, build_key
@@ -190,6 +190,21 @@
     run(scenario())
 
 
+def test_operator_sees_busy_answers_and_wrong_estimates(run):
+    async def scenario():
+        registry = build_engine_registry()
+        registry.record_not_run("t1", TargetBusy("full"))
+        for running in (0, 0, 5, 5):
+            report(registry, "t1", running, 1.0)
+        page = registry.metrics.render().decode()
+        assert "tamarackshelf_engine_calls_not_run_total 1.0" in page
+        assert "tamarackshelf_load_reports_total 4.0" in page
+        assert "tamarackshelf_load_estimates_wrong_total 1.0" in page
+        assert "tamarackshelf_load_report_gap_seconds_count 3" in page
+
+    run(scenario())
+
+
 def test_mean_of_reports_counts_while_other_nodes_tell_nothing(run):
     async def scenario():
         registry = build_engine_registry()
