--- a/src/tamarackshelf/jobs/owned_job.py
+++ b/src/tamarackshelf/jobs/owned_job.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 
 from tamarackshelf.jobs.item_state import ItemStage, ItemState, StopCause
+from tamarackshelf.policy.item_placement import GroupState, rank_groups
 from tamarackshelf.store.job_store import StoredHead
 from tamarackshelf.world.job import (
     ItemProgress,
@@ -81,6 +82,22 @@
         """Return the items that wait for an engine or for a score call."""
         return [s for s in self.items.values() if s.stage is ItemStage.WAITING]
 
+    def rank_groups(self) -> dict[str, tuple[int, bool]]:
+        """Return by group its rank in the order to start, and whether it is spare."""
+        members: dict[str, list[ItemState]] = {}
+        for state in self.items.values():
+            members.setdefault(state.item.group, []).append(state)
+        groups = [
+            GroupState(
+                group=group,
+                waiting=sum(s.stage is ItemStage.WAITING for s in states),
+                missing=sum(s.stage is not ItemStage.DONE for s in states),
+                tokens=sum(s.item.expected_tokens for s in states),
+            )
+            for group, states in members.items()
+        ]
+        return rank_groups(groups, self.job.group_count)
+
     def partial_texts(self) -> tuple[ItemProgress, ...]:
         """Return the texts of items that have some text and are not done."""
         return tuple(
--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from collections import Counter
 from collections.abc import Coroutine
 from functools import partial
 
@@ -235,9 +236,9 @@
     def _place_all(self) -> None:
         now_s = _now_s()
         self._resume_scoring()
-        queued = self.stragglers.find_queues(self.jobs.values(), now_s)
+        self.stragglers.count_unstarted(self.jobs.values(), now_s)
         engines: dict[tuple[str, str], list[EngineCandidate]] = {}
-        for waiting in order_items(self._list_waiting(now_s)):
+        for waiting in order_items(self._list_waiting(now_s), self._count_running()):
             job = self.jobs[waiting.job_id]
             state = job.items[waiting.item_id]
             route = self._find_route(job, state)
@@ -247,7 +248,9 @@
             key = (service, job.job.model)
             if key not in engines:
                 engines[key] = [
-                    mark_full(engine) if engine.name in queued else engine
+                    engine
+                    if self.stragglers.may_send(engine.name, now_s)
+                    else mark_full(engine)
                     for engine in self._targets.list_engine_candidates(*key)
                 ]
             name = self._continuation.choose_engine(
@@ -257,8 +260,13 @@
             if target is None:
                 continue
             self._start_run(job, state, target, route)
+            self.stragglers.unstarted[target.target.name] += 1
+            chosen = target.target.name
             engines[key] = [
-                reserve_capacity(e, target.target.name) for e in engines[key]
+                mark_full(reserve_capacity(e, chosen))
+                if e.name == chosen and not self.stragglers.may_send(chosen, now_s)
+                else reserve_capacity(e, chosen)
+                for e in engines[key]
             ]
         self.stragglers.check(self.jobs.values(), self._due_s, now_s)
 
@@ -267,10 +275,15 @@
         for job in self.jobs.values():
             if not job.is_open:
                 continue
-            for state in job.waiting_items():
-                if state.is_text_complete or state.not_before_s > now_s:
-                    continue
+            startable = [
+                state
+                for state in job.waiting_items()
+                if not state.is_text_complete and state.not_before_s <= now_s
+            ]
+            ranks = job.rank_groups() if startable else {}
+            for state in startable:
                 item = state.item
+                rank, is_spare = ranks[item.group]
                 waiting.append(
                     WaitingItem(
                         job_id=job.job_id,
@@ -279,10 +292,23 @@
                         due_s=self._due_s[job.job_id],
                         expected_tokens=item.expected_tokens,
                         is_begun=state.has_text,
+                        model=job.job.model,
+                        organisation=job.job.organisation,
+                        group_rank=rank,
+                        is_spare=is_spare,
                     )
                 )
         return waiting
 
+    def _count_running(self) -> Counter[tuple[str, str]]:
+        """Return the number of running items by model and organisation."""
+        return Counter(
+            (job.job.model, job.job.organisation)
+            for job in self.jobs.values()
+            for state in job.items.values()
+            if state.run is not None
+        )
+
     def _resume_scoring(self) -> None:
         """Score the complete texts of waiting items whose score call was stopped."""
         for job in self.jobs.values():
@@ -368,6 +394,8 @@
             self._targets.record_fault(name, str(error))
             reason = str(error)
         except NotRun as error:
+            if isinstance(error, TargetBusy):
+                self.stragglers.record_refusal(name, _now_s())
             self._targets.record_not_run(name, error, FULL_ENGINE_BACKOFF_S)
             self._metrics.count(f"item_runs_not_run_{_name_refusal(error)}")
             reason = str(error)
--- a/src/tamarackshelf/jobs/stragglers.py
+++ b/src/tamarackshelf/jobs/stragglers.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from collections.abc import Callable, Iterable, Mapping
 
 from tamarackshelf.jobs.continuation import DEFAULT_EVENT_S
@@ -19,11 +20,16 @@
     EngineCandidate,
     RunningItem,
     choose_moves,
+    estimate_remaining,
+    find_slow_engines,
     mark_full,
     place_item,
     reserve_capacity,
 )
 
+# An engine must be slower than a free one for this long before its runs are moved. It
+# shares its machine with others, whose load changes about twice a second.
+SLOW_FOR_S = 1.0
 # Minimum time that a run stays on an engine, so that one move does not cause another.
 MIN_STAY_S = 0.4
 # A run without events for less than this does not count as silent. An engine with free
@@ -53,12 +59,41 @@
         self._get_route_table = get_route_table
         self._timeline = timeline
         self._queues = EngineQueues()
+        # Runs of this node without an event by engine, and engines that queue some.
+        self.unstarted: Counter[str] = Counter()
+        self._queued_at: set[str] = set()
+        # Since when each engine of a service is slower than a free one, by model.
+        self._slow_since_s: dict[tuple[str, str, str], float] = {}
 
     def record_start(self, run: CurrentRun, now_s: float) -> None:
         """Record that a run receives its first event."""
         event_s = self._targets.median_event_s(run.engine) or DEFAULT_EVENT_S
         self._queues.record_start(run.engine, now_s - run.started_s, event_s, now_s)
 
+    def record_refusal(self, engine: str, now_s: float) -> None:
+        """Record that a full engine refused a run, so that it gets none for a while."""
+        self._queues.record_refusal(engine, self._targets.rng, now_s)
+
+    def count_unstarted(self, jobs: Iterable[OwnedJob], now_s: float) -> None:
+        """Count the runs without an event by engine, and find the queued ones."""
+        jobs = list(jobs)
+        self.unstarted = Counter(
+            state.run.engine
+            for job in jobs
+            for state in job.items.values()
+            if state.run is not None and state.run.last_event_at_s is None
+        )
+        self._queued_at = self.find_queues(jobs, now_s)
+
+    def may_send(self, engine: str, now_s: float) -> bool:
+        """Return whether an engine has none of this node's runs in its queue.
+
+        While engines are contended, few runs without an event are allowed as well.
+        """
+        if engine in self._queued_at:
+            return False
+        return self._queues.may_send(engine, self.unstarted[engine], now_s)
+
     def find_queues(self, jobs: Iterable[OwnedJob], now_s: float) -> set[str]:
         """Return the engines that have a run of this node in their queue."""
         runs = [
@@ -106,7 +141,9 @@
                     item_id=state.item.item_id,
                     engine=run.engine,
                     min_version=job.job.min_version,
-                    remaining_tokens=max(0, state.item.expected_tokens - done),
+                    remaining_tokens=estimate_remaining(
+                        state.item.expected_tokens, done
+                    ),
                     software=state.software,
                 )
                 running.setdefault((run.service, job.job.model), []).append(item)
@@ -115,13 +152,35 @@
                 mark_full(engine) if engine.name in queues else engine
                 for engine in self._targets.list_engine_candidates(*key)
             ]
-            for item in choose_moves(items, engines):
+            slow = self._find_lasting_slow(*key, engines, now_s)
+            event_s = self._targets.fastest_event_s(key[0]) or DEFAULT_EVENT_S
+            lasting = [item for item in items if item.engine in slow]
+            for item in choose_moves(lasting, engines, event_s / TOKENS_PER_PIECE):
                 job = by_id[item.job_id]
                 self._timeline.record(
                     "item_moved", item.item_id, "the engine is slow", target=item.engine
                 )
                 job.stop_run(item.item_id, StopCause.SLOW)
 
+    def _find_lasting_slow(
+        self, service: str, model: str, engines: list[EngineCandidate], now_s: float
+    ) -> set[str]:
+        """Return the engines that have been slower than a free one for SLOW_FOR_S."""
+        slow = find_slow_engines(engines)
+        before = self._slow_since_s
+        self._slow_since_s = {
+            key: since_s
+            for key, since_s in before.items()
+            if key[:2] != (service, model) or key[2] in slow
+        }
+        for name in slow:
+            self._slow_since_s.setdefault((service, model, name), now_s)
+        return {
+            name
+            for name in slow
+            if now_s - self._slow_since_s[service, model, name] >= SLOW_FOR_S
+        }
+
     def _move_silent_runs(self, job: OwnedJob, queues: set[str], now_s: float) -> None:
         """Stop runs that receive no events when another engine has free capacity."""
         silent = [
--- a/src/tamarackshelf/policy/item_placement.py
+++ b/src/tamarackshelf/policy/item_placement.py
@@ -9,13 +9,19 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Collection, Sequence
+from collections import Counter, deque
+from collections.abc import Collection, Mapping, Sequence
 from dataclasses import dataclass, replace
 from random import Random
 
 # A run is moved when an event takes this many times as long on its engine as on one
 # with free capacity: prefilling the text again costs less than two events.
 MOVE_FACTOR = 1.5
+# A run that is moved must end this much earlier by the estimate: it is prefilled again,
+# its engine's report is read on a new connection, and the other engine may refuse it.
+MOVE_GAIN_S = 0.3
+# A text that exceeds its caller's estimate is expected to grow by this share.
+OVERRUN_SHARE = 0.3
 # Relative increase of the time of an event on a full engine; the published step times
 # of the engines grow by 0.5 % per request.
 FULL_ENGINE_SLOWDOWN = 0.05
@@ -29,6 +35,10 @@
 # Engines whose costs differ by less than this share count as equal: it is less than the
 # error of a measured time of an event.
 NEAR_COST = 0.03
+# A trainer waits for this share of a job's groups to be complete.
+REQUIRED_GROUP_SHARE = 0.9
+# No organisation gets less than this share of the runs of another one that waits, too.
+MIN_FAIR_SHARE = 0.25
 # Share of its capacity that an engine reserves for items of its own model.
 RESERVED_SHARE = 0.34
 
@@ -46,6 +56,23 @@
     due_s: float
     expected_tokens: int
     is_begun: bool
+    model: str = ""
+    organisation: str = ""
+    group_rank: int = 0
+    is_spare: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class GroupState:
+    """What a group of a job still lacks; `tokens` is the expected sum of its items.
+
+    `waiting` items run nowhere; `missing` ones are not listed yet.
+    """
+
+    group: str
+    waiting: int
+    missing: int
+    tokens: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,13 +125,19 @@
         return max(0, self.free - reserved)
 
 
-def order_items(items: Sequence[WaitingItem]) -> list[WaitingItem]:
+def order_items(
+    items: Sequence[WaitingItem], running: Mapping[tuple[str, str], int] | None = None
+) -> list[WaitingItem]:
     """Return the items in the order to start them.
 
-    Items due earlier come first; among those due at the same time, items that have
-    already begun, then longer ones. All values of `due_s` up to zero count as equal.
+    Items of needed groups come before spare ones, then items due earlier; among those
+    due at the same time, items that have already begun, then those of the groups that
+    rank first, then longer ones. All values of `due_s` up to zero count as equal.
+
+    `running` counts the running items by model and organisation. An organisation with
+    less than MIN_FAIR_SHARE of the items of another one, for the same model, is next.
     """
-    return sorted(
+    ordered = sorted(
         items,
         key=lambda item: (
             item.due_s > 0 and item.due_s,
@@ -113,6 +146,22 @@
             item.item_id,
         ),
     )
+    if len({item.organisation for item in ordered}) < 2 and not running:
+        return ordered
+    return _share_fairly(ordered, running or {})
+
+
+def rank_groups(
+    groups: Sequence[GroupState], group_count: int
+) -> dict[str, tuple[int, bool]]:
+    """Return by group its rank in the order to start, and whether it is spare.
+
+    Groups that lack the fewest items rank first, as a trainer uses complete groups
+    only. Groups beyond the share that the trainer waits for are spare.
+    """
+    needed = math.ceil(REQUIRED_GROUP_SHARE * max(group_count, len(groups)))
+    ranked = sorted(groups, key=lambda g: (g.waiting, g.missing, g.tokens, g.group))
+    return {group.group: (rank, rank >= needed) for rank, group in enumerate(ranked)}
 
 
 def place_item(
@@ -163,11 +212,27 @@
     return replace(engine, in_use=max(engine.in_use, engine.concurrency))
 
 
+def estimate_remaining(expected_tokens: int, done_tokens: int) -> int:
+    """Return the tokens that a text still needs, also when it exceeds its estimate."""
+    return max(expected_tokens - done_tokens, round(OVERRUN_SHARE * done_tokens))
+
+
+def find_slow_engines(engines: Sequence[EngineCandidate]) -> set[str]:
+    """Return the engines on which an event takes much longer than on a free one."""
+    fastest = min((e.slowness for e in engines if e.available > 0), default=math.inf)
+    return {e.name for e in engines if e.slowness >= MOVE_FACTOR * fastest}
+
+
 def choose_moves(
-    running: Sequence[RunningItem], engines: Sequence[EngineCandidate]
+    running: Sequence[RunningItem],
+    engines: Sequence[EngineCandidate],
+    token_s: float | None = None,
 ) -> list[RunningItem]:
     """Return the runs to stop on slow engines, so that they continue on faster ones.
 
+    With `token_s`, the time of a token on the fastest engine, a run that would gain
+    less than MOVE_GAIN_S stays.
+
     Runs with the most remaining tokens are moved first, each only when a much faster
     engine has free capacity for it. A run that was stopped may have to wait for an
     engine with a rate limit, so it is not moved there.
@@ -185,6 +250,7 @@
             if available[engine.name] > 0
             and engine.limit_per_s is None
             and engine.slowness * MOVE_FACTOR <= current.slowness
+            and _gains_enough(item, current, engine, token_s)
             and engine.version is not None
             and engine.version >= item.min_version
             and item.software in (None, engine.software)
@@ -195,6 +261,47 @@
     return moves
 
 
+def _share_fairly(
+    ordered: Sequence[WaitingItem], running: Mapping[tuple[str, str], int]
+) -> list[WaitingItem]:
+    """Return the items so that no organisation falls below its share of the runs."""
+    queues: dict[tuple[str, str], deque[tuple[int, WaitingItem]]] = {}
+    for position, item in enumerate(ordered):
+        key = (item.model, item.organisation)
+        queues.setdefault(key, deque()).append((position, item))
+    counts = Counter(running)
+    result = []
+    while queues:
+        below = (
+            [
+                key
+                for key in queues
+                if counts[key]
+                < MIN_FAIR_SHARE * max(n for (m, _), n in counts.items() if m == key[0])
+            ]
+            if counts
+            else []
+        )
+        key = min(below or queues, key=lambda key: queues[key][0][0])
+        counts[key] += 1
+        result.append(queues[key].popleft()[1])
+        if not queues[key]:
+            del queues[key]
+    return result
+
+
+def _gains_enough(
+    item: RunningItem,
+    current: EngineCandidate,
+    other: EngineCandidate,
+    token_s: float | None,
+) -> bool:
+    if token_s is None:
+        return True
+    gain = current.slowness - other.slowness
+    return item.remaining_tokens * token_s * gain >= MOVE_GAIN_S
+
+
 def _cost(engine: EngineCandidate) -> tuple[float, str]:
     """Return the expected time of an event on the engine, and its name to break ties.
 
@@ -211,11 +318,15 @@
 
 __all__ = [
     "EngineCandidate",
+    "GroupState",
     "RunningItem",
     "WaitingItem",
     "choose_moves",
+    "estimate_remaining",
+    "find_slow_engines",
     "mark_full",
     "order_items",
     "place_item",
+    "rank_groups",
     "reserve_capacity",
 ]
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -495,6 +495,24 @@
     run_scenario(scenario, events_per_item=60)
 
 
+def test_runs_stay_on_an_engine_that_is_slow_for_a_moment(run_scenario):
+    """Engines that share machines were slow for 0.6 s, and half of the runs moved."""
+
+    async def scenario(cluster):
+        job = build_job(items=8)
+        await submit(cluster, job=job)
+        await asyncio.sleep(0.5)
+        cluster.engines.slowness["e2"] = 2.5
+        await asyncio.sleep(0.6)
+        cluster.engines.slowness["e2"] = 1.0
+        check_results(
+            await read_all_results(cluster, "a", job), job, events_per_item=60
+        )
+        assert len(cluster.engines.runs) == len(job.items)
+
+    run_scenario(scenario, events_per_item=60)
+
+
 # Engines crashed several times while they ran the same sound item; afterwards all was
 # calm and the engines had room, but the item was never placed again.
 @pytest.mark.parametrize("change", ["none", "new owner", "store away"])
--- a/tests/policy/test_item_placement.py
+++ b/tests/policy/test_item_placement.py
@@ -14,6 +14,7 @@
     RunningItem,
     WaitingItem,
     choose_moves,
+    estimate_remaining,
     order_items,
     place_item,
     reserve_capacity,
@@ -86,6 +87,19 @@
     assert [run.item_id for run in moved] == ["r2", "r1"]
 
 
+def test_run_stays_when_it_would_gain_less_than_a_move_costs():
+    """An engine that shares its machine was slower for half a second."""
+    slow, fast = build_engine("slow", slowness=2.5), build_engine("fast")
+    runs = [RunningItem("j", f"r{n}", "slow", 5, 50 * n) for n in (4, 8)]
+    moved = choose_moves(runs, [slow, fast], EVENT_S / 50)
+    assert [run.item_id for run in moved] == ["r8"]
+
+
+def test_text_longer_than_its_estimate_is_expected_to_continue():
+    assert estimate_remaining(1000, 400) == 600
+    assert estimate_remaining(500, 1000) > 0
+
+
 def test_moving_runs_off_a_slow_engine_shortens_the_step():
     """One of two engines becomes slow while it runs the longest item of a step."""
     stays_s, moves_s = _run_step(moves=False), _run_step(moves=True)
