--- a/src/tamarackshelf/jobs/owned_job.py
+++ b/src/tamarackshelf/jobs/owned_job.py
@@ -6,7 +6,8 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
-from tamarackshelf.jobs.item_state import ItemStage, ItemState
+from tamarackshelf.jobs.item_state import ItemStage, ItemState, StopCause
+from tamarackshelf.policy.item_placement import GroupState, rank_groups
 from tamarackshelf.store.job_store import StoredHead
 from tamarackshelf.world.job import (
     ItemProgress,
@@ -81,6 +82,22 @@
         """Return the items that wait for an engine or for a score call."""
         return [s for s in self.items.values() if s.stage is ItemStage.WAITING]
 
+    def rank_groups(self) -> dict[str, tuple[int, bool]]:
+        """Return by group its rank in the order to start, and whether it is spare."""
+        members: dict[str, list[ItemState]] = {}
+        for state in self.items.values():
+            members.setdefault(state.item.group, []).append(state)
+        groups = [
+            GroupState(
+                group=group,
+                waiting=sum(s.stage is ItemStage.WAITING for s in states),
+                missing=sum(s.stage is not ItemStage.DONE for s in states),
+                tokens=sum(s.item.expected_tokens for s in states),
+            )
+            for group, states in members.items()
+        ]
+        return rank_groups(groups, self.job.group_count)
+
     def partial_texts(self) -> tuple[ItemProgress, ...]:
         """Return the texts of items that have some text and are not done."""
         return tuple(
@@ -116,12 +133,25 @@
         del self.unlisted[:count]
         self.notify_readers()
 
-    def stop_run(self, item_id: str) -> None:
+    def stop_run(self, item_id: str, cause: StopCause = StopCause.OTHER) -> None:
         """Cancel an item's run; the item then waits for another engine."""
         task = self.tasks.get(item_id)
         if task is not None:
+            self._set_stop_cause(item_id, cause)
             task.cancel()
 
+    def cancel_all(self, cause: StopCause) -> list[asyncio.Task[None]]:
+        """Cancel all runs and score calls and return their tasks."""
+        tasks = list(self.tasks.values())
+        for item_id in list(self.tasks):
+            self.stop_run(item_id, cause)
+        return tasks
+
+    def _set_stop_cause(self, item_id: str, cause: StopCause) -> None:
+        run = self.items[item_id].run
+        if run is not None:
+            run.stop_cause = cause
+
     def discard_task(self, item_id: str, task: asyncio.Task[None]) -> None:
         """Remove an item's ended task, unless a newer task has replaced it."""
         if self.tasks.get(item_id) is task:
--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+from collections import Counter
 from collections.abc import Coroutine
 from functools import partial
 
@@ -15,7 +16,10 @@
     ItemRun,
     NotRun,
     OutcomeUnknown,
+    TargetBusy,
+    TargetChanged,
     TargetClient,
+    TargetLimited,
 )
 from tamarackshelf.jobs.continuation import EngineUnverified, TextContinuation
 from tamarackshelf.jobs.item_state import (
@@ -23,6 +27,7 @@
     EventOutOfOrder,
     ItemStage,
     ItemState,
+    StopCause,
 )
 from tamarackshelf.jobs.owned_job import OwnedJob
 from tamarackshelf.jobs.scorer import RouteTableGetter, Scorer, ScoringFailed
@@ -33,6 +38,7 @@
 from tamarackshelf.policy.item_placement import (
     EngineCandidate,
     WaitingItem,
+    mark_full,
     order_items,
     reserve_capacity,
 )
@@ -103,7 +109,7 @@
         """Stop all runs and drop all jobs."""
         await stop_tasks(*self._tasks)
         for job in list(self.jobs.values()):
-            await self.drop(job.job_id, "this process is stopping")
+            await self.drop(job.job_id, "this process is stopping", StopCause.SHUTDOWN)
 
     def add(self, job: OwnedJob, due_s: float) -> None:
         """Add a job; its results are due at `due_s` on the event loop's clock."""
@@ -113,15 +119,20 @@
         self._start_listing(job)
         self._wake.set()
 
-    async def drop(self, job_id: str, reason: str) -> None:
-        """Stop a job's runs, remove it from memory and wake its readers."""
+    async def drop(
+        self, job_id: str, reason: str, cause: StopCause = StopCause.OTHER
+    ) -> None:
+        """Stop a job's runs, remove it from memory and wake its readers.
+
+        The stopped runs are counted under `cause`.
+        """
         job = self.jobs.pop(job_id, None)
         if job is None:
             return
         del self._due_s[job_id]
         job.is_closed = True
         self._timeline.record("job_dropped", job_id, reason)
-        await stop_tasks(*job.tasks.values(), job.listing_task)
+        await stop_tasks(*job.cancel_all(cause), job.listing_task)
         job.notify_readers()
 
     async def pause(self) -> None:
@@ -129,7 +140,7 @@
         self.is_paused = True
         # A job may be added or dropped while the runs of another one stop.
         for job in list(self.jobs.values()):
-            await stop_tasks(*job.tasks.values())
+            await stop_tasks(*job.cancel_all(StopCause.PAUSED))
 
     def resume(self) -> None:
         """Allow items to run again."""
@@ -146,14 +157,15 @@
             return
         before = job.stored.head
         if (stored.head.owner, stored.head.epoch) != (before.owner, before.epoch):
-            await self.drop(stored.job_id, f"{stored.head.owner} owns the job now")
+            reason = f"{stored.head.owner} owns the job now"
+            await self.drop(stored.job_id, reason, StopCause.HANDED_OVER)
             return
         job.stored = stored
         if stored.head.state is JobState.ENDED:
             self._timeline.record(
                 "job_ended", stored.job_id, "the end of the job was stored"
             )
-            await stop_tasks(*job.tasks.values())
+            await stop_tasks(*job.cancel_all(StopCause.JOB_ENDED))
             job.notify_readers()
 
     async def save_progress(self, job: OwnedJob, min_pieces: int = 1) -> None:
@@ -224,8 +236,9 @@
     def _place_all(self) -> None:
         now_s = _now_s()
         self._resume_scoring()
+        self.stragglers.count_unstarted(self.jobs.values(), now_s)
         engines: dict[tuple[str, str], list[EngineCandidate]] = {}
-        for waiting in order_items(self._list_waiting(now_s)):
+        for waiting in order_items(self._list_waiting(now_s), self._count_running()):
             job = self.jobs[waiting.job_id]
             state = job.items[waiting.item_id]
             route = self._find_route(job, state)
@@ -234,7 +247,12 @@
             service = self._continuation.choose_service(state, route)
             key = (service, job.job.model)
             if key not in engines:
-                engines[key] = self._targets.list_engine_candidates(*key)
+                engines[key] = [
+                    engine
+                    if self.stragglers.may_send(engine.name, now_s)
+                    else mark_full(engine)
+                    for engine in self._targets.list_engine_candidates(*key)
+                ]
             name = self._continuation.choose_engine(
                 state, service, engines[key], job.job.min_version, now_s
             )
@@ -242,8 +260,13 @@
             if target is None:
                 continue
             self._start_run(job, state, target, route)
+            self.stragglers.unstarted[target.target.name] += 1
+            chosen = target.target.name
             engines[key] = [
-                reserve_capacity(e, target.target.name) for e in engines[key]
+                mark_full(reserve_capacity(e, chosen))
+                if e.name == chosen and not self.stragglers.may_send(chosen, now_s)
+                else reserve_capacity(e, chosen)
+                for e in engines[key]
             ]
         self.stragglers.check(self.jobs.values(), self._due_s, now_s)
 
@@ -252,10 +275,15 @@
         for job in self.jobs.values():
             if not job.is_open:
                 continue
-            for state in job.waiting_items():
-                if state.is_text_complete or state.not_before_s > now_s:
-                    continue
+            startable = [
+                state
+                for state in job.waiting_items()
+                if not state.is_text_complete and state.not_before_s <= now_s
+            ]
+            ranks = job.rank_groups() if startable else {}
+            for state in startable:
                 item = state.item
+                rank, is_spare = ranks[item.group]
                 waiting.append(
                     WaitingItem(
                         job_id=job.job_id,
@@ -264,10 +292,23 @@
                         due_s=self._due_s[job.job_id],
                         expected_tokens=item.expected_tokens,
                         is_begun=state.has_text,
+                        model=job.job.model,
+                        organisation=job.job.organisation,
+                        group_rank=rank,
+                        is_spare=is_spare,
                     )
                 )
         return waiting
 
+    def _count_running(self) -> Counter[tuple[str, str]]:
+        """Return the number of running items by model and organisation."""
+        return Counter(
+            (job.job.model, job.job.organisation)
+            for job in self.jobs.values()
+            for state in job.items.values()
+            if state.run is not None
+        )
+
     def _resume_scoring(self) -> None:
         """Score the complete texts of waiting items whose score call was stopped."""
         for job in self.jobs.values():
@@ -338,23 +379,31 @@
         first_piece = len(state.pieces)
         started_s = _now_s()
         reason = "this node stopped the run"
+        run = state.run
         try:
             with hold() as held:
                 await self._stream_events(job, state, target.target, route, held)
             reason = "whole"
             return True
+        except asyncio.CancelledError:
+            self._count_stop(StopCause.OTHER if run is None else run.stop_cause)
+            raise
         except BuffersFull as error:
             # No engine could continue the text without exceeding the memory again.
             state.reset()
             self._targets.record_fault(name, str(error))
             reason = str(error)
         except NotRun as error:
+            if isinstance(error, TargetBusy):
+                self.stragglers.record_refusal(name, _now_s())
             self._targets.record_not_run(name, error, FULL_ENGINE_BACKOFF_S)
+            self._metrics.count(f"item_runs_not_run_{_name_refusal(error)}")
             reason = str(error)
         except (OutcomeUnknown, EventOutOfOrder) as error:
             self._targets.record_fault(name, str(error))
             reason = str(error)
         except VersionMismatch as error:
+            self._count_stop(StopCause.VERSION)
             reason = str(error)
         except EngineUnverified as error:
             reason = str(error)
@@ -383,6 +432,9 @@
             )
         return False
 
+    def _count_stop(self, cause: StopCause) -> None:
+        self._metrics.count(f"item_runs_stopped_{cause}")
+
     async def _stream_events(
         self,
         job: OwnedJob,
@@ -398,6 +450,7 @@
             after_event_id=state.last_event_id,
             first_event_timeout_s=FIRST_EVENT_TIMEOUT_S,
             next_event_timeout_s=NEXT_EVENT_TIMEOUT_S,
+            organisation=job.job.organisation,
         )
         last_s: float | None = None
         is_certain: bool | None = None
@@ -414,6 +467,8 @@
                 self._targets.record_success(target.name)
                 now_s = _now_s()
                 if state.run is not None:
+                    if state.run.last_event_at_s is None:
+                        self.stragglers.record_start(state.run, now_s)
                     state.run.last_event_at_s = now_s
                 if last_s is not None:
                     self._targets.record_duration(target.name, now_s - last_s)
@@ -429,11 +484,10 @@
         route: Route,
         event: ItemEvent,
     ) -> None:
-        """Record the target's load and version; raise VersionMismatch if unusable.
+        """Record the target's version; raise VersionMismatch if unusable.
 
         The text is discarded when a route allows a single version and it has changed.
         """
-        self._targets.record_load(target.name, event.load)
         self._targets.record_version(target.name, job.job.model, event.version)
         if event.version < job.job.min_version:
             raise VersionMismatch(
@@ -526,12 +580,22 @@
             return False
         if current.head.state is not JobState.OPEN:
             reason = "a write of results met a job that is no longer open"
-            asyncio.get_running_loop().create_task(self.drop(job.job_id, reason))
+            drop = self.drop(job.job_id, reason, StopCause.JOB_ENDED)
+            asyncio.get_running_loop().create_task(drop)
             return False
         job.update_stored(current)
         return True
 
 
+def _name_refusal(error: NotRun) -> str:
+    """Return why an engine did not run an item, one of four names of metrics."""
+    if isinstance(error, TargetBusy):
+        return "busy"
+    if isinstance(error, TargetLimited):
+        return "limited"
+    return "replaced" if isinstance(error, TargetChanged) else "unreachable"
+
+
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
 
--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -27,10 +27,15 @@
     Response,
     ServerLimits,
 )
+from tamarackshelf.node.configuration_follower import (
+    CONFIGURATION_PATH,
+    ConfigurationFollower,
+)
 from tamarackshelf.node.configuration_view import ConfigurationView
 from tamarackshelf.node.fleet import Fleet
 from tamarackshelf.node.freeze import watch_for_freezes
 from tamarackshelf.node.leaving_targets import LeavingTargets
+from tamarackshelf.node.load_sharing import share_loads
 from tamarackshelf.node.peer_api import PeerApi, is_target_call
 from tamarackshelf.node.peer_store import PeerStore
 from tamarackshelf.node.quarantine import RequestQuarantine
@@ -148,6 +153,7 @@
         self.targets = TargetRegistry(
             timeline, lambda: self.row_store.recovered_at_s, random.Random()
         )
+        self.targets.metrics = metrics
         self.targets.is_connected = target_client.is_connected
         self.targets.is_list_current = self._is_target_list_current
         self.targets.set_limits(limits)
@@ -164,6 +170,7 @@
         )
         self.leaving_targets = LeavingTargets(self.targets)
         target_client.on_leaving = self.leaving_targets.record
+        target_client.on_load = self.targets.record_load
         scorer = Scorer(
             self.targets,
             target_client,
@@ -256,6 +263,10 @@
             self.relay,
             self._get_gossip,
         )
+        self.configuration_follower = ConfigurationFollower(
+            self.configuration_view, self._http, timeline, metrics
+        )
+        peer_api.add_handlers({CONFIGURATION_PATH: self.configuration_follower.answer})
         if self.usage is not None:
             peer_api.add_handlers(self.usage.handlers)
         self._peer_server = HttpServer(
@@ -317,6 +328,7 @@
         self.limits.connect(fleet)
         self.paths.connect(fleet, self.targets)
         self.leaving_targets.connect(fleet)
+        share_loads(fleet, self.targets, _wall_ms())
         self._connect_engine_requests(fleet, self.weights)
         await self._watches[NODE_TABLE].loaded.wait()
         await self.quarantine.start(
@@ -326,6 +338,7 @@
             self._watches[CRASH_TABLE],
         )
         await self.origins.start(fleet, self.row_store)
+        await self.configuration_follower.start(fleet)
         await fleet.start()
         self.fleet = fleet
         await self.runner.start()
@@ -386,6 +399,7 @@
     async def close(self) -> None:
         """Close everything at once, without handing over jobs."""
         await stop_tasks(*self._tasks)
+        await self.configuration_follower.close()
         await self.paths.close()
         await self.quarantine.close()
         await self.origins.close()
@@ -469,6 +483,8 @@
             watch.on_change(listener)
             if rows:
                 notify_of_rows(listener, rows)
+        # They contain API keys, of which the decoded configuration has digests only.
+        self._watches[tables.operator_table].discard_values()
 
     def _get_gossip(self) -> GossipTask | None:
         return None if self.fleet is None else self.fleet.gossip
