--- a/src/tamarackshelf/contracts/duties.py
+++ b/src/tamarackshelf/contracts/duties.py
@@ -26,6 +26,10 @@
     """The platform has seen a higher fencing number for the duty and its subject."""
 
 
+class OrderUnavailable(Exception):
+    """The platform has no such workers now, or has seen a higher fencing number."""
+
+
 @dataclass(frozen=True, slots=True)
 class DutyStamp:
     """Who makes a call: the VM and the fencing number of its lease."""
@@ -45,5 +49,26 @@
     ) -> None:
         """Send an encoded report; raise DutyCallFailed or DutyFenced."""
 
+    async def order_workers(
+        self,
+        service: str,
+        data_centre: str,
+        count: int,
+        stamp: DutyStamp,
+        timeout_s: float,
+        *,
+        is_preemptible: bool,
+    ) -> None:
+        """Order that a service has `count` workers of a kind in a data centre.
+
+        Raise OrderUnavailable or DutyCallFailed.
+        """
+
 
-__all__ = ["DutyCallFailed", "DutyFenced", "DutyPlatform", "DutyStamp"]
+__all__ = [
+    "DutyCallFailed",
+    "DutyFenced",
+    "DutyPlatform",
+    "DutyStamp",
+    "OrderUnavailable",
+]
--- a/src/tamarackshelf/duties/lease.py
+++ b/src/tamarackshelf/duties/lease.py
@@ -25,6 +25,9 @@
 # Added to the lease duration that a new holder waits before it first acts, so that
 # the acts of two holders never appear to alternate.
 LEASE_MARGIN_S = 0.3
+# A call to the platform without a response may be executed for this long after it was
+# sent, and its number is checked only then.
+LATE_CALL_S = 6.0
 # A read of the row confirms the lease for this share of its duration. No other holder
 # acts within the whole duration after the read began; the rest is for the act itself.
 CONFIRMED_SHARE = 0.5
@@ -358,4 +361,11 @@
     return asyncio.get_running_loop().time()
 
 
-__all__ = ["Lease", "LeaseFleet", "LeaseWaits", "Stopwatch", "has_majority"]
+__all__ = [
+    "LATE_CALL_S",
+    "Lease",
+    "LeaseFleet",
+    "LeaseWaits",
+    "Stopwatch",
+    "has_majority",
+]
--- a/src/tamarackshelf/duties/usage_report.py
+++ b/src/tamarackshelf/duties/usage_report.py
@@ -12,7 +12,7 @@
     DutyStamp,
 )
 from tamarackshelf.contracts.rows import RowStoreError
-from tamarackshelf.duties.lease import LEASE_CHECK_S, Lease
+from tamarackshelf.duties.lease import LATE_CALL_S, LEASE_CHECK_S, Lease
 from tamarackshelf.duties.true_time import TrueClock
 from tamarackshelf.duties.usage_counts import USAGE_SUBJECT
 from tamarackshelf.node.settings import DutySettings
@@ -43,8 +43,6 @@
 RETRY_PAUSE_S = 0.4
 # Share of the platform's rate that this duty may use; the rest is for other duties.
 RATE_SHARE = 0.25
-# A call without a response may be executed for this long after it was sent.
-LATE_CALL_S = 6.0
 # While the counts are known to be incomplete, the decision waits until this time after
 # the window's end.
 DECIDE_LATEST_S = 6.0
@@ -299,4 +297,4 @@
     return asyncio.get_running_loop().time()
 
 
-__all__ = ["LATE_CALL_S", "UsageReporter"]
+__all__ = ["UsageReporter"]
--- a/src/tamarackshelf/platform/duty_client.py
+++ b/src/tamarackshelf/platform/duty_client.py
@@ -6,11 +6,17 @@
 
 import msgspec
 
-from tamarackshelf.contracts.duties import DutyCallFailed, DutyFenced, DutyStamp
+from tamarackshelf.contracts.duties import (
+    DutyCallFailed,
+    DutyFenced,
+    DutyStamp,
+    OrderUnavailable,
+)
 from tamarackshelf.net import ConnectFailed, ConnectionLost, HttpClient
 from tamarackshelf.world import Address
 
 USAGE_PATH = "/usage"
+SCALE_PATH = "/scale"
 
 
 class PlatformDutyClient:
@@ -37,6 +43,38 @@
                 f"{USAGE_PATH} returned {status}", is_limited=status == 429
             )
 
+    async def order_workers(
+        self,
+        service: str,
+        data_centre: str,
+        count: int,
+        stamp: DutyStamp,
+        timeout_s: float,
+        *,
+        is_preemptible: bool,
+    ) -> None:
+        """Order that a service has `count` workers of a kind in a data centre.
+
+        Raise OrderUnavailable or DutyCallFailed.
+        """
+        order: dict[str, object] = {
+            "upstream": service,
+            "zone": data_centre,
+            # Despite its name, groupCount is a number of workers.
+            "groupCount": count,
+        }
+        if is_preemptible:
+            order["preemptible"] = True
+        body = msgspec.json.encode(order)
+        status = await self._call(SCALE_PATH, body, stamp, timeout_s)
+        # The platform returns 409 for a number that is too low, too.
+        if status == 409:
+            raise OrderUnavailable(f"{SCALE_PATH} returned 409")
+        if not 200 <= status < 300:
+            raise DutyCallFailed(
+                f"{SCALE_PATH} returned {status}", is_limited=status == 429
+            )
+
     async def _call(
         self, path: str, body: bytes, stamp: DutyStamp, timeout_s: float
     ) -> int:
--- a/tests/platform/test_duty_client.py
+++ b/tests/platform/test_duty_client.py
@@ -7,7 +7,12 @@
 
 import pytest
 
-from tamarackshelf.contracts.duties import DutyCallFailed, DutyFenced, DutyStamp
+from tamarackshelf.contracts.duties import (
+    DutyCallFailed,
+    DutyFenced,
+    DutyStamp,
+    OrderUnavailable,
+)
 from tamarackshelf.net import HttpClient, HttpServer, Response
 from tamarackshelf.platform.duty_client import PlatformDutyClient
 from tests.conftest import find_free_address
@@ -58,6 +63,25 @@
         assert not failed.value.may_execute
 
 
+@pytest.mark.parametrize("is_preemptible", [True, False])
+async def test_order_names_service_data_centre_count_and_kind(is_preemptible):
+    async def order(client, timeout_s):
+        await client.order_workers(
+            "models", "dc-1", 4, STAMP, timeout_s, is_preemptible=is_preemptible
+        )
+
+    (request,) = await call(200, order)
+    body = {"upstream": "models", "zone": "dc-1", "groupCount": 4}
+    if is_preemptible:
+        body["preemptible"] = True
+    assert request.path == "/scale"
+    assert json.loads(request.body) == body
+    with pytest.raises(OrderUnavailable):
+        await call(409, order)
+    with pytest.raises(DutyCallFailed):
+        await call(429, order)
+
+
 # The platform may execute a call without a response seconds later.
 async def test_call_without_a_response_may_still_be_executed():
     with pytest.raises(DutyCallFailed) as failed:
