--- a/src/tamarackshelf/duties/usage_report.py
+++ b/src/tamarackshelf/duties/usage_report.py
@@ -102,6 +102,12 @@
         self._delete_at_s = 0.0
         # When calls began to fail, on the event loop's clock, or None.
         self._failing_since_s: float | None = None
+        # When a report was last accepted, on the event loop's clock.
+        self._accepted_at_s = float("nan")
+        metrics.add_gauge("usage_lease_held", lambda: float(lease.held is not None))
+        metrics.add_gauge(
+            "usage_report_age_seconds", lambda: _now_s() - self._accepted_at_s
+        )
         lease.read_progress = self._read_progress
         lease.candidates = CANDIDATES
 
@@ -213,6 +219,7 @@
         else:
             self._accepted.add(window)
             self._failing_since_s = None
+            self._accepted_at_s = _now_s()
         is_accepted = window in self._accepted
         pause_s = 0.0 if is_accepted else RETRY_PAUSE_S
         spacing_s = 1.0 / (RATE_SHARE * self._settings.calls_per_s)
--- a/tests/duties/test_usage.py
+++ b/tests/duties/test_usage.py
@@ -58,6 +58,10 @@
         assert counts[1] == {"small": 1}
         assert counts[2] == {}
         assert {holder for _, holder, _, _ in nodes.platform.reports} == {FIRST}
+        metrics = nodes.nodes[FIRST].metrics.render()
+        assert b"tamarackshelf_usage_lease_held 1.0" in metrics
+        assert b"tamarackshelf_usage_report_age_seconds 1." in metrics
+        assert b"usage_lease_held 0.0" in nodes.nodes[LAST].metrics.render()
 
     run_nodes(run, scenario)
 
