--- a/src/tamarackshelf/duties/usage_report.py
+++ b/src/tamarackshelf/duties/usage_report.py
@@ -102,12 +102,8 @@
         self._delete_at_s = 0.0
         # When calls began to fail, on the event loop's clock, or None.
         self._failing_since_s: float | None = None
-        # When a report was last accepted, on the event loop's clock.
+        # When this node's last accepted report was accepted, on the event loop's clock.
         self._accepted_at_s = float("nan")
-        metrics.add_gauge("usage_lease_held", lambda: float(lease.held is not None))
-        metrics.add_gauge(
-            "usage_report_age_seconds", lambda: _now_s() - self._accepted_at_s
-        )
         lease.read_progress = self._read_progress
         lease.candidates = CANDIDATES
 
@@ -117,6 +113,9 @@
             await asyncio.sleep(TICK_S)
             if not self._is_enabled():
                 continue
+            self._metrics.set("usage_lease_held", float(self._lease.held is not None))
+            age_s = _now_s() - self._accepted_at_s
+            self._metrics.set("usage_report_age_seconds", age_s)
             try:
                 if await self._lease.ensure() and self._lease.held is not None:
                     await self._report(self._lease.held)
--- a/src/tamarackshelf/duties/worker_orders.py
+++ b/src/tamarackshelf/duties/worker_orders.py
@@ -88,7 +88,6 @@
         self._is_leaving: Callable[[], bool] = lambda: False
         self.lease_s = 0.0
         self._task: asyncio.Task[None] | None = None
-        metrics.add_gauge("worker_leases_held", lambda: float(len(self.list_held())))
 
     async def start(
         self, fleet: LeaseFleet, lease_s: float, is_leaving: Callable[[], bool]
--- a/src/tamarackshelf/observe/metrics.py
+++ b/src/tamarackshelf/observe/metrics.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -33,7 +33,6 @@
         # By name and labels.
         self._counters: dict[str, dict[tuple[tuple[str, str], ...], _Counter]] = {}
         self._histograms: dict[str, HdrHistogram] = {}
-        self._gauges: dict[str, Callable[[], float]] = {}
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
         """Increase a counter by `amount`.
@@ -47,10 +46,6 @@
             counter = series[key] = _Counter(time.time())
         counter.value += amount
 
-    def add_gauge(self, name: str, read: Callable[[], float]) -> None:
-        """Add a value that `read` returns whenever the metrics are rendered."""
-        self._gauges[name] = read
-
     def observe_s(self, name: str, duration_s: float) -> None:
         """Record a duration in a histogram.
 
@@ -72,11 +67,8 @@
         return float(histogram.get_value_at_percentile(percentile)) / 1e6
 
     def collect(self) -> Iterator[Metric]:
-        """Return counters and gauges, as a collector of prometheus_client does."""
-        from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
-
-        for name, read in self._gauges.items():
-            yield GaugeMetricFamily(f"tamarackshelf_{name}", name, value=read())
+        """Return the counters, as a collector of prometheus_client does."""
+        from prometheus_client.core import CounterMetricFamily
 
         for name, series in self._counters.items():
             labels = [label for label, _ in next(iter(series))]
