--- a/src/tamarackshelf/duties/usage_report.py
+++ b/src/tamarackshelf/duties/usage_report.py
@@ -37,12 +37,14 @@
 )
 
 TICK_S = 0.2
-CALL_TIMEOUT_S = 1.5
+# Two calls fit into the time between the decision and the time when a report is due.
+CALL_TIMEOUT_S = 2.5
 # Pause after a call that was not accepted. One node makes these calls, so it stays far
 # below the rate that the platform takes from all nodes.
 RETRY_PAUSE_S = 0.4
 # Share of the platform's rate that this duty may use; the rest is for other duties.
 RATE_SHARE = 0.25
+MIN_CALLS_PER_S = 0.2
 # While the counts are known to be incomplete, the decision waits until this time after
 # the window's end.
 DECIDE_LATEST_S = 6.0
@@ -221,7 +223,8 @@
             self._accepted_at_s = _now_s()
         is_accepted = window in self._accepted
         pause_s = 0.0 if is_accepted else RETRY_PAUSE_S
-        spacing_s = 1.0 / (RATE_SHARE * self._settings.calls_per_s)
+        rate_per_s = max(MIN_CALLS_PER_S, RATE_SHARE * self._settings.calls_per_s)
+        spacing_s = 1.0 / rate_per_s
         self._next_call_at_s = _now_s() + max(pause_s, spacing_s)
         self._metrics.count(
             "usage_reports_sent" if is_accepted else "usage_calls_failed"
