--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -327,8 +327,9 @@
             self._watches[CRASH_TABLE],
         )
         await self.origins.start(fleet, self.row_store)
-        await self.configuration_follower.start(fleet)
         await fleet.start()
+        # It publishes at once, for which the gossip socket has to be bound.
+        await self.configuration_follower.start(fleet)
         self.fleet = fleet
         await self.runner.start()
         await self.jobs.start(fleet)
