--- a/src/tamarackshelf/policy/item_placement.py
+++ b/src/tamarackshelf/policy/item_placement.py
@@ -140,15 +140,17 @@
     ordered = sorted(
         items,
         key=lambda item: (
+            item.is_spare,
             item.due_s > 0 and item.due_s,
             not item.is_begun,
+            item.group_rank,
             -item.expected_tokens,
             item.item_id,
         ),
     )
-    if len({item.organisation for item in ordered}) < 2 and not running:
-        return ordered
-    return _share_fairly(ordered, running or {})
+    running = running or {}
+    names = {item.organisation for item in ordered} | {name for _, name in running}
+    return ordered if len(names) < 2 else _share_fairly(ordered, running)
 
 
 def rank_groups(
@@ -272,16 +274,12 @@
     counts = Counter(running)
     result = []
     while queues:
-        below = (
-            [
-                key
-                for key in queues
-                if counts[key]
-                < MIN_FAIR_SHARE * max(n for (m, _), n in counts.items() if m == key[0])
-            ]
-            if counts
-            else []
-        )
+        most: dict[str, int] = {}
+        for (model, _), count in counts.items():
+            most[model] = max(most.get(model, 0), count)
+        below = [
+            key for key in queues if counts[key] < MIN_FAIR_SHARE * most.get(key[0], 0)
+        ]
         key = min(below or queues, key=lambda key: queues[key][0][0])
         counts[key] += 1
         result.append(queues[key].popleft()[1])
--- a/tests/policy/test_item_placement.py
+++ b/tests/policy/test_item_placement.py
@@ -4,6 +4,7 @@
 
 import math
 from collections import Counter
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -11,12 +12,14 @@
 from tamarackshelf.policy.engine_assignment import assign_engines
 from tamarackshelf.policy.item_placement import (
     EngineCandidate,
+    GroupState,
     RunningItem,
     WaitingItem,
     choose_moves,
     estimate_remaining,
     order_items,
     place_item,
+    rank_groups,
     reserve_capacity,
 )
 from tamarackshelf.policy.weight_update import choose_version
@@ -50,6 +53,53 @@
     assert order_items(items)[0].item_id == "soon"
 
 
+def test_items_that_complete_a_group_start_first():
+    """Slots are too few for a step; all its groups stayed incomplete until late."""
+    ranks = rank_groups(
+        [
+            GroupState("whole", 0, 0, 900),
+            GroupState("fresh", 8, 8, 4000),
+            GroupState("begun", 3, 8, 8000),
+        ],
+        3,
+    )
+    assert [ranks[name][0] for name in ("whole", "begun", "fresh")] == [0, 1, 2]
+    items = [
+        replace(build_item("a", 5000), group_rank=ranks["fresh"][0]),
+        replace(build_item("b", 100), group_rank=ranks["begun"][0]),
+    ]
+    assert [item.item_id for item in order_items(items)] == ["b", "a"]
+
+
+def test_items_that_the_trainer_does_not_wait_for_start_last():
+    """Nine of ten groups are enough; the tenth took slots from a job due later."""
+    groups = [GroupState(f"g{n}", n > 8, n > 8, 1000 * n) for n in range(10)]
+    ranks = rank_groups(groups, 10)
+    assert [name for name in ranks if ranks[name][1]] == ["g9"]
+    spare = replace(build_item("spare", due_s=5.0), is_spare=True)
+    assert order_items([spare, build_item("needed", due_s=9.0)])[0].item_id == "needed"
+
+
+def test_no_organisation_falls_below_a_quarter_of_the_slots_of_another():
+    """One organisation's items are all due first and would take every slot."""
+    items = [
+        replace(build_item(f"a{n}", due_s=5.0), model="m", organisation="a")
+        for n in range(30)
+    ] + [
+        replace(build_item(f"b{n}", due_s=9.0), model="m", organisation="b")
+        for n in range(30)
+    ]
+    first = [item.organisation for item in order_items(items)[:20]]
+    assert first.count("b") == 4
+    # What already runs counts: organisation a has enough of it.
+    running = {("m", "a"): 16, ("m", "b"): 0}
+    assert [i.organisation for i in order_items(items, running)[:4]] == ["b"] * 4
+    # Runs of another model leave this model's engines free.
+    running = {("other", "a"): 16}
+    assert order_items(items, running)[0].organisation == "a"
+    assert len(order_items(items)) == len(items)
+
+
 def test_item_waits_for_an_engine_with_its_version():
     engines = [build_engine("old", version=3), build_engine("full", in_use=8)]
     assert place_item(engines, min_version=4) is None
