--- a/src/tamarackshelf/observe/metrics.py
+++ b/src/tamarackshelf/observe/metrics.py
@@ -1,4 +1,4 @@
-"""Counters and latency histograms in the Prometheus text format."""
+"""Counters, gauges and latency histograms in the Prometheus text format."""
 
 from __future__ import annotations
 
@@ -27,11 +27,12 @@
 
 
 class Metrics:
-    """Counters and latency histograms of one process, created on first use."""
+    """Counters, gauges and histograms of one process, created on first use."""
 
     def __init__(self) -> None:
         # By name and labels.
         self._counters: dict[str, dict[tuple[tuple[str, str], ...], _Counter]] = {}
+        self._gauges: dict[str, dict[tuple[tuple[str, str], ...], float]] = {}
         self._histograms: dict[str, HdrHistogram] = {}
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
@@ -46,6 +47,10 @@
             counter = series[key] = _Counter(time.time())
         counter.value += amount
 
+    def set(self, name: str, value: float, **labels: str) -> None:
+        """Set a gauge; what `count` says of labels applies here too."""
+        self._gauges.setdefault(name, {})[tuple(labels.items())] = value
+
     def observe_s(self, name: str, duration_s: float) -> None:
         """Record a duration in a histogram.
 
@@ -67,8 +72,8 @@
         return float(histogram.get_value_at_percentile(percentile)) / 1e6
 
     def collect(self) -> Iterator[Metric]:
-        """Return the counters, as a collector of prometheus_client does."""
-        from prometheus_client.core import CounterMetricFamily
+        """Return counters and gauges, as a collector of prometheus_client does."""
+        from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
         for name, series in self._counters.items():
             labels = [label for label, _ in next(iter(series))]
@@ -77,6 +82,12 @@
                 values = [value for _, value in key]
                 family.add_metric(values, counter.value, created=counter.created_s)
             yield family
+        for name, gauges in self._gauges.items():
+            labels = [label for label, _ in next(iter(gauges))]
+            gauge = GaugeMetricFamily(f"tamarackshelf_{name}", name, labels=labels)
+            for key, number in gauges.items():
+                gauge.add_metric([value for _, value in key], number)
+            yield gauge
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
--- a/tests/observe/test_metrics.py
+++ b/tests/observe/test_metrics.py
@@ -22,3 +22,11 @@
     metrics.render()
     metrics.count("n")
     assert "tamarackshelf_n_total 2.0" in metrics.render().decode()
+
+
+def test_gauges_are_rendered_with_their_last_value():
+    metrics = Metrics()
+    metrics.set("workers_wanted", 3, kind="regular")
+    metrics.set("workers_wanted", 2, kind="regular")
+    lines = metrics.render().decode().splitlines()
+    assert 'tamarackshelf_workers_wanted{kind="regular"} 2.0' in lines
--- a/tests/platform/test_boundary.py
+++ b/tests/platform/test_boundary.py
@@ -14,7 +14,8 @@
     r"|rows-tx|rows-get|rows-feed|rows-parts|blob-put|scorerUrl|scorer_url"
     r"|replicaCounts|x-duty-holder|x-fence-token|groupCount"
     r"|/v1/lots|/v1/order|/v1/resolve|recordTtl|expectedRev|pathPrefix|trafficSplit"
-    r"|x-credential|x-tenant|tenants|apiKeys",
+    r"|x-credential|x-tenant|tenants|apiKeys"
+    r"|minReplicas|maxReplicas|spotBid|zonePrices|leaves_ms",
     re.IGNORECASE,
 )
 OUTSIDE = [path for path in SOURCE.rglob("*.py") if ADAPTER not in path.parents]
