--- a/src/tamarackshelf/contracts/duties.py
+++ b/src/tamarackshelf/contracts/duties.py
@@ -11,18 +11,25 @@
     """The call was not accepted; it may be repeated.
 
     `may_execute` means that no response came, so that the platform may still execute
-    the call seconds later.
+    the call seconds later; `is_limited` that the platform gets too many calls.
     """
 
-    def __init__(self, reason: str, *, may_execute: bool = False) -> None:
+    def __init__(
+        self, reason: str, *, may_execute: bool = False, is_limited: bool = False
+    ) -> None:
         super().__init__(reason)
         self.may_execute = may_execute
+        self.is_limited = is_limited
 
 
 class DutyFenced(Exception):
     """The platform has seen a higher fencing number for the duty and its subject."""
 
 
+class OrderUnavailable(Exception):
+    """The platform has no such workers now, or has seen a higher fencing number."""
+
+
 @dataclass(frozen=True, slots=True)
 class DutyStamp:
     """Who makes a call: the VM and the fencing number of its lease."""
@@ -42,5 +49,26 @@
     ) -> None:
         """Send an encoded report; raise DutyCallFailed or DutyFenced."""
 
+    async def order_workers(
+        self,
+        service: str,
+        data_centre: str,
+        count: int,
+        stamp: DutyStamp,
+        timeout_s: float,
+        *,
+        is_preemptible: bool,
+    ) -> None:
+        """Order that a service has `count` workers of a kind in a data centre.
+
+        Raise OrderUnavailable or DutyCallFailed.
+        """
+
 
-__all__ = ["DutyCallFailed", "DutyFenced", "DutyPlatform", "DutyStamp"]
+__all__ = [
+    "DutyCallFailed",
+    "DutyFenced",
+    "DutyPlatform",
+    "DutyStamp",
+    "OrderUnavailable",
+]
--- a/src/tamarackshelf/duties/lease.py
+++ b/src/tamarackshelf/duties/lease.py
@@ -4,10 +4,11 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass
 from typing import Protocol
 
+from tamarackshelf.contracts.rows import ABSENT_VERSION
 from tamarackshelf.observe import Timeline
 from tamarackshelf.policy.ownership import rank_owners
 from tamarackshelf.store.failover import FailoverStore
@@ -24,9 +25,16 @@
 # Added to the lease duration that a new holder waits before it first acts, so that
 # the acts of two holders never appear to alternate.
 LEASE_MARGIN_S = 0.3
+# A call to the platform without a response may be executed for this long after it was
+# sent, and its number is checked only then.
+LATE_CALL_S = 6.0
 # A read of the row confirms the lease for this share of its duration. No other holder
 # acts within the whole duration after the read began; the rest is for the act itself.
 CONFIRMED_SHARE = 0.5
+# A node that reaches no majority of the nodes takes a lease only if its row and its
+# holder's progress have not changed for this long. Otherwise the two sides of a cut
+# that both reach the store would take the lease from each other again and again.
+MINORITY_WAIT_S = 12.0
 
 
 class LeaseFleet(Protocol):
@@ -37,6 +45,9 @@
     def list_live_nodes(self) -> list[NodeRecord]:
         """Return the nodes not considered dead."""
 
+    def count_listed_nodes(self) -> int:
+        """Return the number of nodes that may be alive behind a cut, with this one."""
+
     def is_gone(self, vm: str, incarnation: int) -> bool:
         """Return whether this incarnation of a node no longer runs."""
 
@@ -56,6 +67,11 @@
     restart_s: float = 0.0
 
 
+def has_majority(fleet: LeaseFleet) -> bool:
+    """Return whether most of the nodes that may be alive are known to be."""
+    return 2 * len(fleet.list_live_nodes()) > fleet.count_listed_nodes()
+
+
 class Stopwatch:
     """Time since its creation, by the clock that ran furthest.
 
@@ -99,8 +115,14 @@
         self.select_nodes: Callable[[Sequence[NodeRecord]], Sequence[NodeRecord]] = (
             lambda nodes: nodes
         )
+        # Returns a number that changes while the holder acts. Without it, a node takes
+        # the lease from a holder that is gone without regard to majorities.
+        self.read_progress: Callable[[], Awaitable[int]] | None = None
         # The lease while this node holds it, as the store last named it.
         self.held: StoredLease | None = None
+        # Number of nodes, those that rank first, that take the lease once its holder
+        # has given it up. Only the first one takes the lease of a holder that is gone.
+        self.candidates = 1
         self._subject = subject
         self._store = store
         self._fleet = fleet
@@ -111,8 +133,12 @@
         # one, the store may name this node as holder.
         self._unsettled_claim: StoredLease | None = None
         self._left_holder = LeaseRecord()
+        # Version of the row and progress of its holder, and since when they are so.
+        self._unchanged: tuple[int, int] | None = None
+        self._unchanged_since_s = 0.0
         self._refused_number = -1
         self._confirmed: Stopwatch | None = None
+        self._rests_until_s = float("-inf")
         self._acts_allowed_at_s = 0.0
         self._last_act_at_s = float("-inf")
         self._checked_at_s = float("-inf")
@@ -134,7 +160,8 @@
             return False
         self._checked_at_s = now_s
         own = self._fleet.own
-        if not self._ranks_first() and self._unsettled_claim is None:
+        is_candidate = now_s >= self._rests_until_s and self._ranks_among_candidates()
+        if not is_candidate and self._unsettled_claim is None:
             return False
         current = await read_lease(self._store, self._subject)
         record = current.record
@@ -169,6 +196,11 @@
         """Return whether this node is to take the lease from the holder in the row."""
         record = current.record
         self._settle_claim(current)
+        if _now_s() < self._rests_until_s:
+            return False
+        is_given_up = not record.holder and current.version != ABSENT_VERSION
+        if is_given_up and self._ranks_among_candidates():
+            return True
         # The rank may have changed since the claim, or during the read.
         if not self._ranks_first():
             return False
@@ -180,8 +212,23 @@
         if await self._fleet.check_alive(record.holder, record.holder_incarnation):
             self._record_left(record, "still answers and keeps the lease")
             return False
+        if record.holder and not await self._outweighs_holder(current):
+            self._record_left(record, "may act behind a cut and keeps the lease")
+            return False
         return True
 
+    async def _outweighs_holder(self, current: StoredLease) -> bool:
+        """Return whether this node reaches most nodes, or the holder makes no progress.
+
+        The holder may be alive on the other side of a cut.
+        """
+        if self.read_progress is None or has_majority(self._fleet):
+            return True
+        unchanged = (current.version, await self.read_progress())
+        if unchanged != self._unchanged:
+            self._unchanged, self._unchanged_since_s = unchanged, _now_s()
+        return _now_s() - self._unchanged_since_s >= MINORITY_WAIT_S
+
     async def verify(self, held: StoredLease) -> bool:
         """Read the row; return whether it still is `held`, and drop the lease if not.
 
@@ -228,17 +275,21 @@
         if needs_higher:
             self._refused_number = held.record.fencing_number
 
-    async def give_up(self, held: StoredLease, reason: str) -> None:
+    async def give_up(
+        self, held: StoredLease, reason: str, rest_s: float = 0.0
+    ) -> None:
         """Release the lease once the next holder may act at once; else do nothing.
 
-        Acts of two holders then never appear to alternate. Raise RowStoreError if the
-        store does not respond; call it again then.
+        Acts of two holders then never appear to alternate. This node does not claim
+        the lease again for `rest_s`. Raise RowStoreError if the store does not respond;
+        call it again then.
         """
         quiet_s = self.lease_s + self._waits.takeover_margin_s
         if _now_s() < self._last_act_at_s + quiet_s:
             return
         await release_lease(self._store, self._subject, held)
         self.held = None
+        self._rests_until_s = _now_s() + rest_s
         self._timeline.record(
             "lease_released",
             self._subject,
@@ -247,10 +298,16 @@
         )
 
     def _ranks_first(self) -> bool:
-        """Return whether this node is the one to take the lease if it is free."""
+        """Return whether this node is the one to take the lease of a gone holder."""
+        return self._rank_nodes()[:1] == [self._fleet.own.vm]
+
+    def _ranks_among_candidates(self) -> bool:
+        """Return whether this node is one of those that may take a free lease."""
+        return self._fleet.own.vm in self._rank_nodes()[: self.candidates]
+
+    def _rank_nodes(self) -> list[str]:
         nodes = self.select_nodes(self._fleet.list_live_nodes())
-        ranked = rank_owners([record.vm for record in nodes], self._subject)
-        return ranked[:1] == [self._fleet.own.vm]
+        return rank_owners([record.vm for record in nodes], self._subject)
 
     def _compute_wait_s(self, earlier_holder: str) -> float:
         if not earlier_holder:
@@ -304,4 +361,11 @@
     return asyncio.get_running_loop().time()
 
 
-__all__ = ["Lease", "LeaseFleet", "LeaseWaits", "Stopwatch"]
+__all__ = [
+    "LATE_CALL_S",
+    "Lease",
+    "LeaseFleet",
+    "LeaseWaits",
+    "Stopwatch",
+    "has_majority",
+]
--- a/src/tamarackshelf/duties/usage_report.py
+++ b/src/tamarackshelf/duties/usage_report.py
@@ -12,7 +12,7 @@
     DutyStamp,
 )
 from tamarackshelf.contracts.rows import RowStoreError
-from tamarackshelf.duties.lease import LEASE_CHECK_S, Lease
+from tamarackshelf.duties.lease import LATE_CALL_S, LEASE_CHECK_S, Lease
 from tamarackshelf.duties.true_time import TrueClock
 from tamarackshelf.duties.usage_counts import USAGE_SUBJECT
 from tamarackshelf.node.settings import DutySettings
@@ -36,24 +36,28 @@
     store_report,
 )
 
-TICK_S = 0.1
+TICK_S = 0.2
 CALL_TIMEOUT_S = 1.5
 # Pause after a call that was not accepted. One node makes these calls, so it stays far
 # below the rate that the platform takes from all nodes.
 RETRY_PAUSE_S = 0.4
 # Share of the platform's rate that this duty may use; the rest is for other duties.
 RATE_SHARE = 0.25
-# A call without a response may be executed for this long after it was sent.
-LATE_CALL_S = 6.0
-# While a live collector does not answer, the decision waits until this time after the
-# window's end.
+# While the counts are known to be incomplete, the decision waits until this time after
+# the window's end.
 DECIDE_LATEST_S = 6.0
+# A holder whose calls fail for this long gives the lease up, as the platform may be
+# unreachable for some nodes only, and does not claim it again for REST_S.
+FAILING_S = 2.5
+REST_S = 12.0
+# Nodes that take a lease that was given up.
+CANDIDATES = 4
 # Rows are kept this long, and deleted at this interval.
 KEEP_ROWS_S = 600.0
 DELETE_INTERVAL_S = 60.0
 
 Table = Mapping[ProcessKey, Mapping[str, int]]
-# Returns the tables of a window, and whether all live collectors answered.
+# Returns the tables of a window, and whether they are complete.
 TableReader = Callable[[int], Awaitable[tuple[Sequence[Table], bool]]]
 
 
@@ -96,6 +100,10 @@
         self._next_due = 0
         self._next_call_at_s = 0.0
         self._delete_at_s = 0.0
+        # When calls began to fail, on the event loop's clock, or None.
+        self._failing_since_s: float | None = None
+        lease.read_progress = self._read_progress
+        lease.candidates = CANDIDATES
 
     async def run(self) -> None:
         """Report the windows whenever this node holds the lease, until cancelled."""
@@ -122,7 +130,10 @@
                 await self._decide(window, held)
         self._close_windows()
         await self._mark_accepted(held)
-        await self._send_next(held)
+        if self._is_failing():
+            await self._lease.give_up(held, "calls to the platform fail", REST_S)
+        else:
+            await self._send_next(held)
         await self._delete_old()
 
     async def _read_stored(self, held: StoredLease) -> None:
@@ -131,8 +142,8 @@
         Whether an earlier holder's calls with a report that is not marked as answered
         can still be executed is not known.
         """
-        window = self._find_oldest()
-        self._reports = await read_reports(self._store, window)
+        # A call with a report that is no longer in time may still be executed.
+        self._reports = await read_reports(self._store, self._find_oldest(LATE_CALL_S))
         self._accepted = {
             w for w, stored in self._reports.items() if stored.report.is_answered
         }
@@ -140,9 +151,14 @@
         self._lost_at_s = dict.fromkeys(self._reports.keys() - self._accepted, now_s)
         if self._lost_at_s and not self._settings.checks_fencing:
             self._next_call_at_s = now_s + LATE_CALL_S
-        self._next_due = window
+        self._next_due = self._find_oldest()
+        self._failing_since_s = None
         self._read_under = held
 
+    async def _read_progress(self) -> int:
+        """Return the newest window with a stored report, of those still in time."""
+        return max(await read_reports(self._store, self._find_oldest()), default=0)
+
     async def _decide(self, window: int, held: StoredLease) -> None:
         """Store the report on a window, unless there is one."""
         tables, is_complete = await self._read_tables(window)
@@ -165,7 +181,7 @@
             str(window),
             "all live collectors answered"
             if is_complete
-            else "a collector did not answer in time",
+            else "not all counts could be read in time",
             requests=sum(stored.report.counts.values()),
             organisations=len(stored.report.counts),
             age_ms=round(age_s * 1000),
@@ -192,8 +208,11 @@
             outcome = str(error)
             if error.may_execute:
                 self._lost_at_s[window] = _now_s()
+            if not error.is_limited and self._failing_since_s is None:
+                self._failing_since_s = _now_s()
         else:
             self._accepted.add(window)
+            self._failing_since_s = None
         is_accepted = window in self._accepted
         pause_s = 0.0 if is_accepted else RETRY_PAUSE_S
         spacing_s = 1.0 / (RATE_SHARE * self._settings.calls_per_s)
@@ -211,6 +230,11 @@
             age_ms=round((self._clock.now_s() - end_s) * 1000),
         )
 
+    def _is_failing(self) -> bool:
+        """Return whether the calls of this node have failed for a while."""
+        since_s = self._failing_since_s
+        return since_s is not None and _now_s() - since_s >= FAILING_S
+
     async def _mark_accepted(self, held: StoredLease) -> None:
         """Mark the accepted reports of which no call can still be executed."""
         for window in sorted(self._accepted):
@@ -235,11 +259,12 @@
             default=None,
         )
 
-    def _find_oldest(self) -> int:
-        """Return the oldest window whose report is still in time."""
+    def _find_oldest(self, ago_s: float = 0.0) -> int:
+        """Return the oldest window whose report was still in time `ago_s` ago."""
         settings = self._settings
         return find_window(
-            self._clock.now_s() - settings.report_late_s, settings.report_window_s
+            self._clock.now_s() - ago_s - settings.report_late_s,
+            settings.report_window_s,
         )
 
     def _close_windows(self) -> None:
@@ -252,10 +277,7 @@
                     "usage_missed", str(window), "its report was not accepted in time"
                 )
         self._next_due = max(self._next_due, oldest)
-        kept_s = self._settings.report_late_s + 2 * LATE_CALL_S
-        oldest_kept = find_window(
-            self._clock.now_s() - kept_s, self._settings.report_window_s
-        )
+        oldest_kept = self._find_oldest(2 * LATE_CALL_S)
         for window in [w for w in self._reports if w < oldest_kept]:
             del self._reports[window]
             self._accepted.discard(window)
@@ -275,4 +297,4 @@
     return asyncio.get_running_loop().time()
 
 
-__all__ = ["LATE_CALL_S", "UsageReporter"]
+__all__ = ["UsageReporter"]
