--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -146,6 +146,7 @@
         self.targets = TargetRegistry(
             timeline, lambda: self.row_store.recovered_at_s, random.Random()
         )
+        self.targets.node = settings.vm
         self.targets.metrics = metrics
         self.targets.is_connected = target_client.is_connected
         self.targets.is_list_current = self._is_target_list_current
--- a/src/tamarackshelf/node/targets.py
+++ b/src/tamarackshelf/node/targets.py
@@ -25,7 +25,9 @@
     LoadEstimate,
     LoadReport,
     compute_usual_others,
+    compute_usual_slowdown,
 )
+from tamarackshelf.policy.ownership import rank_owners
 from tamarackshelf.policy.routing import Candidate, TargetRequirements, route
 from tamarackshelf.policy.shared_loads import ExpectedLoads, build_key
 from tamarackshelf.world import Address, Target, TargetKind
@@ -178,6 +180,8 @@
             None
         )
         self.metrics = Metrics()
+        # The name of this node.
+        self.node = ""
         self._limits: LimitView = NoLimits()
         self._timeline = timeline
         self._recovered_at_s = recovered_at_s
@@ -476,9 +480,13 @@
         now_s = _now_s()
         healthy_share = compute_healthy_share([state.health for state in states], now_s)
         expected = self._expect_others(states, now_s)
+        usual_slowdown = compute_usual_slowdown(state.estimate for state in states)
         if expected is not None:
-            # The router compares the first connected target with the random ones.
-            self.rng.shuffle(states)
+            # The router compares the first connected target with the random ones, which
+            # must not be the same one at all nodes.
+            ranked = rank_owners([s.target.name for s in states], self.node)
+            position = {name: index for index, name in enumerate(ranked)}
+            states.sort(key=lambda state: position[state.target.name])
         return [
             Candidate(
                 target=state.target,
@@ -491,7 +499,7 @@
                 or self._explain_limit(state.target, kind),
                 slowness=_compute_slowness(state.median_duration(), fastest)
                 if expected is None
-                else _estimate_slowness(state, fastest, now_s),
+                else _estimate_slowness(state, fastest, usual_slowdown, now_s),
                 is_connected=self.is_connected(state.target),
             )
             for state in states
@@ -566,6 +574,7 @@
         now_s = _now_s()
         healthy_share = compute_healthy_share([state.health for state in states], now_s)
         expected = self._expect_others(states, now_s)
+        usual_slowdown = compute_usual_slowdown(state.estimate for state in states)
         return [
             EngineCandidate(
                 name=state.target.name,
@@ -584,7 +593,7 @@
                 version=state.find_version(model),
                 slowness=_compute_slowness(state.median_duration(), fastest)
                 if expected is None
-                else _estimate_usual_slowness(state, fastest, now_s),
+                else _estimate_usual_slowness(state, fastest, usual_slowdown, now_s),
                 is_connected=self.is_connected(state.target),
                 serves_other_model=self.find_assigned_model(state.target.name)
                 not in ("", model),
@@ -706,23 +715,26 @@
 
 
 def _estimate_usual_slowness(
-    state: TargetState, fastest: float | None, now_s: float
+    state: TargetState, fastest: float | None, usual_slowdown: float, now_s: float
 ) -> float:
     """Return the time of work on a target relative to the fastest one.
 
-    It is measured if this node has sent enough there lately, else as reported.
+    It is measured if this node has sent enough there lately, else as reported, or the
+    usual one of the service.
     """
     measured = state.median_duration()
     if measured is not None:
         return _compute_slowness(measured, fastest)
-    return min(MAX_SLOWNESS, max(1.0, state.estimate.expect_slowdown(now_s)))
+    return min(
+        MAX_SLOWNESS, max(1.0, state.estimate.expect_slowdown(now_s, usual_slowdown))
+    )
 
 
 def _estimate_slowness(
-    state: TargetState, fastest: float | None, now_s: float
+    state: TargetState, fastest: float | None, usual_slowdown: float, now_s: float
 ) -> float:
     """Return the time of work on a target at this moment, relative to the fastest."""
-    usual = _estimate_usual_slowness(state, fastest, now_s)
+    usual = _estimate_usual_slowness(state, fastest, usual_slowdown, now_s)
     return min(MAX_SLOWNESS, usual * state.estimate.compare_slowdown(now_s))
 
 
--- a/src/tamarackshelf/policy/load_estimate.py
+++ b/src/tamarackshelf/policy/load_estimate.py
@@ -87,10 +87,13 @@
         weight = math.exp(-max(0.0, now_s - self.others_at_s) / self.hold_s)
         return expected + (self.others - expected) * weight
 
-    def expect_slowdown(self, now_s: float) -> float:
-        """Return how long work takes by the mean of the reports; 1.0 without any."""
+    def expect_slowdown(self, now_s: float, usual: float) -> float:
+        """Return how long work takes by the mean of the reports.
+
+        After some time without reports it is the `usual` slowdown.
+        """
         weight = math.exp(-max(0.0, now_s - self.slowdown_at_s) / FORGET_S)
-        return 1.0 + (self.mean_slowdown - 1.0) * weight
+        return usual + (self.mean_slowdown - usual) * weight
 
     def compare_slowdown(self, now_s: float) -> float:
         """Return how long work takes at this moment relative to its mean."""
@@ -104,4 +107,19 @@
     return sum(known) / len(known) if known else 0.0
 
 
-__all__ = ["LoadEstimate", "LoadReport", "compute_usual_others"]
+def compute_usual_slowdown(estimates: Iterable[LoadEstimate]) -> float:
+    """Return the mean slowdown of the targets with reports, else 1.0.
+
+    A target without reports must not look faster than those that report a slowdown:
+    connections to it would be opened in vain.
+    """
+    known = [each.mean_slowdown for each in estimates if each.reports_slowdown]
+    return sum(known) / len(known) if known else 1.0
+
+
+__all__ = [
+    "LoadEstimate",
+    "LoadReport",
+    "compute_usual_others",
+    "compute_usual_slowdown",
+]
--- a/src/tamarackshelf/trials/balance.py
+++ b/src/tamarackshelf/trials/balance.py
@@ -24,6 +24,7 @@
     LoadEstimate,
     LoadReport,
     compute_usual_others,
+    compute_usual_slowdown,
 )
 from tamarackshelf.policy.ownership import rank_owners
 from tamarackshelf.policy.routing import Candidate, TargetRequirements, route
@@ -109,6 +110,7 @@
 class Result:
     """Requests at the busiest target over the mean, share turned away, and mean time.
 
+    `connected` is the share of sends to targets that the node used within IDLE_S.
     `lost` is the mean time from a request's arrival to its end over that of the ideal
     choice, less one.
     """
@@ -116,6 +118,7 @@
     peak: float
     turned_away: float
     mean_s: float
+    connected: float
     lost: float = 0.0
 
 
@@ -196,7 +199,7 @@
         self._now_s = 0.0
         self._events: list[tuple[float, int, Callable[[], None]]] = []
         self._order = itertools.count()
-        self._arrivals = self._turned_away = 0
+        self._arrivals = self._turned_away = self._connected = 0
         self._times_s: list[float] = []
         mean_work_s = statistics.fmean(load.work_s)
         kind = TargetKind.ENGINE if load.is_engine else TargetKind.PLAIN
@@ -218,10 +221,12 @@
         self._probes = [itertools.count(n) for n in range(nodes)]
         self._waiting: list[list[_Request]] = [[] for _ in range(nodes)]
         names = [target.listed.name for target in self._targets]
+        # The order of the targets at each node, of which the router compares the first
+        # connected one.
+        ranked = [rank_owners(names, f"vm-{n}") for n in range(nodes)]
+        self._ranks = [[names.index(name) for name in each] for each in ranked]
         count = SUBSET_TARGETS if way == "subset" else len(names)
-        self._allowed = [
-            frozenset(rank_owners(names, f"vm-{n}")[:count]) for n in range(nodes)
-        ]
+        self._allowed = [frozenset(each[:count]) for each in ranked]
         usual = statistics.fmean(target.usual_slowdown for target in self._targets)
         per_s = used * load.targets * load.slots / (mean_work_s * usual)
         self._bursts_per_s = per_s / load.burst
@@ -250,6 +255,7 @@
             peak=max(loads) / statistics.fmean(loads),
             turned_away=self._turned_away / max(1, self._arrivals),
             mean_s=statistics.fmean(self._times_s),
+            connected=self._connected / max(1, self._arrivals),
         )
 
     def _at(self, at_s: float, event: Callable[..., None], *args: object) -> None:
@@ -352,7 +358,8 @@
         if self._way in FADING_WAYS:
             return 1.0
         estimate = self._views[node][number].estimate
-        usual = estimate.expect_slowdown(self._now_s)
+        estimates = [view.estimate for view in self._views[node]]
+        usual = estimate.expect_slowdown(self._now_s, compute_usual_slowdown(estimates))
         if self._load.is_engine:
             return max(1.0, usual)
         return max(1.0, usual) * estimate.compare_slowdown(self._now_s)
@@ -373,7 +380,7 @@
         others = self._list_others(node)
         usable = [n for n in self._list_usable(node) if n not in request.tried]
         if self._way not in FADING_WAYS:
-            self._choice_rng.shuffle(usable)
+            usable.sort(key=self._ranks[node].index)
         candidates = {
             number: Candidate(
                 self._targets[number].listed,
@@ -426,7 +433,9 @@
             self._send(waiting.pop(0), int(name[1:]))
 
     def _send(self, request: _Request, number: int) -> None:
-        self._views[request.node][number].count(1, self._now_s)
+        view = self._views[request.node][number]
+        self._connected += self._now_s - view.used_at_s < IDLE_S
+        view.count(1, self._now_s)
         self._at(self._now_s + LINK_S, self._arrive, request, number)
 
     def _arrive(self, request: _Request, number: int) -> None:
@@ -503,6 +512,7 @@
         peak=statistics.fmean(got.peak for got, _ in results),
         turned_away=statistics.fmean(got.turned_away for got, _ in results),
         mean_s=statistics.fmean(got.mean_s for got, _ in results),
+        connected=statistics.fmean(got.connected for got, _ in results),
         lost=statistics.fmean(lost for _, lost in results),
     )
 
@@ -522,7 +532,7 @@
         print(
             f"load={name} nodes={count} age_s={age_s} used={share} way={way} "
             f"peak={got.peak:.2f} lost={got.lost:.2f} "
-            f"turned_away={got.turned_away:.3f}",
+            f"turned_away={got.turned_away:.3f} connected={got.connected:.2f}",
             flush=True,
         )
 
--- a/tests/node/test_targets.py
+++ b/tests/node/test_targets.py
@@ -251,6 +251,22 @@
     run(scenario())
 
 
+def test_idle_connection_is_used_while_its_target_is_slow_as_all_are(run):
+    """Targets without a report looked faster than those with one.
+
+    In the trial a third of the requests then opened a connection, before a seventh.
+    """
+
+    async def scenario():
+        registry = build_app_registry()
+        registry.is_connected = lambda target: target.name == "t2"
+        report(registry, "t2", 0, 1.5)
+        await asyncio.sleep(1.0)
+        assert count_choices(registry)["t2"] == 200
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("figure", [0, 100_000])
 @pytest.mark.parametrize("slowdown", [0.05, 100.0])
 def test_odd_report_rules_out_no_target(run, figure, slowdown):
