--- a/tests/policy/test_item_placement.py
+++ b/tests/policy/test_item_placement.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
+from dataclasses import replace
 from random import Random
 
 import pytest
@@ -10,11 +12,14 @@
 from tamarackshelf.policy.engine_assignment import assign_engines
 from tamarackshelf.policy.item_placement import (
     EngineCandidate,
+    GroupState,
     RunningItem,
     WaitingItem,
     choose_moves,
+    estimate_remaining,
     order_items,
     place_item,
+    rank_groups,
     reserve_capacity,
 )
 from tamarackshelf.policy.weight_update import choose_version
@@ -48,6 +53,53 @@
     assert order_items(items)[0].item_id == "soon"
 
 
+def test_items_that_complete_a_group_start_first():
+    """Slots are too few for a step; all its groups stayed incomplete until late."""
+    ranks = rank_groups(
+        [
+            GroupState("whole", 0, 0, 900),
+            GroupState("fresh", 8, 8, 4000),
+            GroupState("begun", 3, 8, 8000),
+        ],
+        3,
+    )
+    assert [ranks[name][0] for name in ("whole", "begun", "fresh")] == [0, 1, 2]
+    items = [
+        replace(build_item("a", 5000), group_rank=ranks["fresh"][0]),
+        replace(build_item("b", 100), group_rank=ranks["begun"][0]),
+    ]
+    assert [item.item_id for item in order_items(items)] == ["b", "a"]
+
+
+def test_items_that_the_trainer_does_not_wait_for_start_last():
+    """Nine of ten groups are enough; the tenth took slots from a job due later."""
+    groups = [GroupState(f"g{n}", n > 8, n > 8, 1000 * n) for n in range(10)]
+    ranks = rank_groups(groups, 10)
+    assert [name for name in ranks if ranks[name][1]] == ["g9"]
+    spare = replace(build_item("spare", due_s=5.0), is_spare=True)
+    assert order_items([spare, build_item("needed", due_s=9.0)])[0].item_id == "needed"
+
+
+def test_no_organisation_falls_below_a_quarter_of_the_slots_of_another():
+    """One organisation's items are all due first and would take every slot."""
+    items = [
+        replace(build_item(f"a{n}", due_s=5.0), model="m", organisation="a")
+        for n in range(30)
+    ] + [
+        replace(build_item(f"b{n}", due_s=9.0), model="m", organisation="b")
+        for n in range(30)
+    ]
+    first = [item.organisation for item in order_items(items)[:20]]
+    assert first.count("b") == 4
+    # What already runs counts: organisation a has enough of it.
+    running = {("m", "a"): 16, ("m", "b"): 0}
+    assert [i.organisation for i in order_items(items, running)[:4]] == ["b"] * 4
+    # Runs of another model leave this model's engines free.
+    running = {("other", "a"): 16}
+    assert order_items(items, running)[0].organisation == "a"
+    assert len(order_items(items)) == len(items)
+
+
 def test_item_waits_for_an_engine_with_its_version():
     engines = [build_engine("old", version=3), build_engine("full", in_use=8)]
     assert place_item(engines, min_version=4) is None
@@ -59,6 +111,22 @@
     assert place_item(engines, 0) == "b-fast"
 
 
+def test_owners_that_place_at_once_use_all_equal_engines():
+    """Many owners place at once on engines whose last reports show them free.
+
+    All of them chose the engine whose name sorts first.
+    """
+    engines = [build_engine(f"e{n}", slowness=1.0 + 0.001 * n) for n in range(5)]
+    chosen = Counter(place_item(engines, 0, rng=Random(n)) for n in range(40))
+    assert len(chosen) == 5
+    assert max(chosen.values()) <= 16
+
+
+def test_owners_draw_no_engine_that_is_clearly_slower():
+    engines = [build_engine("fast", in_use=6), build_engine("slow", slowness=1.2)]
+    assert {place_item(engines, 0, rng=Random(n)) for n in range(20)} == {"fast"}
+
+
 def test_runs_move_only_to_a_much_faster_engine_with_free_capacity():
     slow = build_engine("slow", in_use=3, slowness=2.6)
     runs = [RunningItem("j", f"r{n}", "slow", 5, 100 * n) for n in range(3)]
@@ -69,6 +137,19 @@
     assert [run.item_id for run in moved] == ["r2", "r1"]
 
 
+def test_run_stays_when_it_would_gain_less_than_a_move_costs():
+    """An engine that shares its machine was slower for half a second."""
+    slow, fast = build_engine("slow", slowness=2.5), build_engine("fast")
+    runs = [RunningItem("j", f"r{n}", "slow", 5, 50 * n) for n in (4, 8)]
+    moved = choose_moves(runs, [slow, fast], EVENT_S / 50)
+    assert [run.item_id for run in moved] == ["r8"]
+
+
+def test_text_longer_than_its_estimate_is_expected_to_continue():
+    assert estimate_remaining(1000, 400) == 600
+    assert estimate_remaining(500, 1000) > 0
+
+
 def test_moving_runs_off_a_slow_engine_shortens_the_step():
     """One of two engines becomes slow while it runs the longest item of a step."""
     stays_s, moves_s = _run_step(moves=False), _run_step(moves=True)
