--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -153,6 +153,7 @@
         self.targets = TargetRegistry(
             timeline, lambda: self.row_store.recovered_at_s, random.Random()
         )
+        self.targets.node = settings.vm
         self.targets.metrics = metrics
         self.targets.is_connected = target_client.is_connected
         self.targets.is_list_current = self._is_target_list_current
@@ -338,8 +339,9 @@
             self._watches[CRASH_TABLE],
         )
         await self.origins.start(fleet, self.row_store)
-        await self.configuration_follower.start(fleet)
         await fleet.start()
+        # It publishes at once, for which the gossip socket has to be bound.
+        await self.configuration_follower.start(fleet)
         self.fleet = fleet
         await self.runner.start()
         await self.jobs.start(fleet)
