--- a/src/tamarackshelf/cli/node.py
+++ b/src/tamarackshelf/cli/node.py
@@ -16,6 +16,7 @@
 from tamarackshelf.net import HttpClient
 from tamarackshelf.net.allocator import return_large_blocks_to_system
 from tamarackshelf.net.buffers import BUDGET
+from tamarackshelf.net.sockets import raise_descriptor_limit
 from tamarackshelf.node.configuration_view import ConfigurationView
 from tamarackshelf.node.program import (
     MAX_PEER_BODY_BYTES,
@@ -55,7 +56,12 @@
     metrics_port = int(os.environ.get(METRICS_PORT_VARIABLE, "0"))
 
     def load() -> NodeSettings:
-        return replace(load_settings(path), metrics_port=metrics_port)
+        settings = load_settings(path)
+        return replace(
+            settings,
+            metrics_port=metrics_port,
+            max_descriptors=raise_descriptor_limit(settings.max_descriptors),
+        )
 
     try:
         settings = load()
@@ -98,7 +104,9 @@
 def build_program(settings: NodeSettings, timeline: Timeline) -> NodeProgram:
     """Return a node program that uses the platform's interfaces."""
     if settings.memory_bytes is not None:
-        BUDGET.set_memory(settings.memory_bytes)
+        BUDGET.set_memory(settings.memory_bytes, settings.buffer_bytes)
+    elif settings.buffer_bytes is not None:
+        BUDGET.limit_bytes = settings.buffer_bytes
     http = HttpClient(
         connect_timeout_s=CONNECT_TIMEOUT_S, max_body_bytes=MAX_PEER_BODY_BYTES
     )
@@ -111,6 +119,7 @@
         for _ in range(2)
     )
     metrics = Metrics()
+    BUDGET.count_event = metrics.count
     paths = TargetPaths(
         targets_http, relay_http, timeline, metrics, lambda: int(time.time() * 1000)
     )
--- a/src/tamarackshelf/net/http_client.py
+++ b/src/tamarackshelf/net/http_client.py
@@ -15,8 +15,8 @@
 from tamarackshelf.net.sockets import limit_receive_buffer, set_keep_alive
 from tamarackshelf.net.streams import (
     READ_SIZE_BYTES,
+    READER_LIMIT_BYTES,
     BoundedStreamProtocol,
-    create_reader,
 )
 from tamarackshelf.world import Address
 
@@ -418,7 +418,7 @@
     loop = asyncio.get_running_loop()
     try:
         async with asyncio.timeout_at(deadline_s):
-            reader = create_reader()
+            reader = asyncio.StreamReader(limit=READER_LIMIT_BYTES)
             transport, protocol = await loop.create_connection(
                 lambda: BoundedStreamProtocol(reader),
                 address.host,
--- a/src/tamarackshelf/net/http_server.py
+++ b/src/tamarackshelf/net/http_server.py
@@ -5,18 +5,23 @@
 import asyncio
 import contextlib
 import logging
+import os
+import socket
 from collections.abc import AsyncGenerator, Awaitable, Callable
 from dataclasses import dataclass
+from typing import cast
 
 import h11
 
 from tamarackshelf.errors import BadRequest, OutcomeUnknown, ShelfError
 from tamarackshelf.net.buffers import (
     BUDGET,
+    FULL,
     Buffer,
     BuffersFull,
     hold_for_request,
 )
+from tamarackshelf.net.connections import ConnectionSlots
 from tamarackshelf.net.http_types import (
     Request,
     Response,
@@ -31,7 +36,7 @@
 from tamarackshelf.net.streams import (
     READ_SIZE_BYTES,
     BoundedStreamProtocol,
-    create_reader,
+    WatchedReader,
 )
 from tamarackshelf.world import Address
 
@@ -47,6 +52,15 @@
 ACCEPT_QUIET_S = 0.2
 # Retry delay for a client whose request found no room in the buffers.
 RETRY_AFTER_S = 0.3
+# Longer texts are cut; the parser's contain the line that it refuses.
+MAX_ERROR_CHARACTERS = 300
+# Connections that the system accepts before the server does.
+BACKLOG = 128
+# Connections accepted before the event loop runs other tasks: until their own tasks run
+# and the bound of connections applies to them, they exceed it.
+ACCEPTS_PER_TURN = 2
+# What a request may hold beyond its body: its head and the answer of a target.
+ANSWER_ALLOWANCE_BYTES = 8 * 1024 * 1024 + 128 * 1024
 
 log = logging.getLogger("tamarackshelf")
 
@@ -56,12 +70,16 @@
     """Limits of the server.
 
     `connections` is the maximum number of open connections; the other limits apply to
-    each request or connection.
+    each request or connection. A head may take `head_read_s` from its first byte. A
+    body may stand still for `request_read_s`, and may take as long in all and in
+    addition the time that it would take at `body_bytes_per_s`.
     """
 
     head_bytes: int = 16 * 1024
     body_bytes: int = 1024 * 1024
+    head_read_s: float = 60.0
     request_read_s: float = 10.0
+    body_bytes_per_s: float = 16 * 1024
     idle_s: float = 60.0
     connections: int = 4096
 
@@ -75,16 +93,21 @@
         limits: ServerLimits | LimitsSource | None = None,
         *,
         cancel_on_disconnect: bool | RequestFilter = False,
+        slots: ConnectionSlots | None = None,
     ) -> None:
         """Create a server that does not listen yet.
 
         `limits` are fixed limits or a function that returns the limits in force.
+        `slots` bound its connections together with those of other servers.
         `cancel_on_disconnect` cancels a handler whose client closes the connection; it
         may be a function that returns whether to do so for a request.
         """
         self._handler = handler
         self._limits = _build_limits_source(limits)
         self._cancel_on_disconnect = cancel_on_disconnect
+        if slots is None:
+            slots = ConnectionSlots(self._limits().connections)
+        self._slots = slots
         self._server: asyncio.Server | None = None
         self._connections: dict[asyncio.Task[None], _Connection] = {}
         self._closing = False
@@ -94,10 +117,14 @@
     async def start(self, address: Address) -> Address:
         """Listen on the address and return the bound address."""
         self._server = await asyncio.get_running_loop().create_server(
-            lambda: BoundedStreamProtocol(create_reader(), self._accept),
+            lambda: BoundedStreamProtocol(WatchedReader(), self._accept),
             address.host,
             address.port,
+            backlog=ACCEPTS_PER_TURN,
         )
+        for listening in self._server.sockets:
+            with socket.socket(fileno=os.dup(listening.fileno())) as copy:
+                copy.listen(BACKLOG)
         host, port = self._server.sockets[0].getsockname()[:2]
         return Address(host, port)
 
@@ -156,28 +183,35 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self._accepted_at_s = asyncio.get_running_loop().time()
-        limits = self._limits()
-        if self._aborted or len(self._connections) >= limits.connections:
+        if self._aborted:
             writer.transport.abort()
             return
         task = asyncio.current_task()
         assert task is not None
-        set_keep_alive(writer)
-        limit_receive_buffer(writer)
         connection = _Connection(
-            reader,
+            cast("WatchedReader", reader),
             writer,
             self._handler,
             self._limits,
+            self._slots,
             close_after_response=self._closing,
             cancel_on_disconnect=self._cancel_on_disconnect,
         )
+        if not self._slots.admit(connection, self._limits().connections):
+            writer.transport.abort()
+            return
         self._connections[task] = connection
+        set_keep_alive(writer)
+        limit_receive_buffer(writer)
+        # What the system does not take at once waits here until the client reads; the
+        # next request is read only when none is left.
+        writer.transport.set_write_buffer_limits(high=0)
         try:
             await connection.serve()
         except (OSError, asyncio.CancelledError):
             pass
         finally:
+            self._slots.remove(connection)
             del self._connections[task]
             writer.close()
 
@@ -187,10 +221,11 @@
 
     def __init__(
         self,
-        reader: asyncio.StreamReader,
+        reader: WatchedReader,
         writer: asyncio.StreamWriter,
         handler: Handler,
         limits: LimitsSource,
+        slots: ConnectionSlots,
         *,
         close_after_response: bool,
         cancel_on_disconnect: bool | RequestFilter,
@@ -199,6 +234,7 @@
         self._writer = writer
         self._handler = handler
         self._limits = limits
+        self._slots = slots
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=limits().head_bytes
         )
@@ -208,6 +244,8 @@
         self._wait: asyncio.Timeout | None = None
         self._handling: asyncio.Task[Response] | None = None
         self._is_given_up = False
+        self._is_disconnected = False
+        self._is_reading_body = False
         self._buffer = Buffer(BUDGET)
         self._cancel_on_disconnect = cancel_on_disconnect
 
@@ -234,12 +272,19 @@
         """Reset the connection."""
         self._writer.transport.abort()
 
+    def shed(self) -> None:
+        """Refuse the request that is being read, or else reset the connection."""
+        if self._is_reading_body:
+            self._buffer.evict()
+        else:
+            self.abort()
+
     async def serve(self) -> None:
         """Serve requests until either side closes the connection."""
         while True:
-            with hold_for_request() as self._buffer:
-                request = await self._read_request()
-                response = None if request is None else await self._answer(request)
+            allowance_bytes = self._limits().body_bytes + ANSWER_ALLOWANCE_BYTES
+            with hold_for_request(allowance_bytes) as self._buffer:
+                response = await self._read_and_answer()
                 if response is None:
                     return
                 await self._send_whole(response)
@@ -249,6 +294,15 @@
                 return
             self._http.start_next_cycle()
             self._idle = True
+            self._slots.mark_idle(self)
+
+    async def _read_and_answer(self) -> Response | None:
+        # No reference to the request remains while its response is sent.
+        request = await self._read_request()
+        if request is None:
+            return None
+        self._slots.mark_busy(self)
+        return await self._answer(request)
 
     async def _read_request(self) -> Request | None:
         try:
@@ -256,11 +310,7 @@
             if not isinstance(head, h11.Request):
                 return None
             self._idle = False
-            async with (
-                asyncio.timeout(self._limits().request_read_s),
-                self._buffer.until_evicted(),
-            ):
-                body = await self._read_body()
+            body = await self._read_body()
         except TimeoutError:
             if not self._idle:
                 await self._reject(408, "the request took too long; send it faster")
@@ -280,24 +330,39 @@
         return _to_request(head, body)
 
     async def _read_head(self) -> object:
-        """Wait for the head of a request; raise TimeoutError after the idle limit.
+        """Wait for the head of a request; raise TimeoutError after its limits.
 
-        If the limit is raised during the wait, the new limit applies to this wait too.
+        If a limit is raised during the wait, the new limit applies to this wait too.
         When the server closes, what has arrived is read before the wait ends.
         """
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         is_last_read = False
-        while True:
-            left_s = started_s + self._limits().idle_s - loop.time()
-            has_begun = bool(self._http.trailing_data[0])
-            if left_s <= 0 or (is_last_read and not has_begun):
+        leftover_bytes = len(self._http.trailing_data[0])
+        began_s = started_s if leftover_bytes else None
+        self._buffer.add(leftover_bytes)
+        while (event := self._http.next_event()) is h11.NEED_DATA:
+            now_s, limits = loop.time(), self._limits()
+            left_s = started_s + limits.idle_s - now_s
+            if began_s is not None:
+                left_s = min(left_s, began_s + limits.head_read_s - now_s)
+            if left_s <= 0 or (is_last_read and began_s is None):
                 raise TimeoutError
-            is_last_read = self._closes_when_idle and not has_begun
+            is_last_read = self._closes_when_idle and began_s is None
             if is_last_read:
                 left_s = 0.0
             with contextlib.suppress(TimeoutError):
-                return await self._next_event(left_s)
+                async with asyncio.timeout(left_s) as wait:
+                    self._wait = wait
+                    with self._buffer.end_when_evicted(wait):
+                        data = await self._read()
+                self._http.receive_data(data)
+                if began_s is None:
+                    began_s = loop.time()
+                self._buffer.count(len(data))
+            if self._buffer.is_evicted:
+                raise BuffersFull(FULL)
+        return event
 
     async def _answer(self, request: Request) -> Response | None:
         """Handle a request, but give it up if it keeps too many bytes."""
@@ -317,11 +382,20 @@
         loop = asyncio.get_running_loop()
         handler_task = loop.create_task(self._call_handler(request))
         self._handling = handler_task
+        # Pipelined requests stay in the reader, which holds few of them, until this one
+        # is answered.
+        self._reader.on_data = self._buffer.count
+        if cancels(request) if callable(cancels) else cancels:
+            self._reader.on_end = self._cancel_if_disconnected
+            if self._reader.at_eof():
+                # The handler begins first; it may answer without a wait.
+                loop.call_soon(self._cancel_if_disconnected)
         try:
-            if not (cancels(request) if callable(cancels) else cancels):
-                return await handler_task
-            return await self._handle_while_connected(handler_task)
+            return await handler_task
         except asyncio.CancelledError:
+            is_own = handler_task.cancelled() and not _is_being_cancelled()
+            if is_own and self._is_disconnected:
+                return None
             if not (self._is_given_up and handler_task.cancelled()):
                 handler_task.cancel()
                 await asyncio.gather(handler_task, return_exceptions=True)
@@ -333,59 +407,57 @@
                 )
             )
         finally:
-            self._handling = None
+            self._handling = self._reader.on_data = self._reader.on_end = None
+
+    def _cancel_if_disconnected(self) -> None:
+        """Cancel the handler unless further requests arrived before the disconnect."""
+        is_lost = self._reader.exception() is not None or self._reader.at_eof()
+        if is_lost and self._handling is not None:
+            self._is_disconnected = True
+            self._handling.cancel()
 
-    async def _handle_while_connected(
-        self, handler_task: asyncio.Task[Response]
-    ) -> Response | None:
+    async def _read_body(self) -> bytes | None:
+        """Return the body, or None if it is too long.
+
+        Raise TimeoutError if it makes too little progress, and BuffersFull if it has to
+        give way.
+        """
+        event = self._http.next_event()
+        if isinstance(event, h11.EndOfMessage):
+            return b""
         loop = asyncio.get_running_loop()
-        read_task = loop.create_task(self._read())
+        started_s = loop.time()
+        limits = self._limits()
+        body = bytearray()
+        self._slots.mark_waiting(self)
+        self._is_reading_body = True
         try:
-            await asyncio.wait(
-                [handler_task, read_task], return_when=asyncio.FIRST_COMPLETED
-            )
-            if read_task.done() and not handler_task.done():
-                data = b"" if read_task.exception() else read_task.result()
-                return await handler_task if data else None
-            return handler_task.result()
+            async with self._buffer.until_evicted(limits.request_read_s) as wait:
+                while not isinstance(event, h11.EndOfMessage):
+                    if event is h11.NEED_DATA:
+                        await self._receive_body_data()
+                    elif isinstance(event, h11.Data):
+                        self._buffer.add(len(event.data))
+                        body += event.data
+                        if len(body) > limits.body_bytes:
+                            return None
+                        whole_s = len(body) / limits.body_bytes_per_s
+                        until_s = min(started_s + whole_s, loop.time())
+                        wait.reschedule(until_s + limits.request_read_s)
+                        self._slots.mark_waiting(self)
+                    else:
+                        raise ConnectionError("the client disconnected in a request")
+                    event = self._http.next_event()
+            return bytes(body)
         finally:
-            for task in (handler_task, read_task):
-                if not task.done():
-                    task.cancel()
-            await asyncio.gather(handler_task, read_task, return_exceptions=True)
-            self._keep_pipelined_bytes(read_task)
-
-    def _keep_pipelined_bytes(self, read_task: asyncio.Task[bytes]) -> None:
-        # The read may have completed while it was being cancelled.
-        if read_task.cancelled() or read_task.exception() is not None:
-            return
-        if read_task.result():
-            self._http.receive_data(read_task.result())
+            self._is_reading_body = False
+            # The traceback of an error refers to this frame.
+            body.clear()
 
-    async def _read_body(self) -> bytes | None:
-        body = bytearray()
-        while True:
-            event = await self._next_event(None)
-            if isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > self._limits().body_bytes:
-                    return None
-                self._buffer.add(len(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                return bytes(body)
-            else:
-                raise ConnectionError("the client disconnected during its request")
-
-    async def _next_event(self, timeout_s: float | None) -> object:
-        async with asyncio.timeout(timeout_s) as self._wait:
-            while True:
-                event = self._http.next_event()
-                if event is not h11.NEED_DATA:
-                    return event
-                if self._http.they_are_waiting_for_100_continue:
-                    proceed = h11.InformationalResponse(status_code=100, headers=[])
-                    self._write(proceed)
-                self._http.receive_data(await self._read())
+    async def _receive_body_data(self) -> None:
+        if self._http.they_are_waiting_for_100_continue:
+            self._write(h11.InformationalResponse(status_code=100, headers=[]))
+        self._http.receive_data(await self._read())
 
     async def _read(self) -> bytes:
         try:
@@ -410,12 +482,15 @@
     async def _reject(
         self, status: int, message: str, retry_after_s: float | None = None
     ) -> None:
-        body = to_error_response(BadRequest(message)).body
+        body = to_error_response(BadRequest(message[:MAX_ERROR_CHARACTERS])).body
         headers = {} if retry_after_s is None else {"retry-after": str(retry_after_s)}
         self._close_after_response = True
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             with contextlib.suppress(ConnectionError, h11.LocalProtocolError):
-                await self._send(Response(status=status, body=body, headers=headers))
+                self._write_whole(Response(status=status, body=body, headers=headers))
+                if self._writer.transport.get_write_buffer_size():
+                    # The client reads nothing, and the process must not wait for it.
+                    self.abort()
 
     async def _send_whole(self, response: Response) -> None:
         """Send a response, but break it off if it waits too long in a full memory."""
@@ -433,16 +508,7 @@
             raise ConnectionError(str(error)) from error
 
     async def _send(self, response: Response) -> None:
-        headers = dict(response.headers)
-        if response.content_type:
-            headers.setdefault("content-type", response.content_type)
-        if isinstance(response.body, bytes):
-            headers["content-length"] = str(len(response.body))
-        if self._close_after_response:
-            headers["connection"] = "close"
-        head = h11.Response(
-            status_code=response.status, headers=encode_headers(headers)
-        )
+        head = self._build_head(response)
         if isinstance(response.body, bytes):
             await self._send_body(head, response.body)
             return
@@ -464,6 +530,24 @@
         self._write(h11.EndOfMessage())
         await self._drain()
 
+    def _build_head(self, response: Response) -> h11.Response:
+        headers = dict(response.headers)
+        if response.content_type:
+            headers.setdefault("content-type", response.content_type)
+        if isinstance(response.body, bytes):
+            headers["content-length"] = str(len(response.body))
+        if self._close_after_response:
+            headers["connection"] = "close"
+        return h11.Response(
+            status_code=response.status, headers=encode_headers(headers)
+        )
+
+    def _write_whole(self, response: Response) -> None:
+        """Write a short response without waiting for the client."""
+        assert isinstance(response.body, bytes)
+        body = h11.Data(data=response.body)
+        self._write(self._build_head(response), body, h11.EndOfMessage())
+
     async def _send_body(self, head: h11.Response, body: bytes) -> None:
         """Send a response with a whole body, a long one piece by piece."""
         self._write(head, h11.Data(data=body[:SENT_SIZE_BYTES]))
@@ -474,13 +558,33 @@
         await self._drain()
 
     async def _drain(self) -> None:
-        """Wait until the client has taken what was written, but not for ever."""
+        """Wait until the client has taken what was written.
+
+        Raise ConnectionError if it takes nothing for as long as it may be idle.
+        """
+        transport = self._writer.transport
+        left_bytes = transport.get_write_buffer_size()
+        if not left_bytes:
+            await self._writer.drain()
+            return
+        self._buffer.count(left_bytes)
         try:
-            async with asyncio.timeout(self._limits().idle_s):
-                await self._writer.drain()
-        except TimeoutError as error:
-            self._break_off()
-            raise ConnectionError("the client reads nothing") from error
+            while True:
+                self._slots.mark_waiting(self)
+                try:
+                    async with asyncio.timeout(self._limits().idle_s):
+                        await self._writer.drain()
+                    self._slots.mark_busy(self)
+                    return
+                except TimeoutError as error:
+                    before_bytes = left_bytes
+                    left_bytes = transport.get_write_buffer_size()
+                    self._buffer.count(left_bytes - before_bytes)
+                    if left_bytes >= before_bytes:
+                        self._break_off()
+                        raise ConnectionError("the client reads nothing") from error
+        finally:
+            self._buffer.count(-left_bytes)
 
     def _break_off(self) -> None:
         """Close the connection so that the client sees an incomplete response.
@@ -505,6 +609,11 @@
     return Request(head.method.decode(), path, query, headers, body)
 
 
+def _is_being_cancelled() -> bool:
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 def _build_limits_source(limits: ServerLimits | LimitsSource | None) -> LimitsSource:
     if callable(limits):
         return limits
--- a/src/tamarackshelf/net/sockets.py
+++ b/src/tamarackshelf/net/sockets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import resource
 import socket
 import struct
 
@@ -16,6 +17,8 @@
 USER_TIMEOUT_MS = 4_000
 # The system takes twice this much, and one read returns no more than that.
 RECEIVE_BUFFER_BYTES = 32 * 1024
+# Stands for no limit of the system.
+MAX_DESCRIPTORS = 1 << 20
 
 
 def set_keep_alive(writer: asyncio.StreamWriter) -> None:
@@ -36,6 +39,24 @@
             sock.setsockopt(level, option, value)
 
 
+def raise_descriptor_limit(wanted: int | None) -> int:
+    """Return how many descriptors the process may open, `wanted` at most.
+
+    The system's limit is raised to that number if the system allows it.
+    """
+    soft, hard = (
+        MAX_DESCRIPTORS if each == resource.RLIM_INFINITY else each
+        for each in resource.getrlimit(resource.RLIMIT_NOFILE)
+    )
+    limit = soft if wanted is None else min(wanted, hard)
+    if limit > soft:
+        try:
+            resource.setrlimit(resource.RLIMIT_NOFILE, (limit, hard))
+        except (OSError, ValueError):
+            return soft
+    return limit
+
+
 def limit_receive_buffer(writer: asyncio.StreamWriter) -> None:
     """Bound what the system keeps of bytes that were not read yet."""
     sock = writer.get_extra_info("socket")
@@ -53,4 +74,9 @@
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
 
 
-__all__ = ["limit_receive_buffer", "reset_on_close", "set_keep_alive"]
+__all__ = [
+    "limit_receive_buffer",
+    "raise_descriptor_limit",
+    "reset_on_close",
+    "set_keep_alive",
+]
--- a/src/tamarackshelf/net/streams.py
+++ b/src/tamarackshelf/net/streams.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 
 # Each read takes at most this much from the system.
 READ_SIZE_BYTES = 16 * 1024
@@ -30,11 +31,42 @@
         self.data_received(bytes(_READ_BUFFER[:nbytes]))
 
 
-def create_reader() -> asyncio.StreamReader:
-    """Return a reader that holds about READ_SIZE_BYTES at most."""
-    return asyncio.StreamReader(limit=READER_LIMIT_BYTES)
+class WatchedReader(asyncio.StreamReader):
+    """Reader that holds about READ_SIZE_BYTES at most and reports what arrives.
+
+    `on_data` is called with the size of data, `on_end` when no more will arrive. The
+    server thereby learns of a disconnect without reading further requests.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(limit=READER_LIMIT_BYTES)
+        self.on_data: Callable[[int], None] | None = None
+        self.on_end: Callable[[], None] | None = None
+
+    def feed_data(self, data: bytes) -> None:  # type: ignore[override]
+        """Add data, and report its size."""
+        super().feed_data(data)
+        if self.on_data is not None:
+            self.on_data(len(data))
+
+    def feed_eof(self) -> None:
+        """Note and report the end of the data."""
+        super().feed_eof()
+        if self.on_end is not None:
+            self.on_end()
+
+    def set_exception(self, exc: Exception) -> None:
+        """Note and report that the connection is lost."""
+        super().set_exception(exc)
+        if self.on_end is not None:
+            self.on_end()
 
 
 _READ_BUFFER = memoryview(bytearray(READ_SIZE_BYTES))
 
-__all__ = ["READ_SIZE_BYTES", "BoundedStreamProtocol", "create_reader"]
+__all__ = [
+    "READER_LIMIT_BYTES",
+    "READ_SIZE_BYTES",
+    "BoundedStreamProtocol",
+    "WatchedReader",
+]
--- a/src/tamarackshelf/node/configuration_view.py
+++ b/src/tamarackshelf/node/configuration_view.py
@@ -15,9 +15,12 @@
 class ConfigurationView:
     """The newest configuration that this node has read; an older one is ignored."""
 
-    def __init__(self, timeline: Timeline) -> None:
+    def __init__(
+        self, timeline: Timeline, min_body_bytes_per_s: float = 16 * 1024
+    ) -> None:
         self.route_table: RouteTable | None = None
         self._timeline = timeline
+        self._min_body_bytes_per_s = min_body_bytes_per_s
         self._limits = ServerLimits()
 
     def update(self, configuration: RoutingConfiguration) -> None:
@@ -30,6 +33,8 @@
         self._limits = ServerLimits(
             head_bytes=limits.head_bytes,
             body_bytes=limits.body_bytes,
+            head_read_s=limits.head_timeout_s + IDLE_MARGIN_S,
+            body_bytes_per_s=self._min_body_bytes_per_s,
             request_read_s=limits.head_timeout_s + limits.idle_timeout_s,
             idle_s=limits.idle_timeout_s + IDLE_MARGIN_S,
         )
--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -26,6 +26,7 @@
     ServerLimits,
 )
 from tamarackshelf.node.configuration_view import ConfigurationView
+from tamarackshelf.node.connection_groups import build_connection_groups
 from tamarackshelf.node.fleet import Fleet
 from tamarackshelf.node.freeze import watch_for_freezes
 from tamarackshelf.node.leaving_targets import LeavingTargets
@@ -141,7 +142,9 @@
         self.fleet: Fleet | None = None
         self.weights: WeightCoordinator | None = None
         self.row_store = FailoverStore(direct_store, timeline)
-        self.configuration_view = ConfigurationView(timeline)
+        self.configuration_view = ConfigurationView(
+            timeline, settings.min_body_bytes_per_s
+        )
         self.targets = TargetRegistry(
             timeline, lambda: self.row_store.recovered_at_s, random.Random()
         )
@@ -232,15 +235,19 @@
             metrics,
             self.planned_stop,
         )
+        slots = build_connection_groups(settings, metrics.count)
         self._caller_server = HttpServer(
             factories.callers(self.configuration_view, forwarder, streamer, self.jobs),
             self.configuration_view.limits,
             cancel_on_disconnect=True,
+            slots=slots.callers,
         )
         self._directory_server = HttpServer(
-            _to_async(factories.directory(self._choose_entries))
+            _to_async(factories.directory(self._choose_entries)), slots=slots.callers
+        )
+        self._ready_server = HttpServer(
+            _to_async(factories.ready(self.is_ready)), slots=slots.readiness
         )
-        self._ready_server = HttpServer(_to_async(factories.ready(self.is_ready)))
         peer_limits = ServerLimits(body_bytes=MAX_PEER_BODY_BYTES)
         peer_api = PeerApi(
             self.row_store,
@@ -252,10 +259,13 @@
             self._get_gossip,
         )
         self._peer_server = HttpServer(
-            peer_api.handle, peer_limits, cancel_on_disconnect=is_target_call
+            peer_api.handle,
+            peer_limits,
+            cancel_on_disconnect=is_target_call,
+            slots=slots.peers,
         )
-        self._seed_server = HttpServer(peer_api.handle, peer_limits)
-        self._metrics_server = HttpServer(self._answer_metrics)
+        self._seed_server = HttpServer(peer_api.handle, peer_limits, slots=slots.peers)
+        self._metrics_server = HttpServer(self._answer_metrics, slots=slots.metrics)
         self._tasks: list[asyncio.Task[None]] = []
 
     def is_ready(self) -> bool:
--- a/src/tamarackshelf/node/settings.py
+++ b/src/tamarackshelf/node/settings.py
@@ -70,6 +70,14 @@
     cores: float = 1.0
     # The memory that the process may use, or None if only the VM's memory bounds it.
     memory_bytes: int | None = None
+    # The descriptors that the process may have open, or None if only the system's limit
+    # of the process bounds them.
+    max_descriptors: int | None = None
+    # Lower bounds than those derived from memory and descriptors, or None.
+    max_caller_connections: int | None = None
+    buffer_bytes: int | None = None
+    # A caller that sends its body faster than this is not cut off.
+    min_body_bytes_per_s: float = 16 * 1024
     metrics_port: int = 0
     # None if the platform takes no such calls.
     duties: DutySettings | None = None
--- a/src/tamarackshelf/observe/logs.py
+++ b/src/tamarackshelf/observe/logs.py
@@ -105,6 +105,32 @@
         return self._lines <= MAX_LINES_PER_S
 
 
+class LogSampler:
+    """Choice of which of many similar events are logged.
+
+    `kinds` must be few, as a count of each is kept.
+    """
+
+    def __init__(self, lines_per_s: int) -> None:
+        self._lines_per_s = lines_per_s
+        # The second, the lines in it and the lines left out, for each kind.
+        self._counts: dict[str, tuple[int, int, int]] = {}
+
+    def begin(self, kind: str, now_s: float) -> int | None:
+        """Return None if an event shall not be logged.
+
+        Otherwise return how many of its kind were left out since the last one logged.
+        """
+        second, lines, unlogged = self._counts.get(kind, (0, 0, 0))
+        if second != int(now_s):
+            second, lines = int(now_s), 0
+        if lines >= self._lines_per_s:
+            self._counts[kind] = (second, lines, unlogged + 1)
+            return None
+        self._counts[kind] = (second, lines + 1, 0)
+        return unlogged
+
+
 class _KeyValueFormatter(logging.Formatter):
     """Formatter that writes a record as key=value pairs on one line."""
 
@@ -133,4 +159,4 @@
     return text if plain else json.dumps(text)
 
 
-__all__ = ["BoundedLogHandler", "set_up_bounded_logs", "set_up_logs"]
+__all__ = ["BoundedLogHandler", "LogSampler", "set_up_bounded_logs", "set_up_logs"]
--- a/src/tamarackshelf/platform/caller_api.py
+++ b/src/tamarackshelf/platform/caller_api.py
@@ -24,6 +24,7 @@
 from tamarackshelf.jobs.manager import JobManager
 from tamarackshelf.jobs.reader import ResultPage
 from tamarackshelf.net import Request, Response, is_sendable
+from tamarackshelf.observe import LogSampler
 from tamarackshelf.platform.target_client import (
     REQUEST_ID_HEADER,
     UNFORWARDED_HEADERS,
@@ -38,6 +39,11 @@
 BODIES_PATH = "/v1/items/"
 # Longest time that the platform lets a request for results wait for a result.
 MAX_WAIT_S = 1.0
+# Longer values of clients are cut in the log; a request's head may have 16 KB.
+MAX_LOGGED_CHARACTERS = 200
+# Refusals of each kind that are logged in a second. Untrusted clients can cause any
+# number; a deployment's own callers are refused a few times a second.
+REFUSALS_LOGGED_PER_S = 20
 
 
 class _ScorerUrl(msgspec.Struct):
@@ -154,13 +160,17 @@
 
 
 def _log_refused_request(request: Request, error: ShelfError) -> None:
+    unlogged = _refusals.begin(error.kind, _now_s())
+    if unlogged is None:
+        return
     event = {
-        "request": request.headers.get("x-request-id", ""),
-        "method": request.method,
-        "path": request.path,
+        "request": request.headers.get("x-request-id", "")[:MAX_LOGGED_CHARACTERS],
+        "method": request.method[:MAX_LOGGED_CHARACTERS],
+        "path": request.path[:MAX_LOGGED_CHARACTERS],
         "status": error.status,
         "outcome": error.kind,
-        "reason": error.message,
+        "reason": error.message[:MAX_LOGGED_CHARACTERS],
+        "unlogged": unlogged or "",
         "retry_after_s": error.retry_after_s or "",
     }
     log.info("caller_refused", extra={"event": event})
@@ -303,4 +313,6 @@
     return asyncio.get_running_loop().time()
 
 
+_refusals = LogSampler(REFUSALS_LOGGED_PER_S)
+
 __all__ = ["CallerApi", "decode_job", "to_caller_error_response"]
--- a/src/tamarackshelf/platform/settings.py
+++ b/src/tamarackshelf/platform/settings.py
@@ -14,6 +14,12 @@
 
 SETTINGS_VARIABLE = "TAMARACKSHELF_CONFIG"
 
+# With fewer, nothing is left for calls to targets.
+MIN_DESCRIPTORS = 64
+# Smaller budgets have no room for the heads of a few requests.
+MIN_BUFFER_BYTES = 256 * 1024
+DEFAULT_BODY_BYTES_PER_S = 16 * 1024
+
 
 def load_settings(path: Path) -> NodeSettings:
     """Read the settings file and ignore unknown fields.
@@ -72,6 +78,11 @@
         cores=float(fields.get("limits.cpuShare", "1"))
         * float(fields.get("limits.cpuCores", "1")),
         memory_bytes=_parse_memory(fields.get("limits.memoryMb", "")),
+        max_descriptors=_parse_count(fields, "limits.maxFds", MIN_DESCRIPTORS),
+        max_caller_connections=_parse_count(fields, "limits.callerConnections", 1),
+        buffer_bytes=_parse_count(fields, "limits.bufferBytes", MIN_BUFFER_BYTES),
+        min_body_bytes_per_s=_parse_count(fields, "limits.bodyBytesPerS", 1)
+        or DEFAULT_BODY_BYTES_PER_S,
         duties=_parse_duties(fields),
     )
 
@@ -97,6 +108,17 @@
     return int(float(text) * 1024 * 1024) or None if text else None
 
 
+def _parse_count(fields: dict[str, str], name: str, least: int) -> int | None:
+    """Return a number of at least `least`, or None if the field is absent or empty."""
+    text = fields.get(name, "")
+    if not text:
+        return None
+    number = int(text)
+    if number < least:
+        raise ValueError(f"{name} is {number}, and must be {least} or more")
+    return number
+
+
 def _parse_optional(text: str) -> Address | None:
     return parse_address(text) if text else None
 
--- a/tests/net/test_dead_connections.py
+++ b/tests/net/test_dead_connections.py
@@ -48,6 +48,9 @@
     def get_extra_info(self, name):
         return None
 
+    def set_write_buffer_limits(self, high):
+        pass
+
     def close(self):
         self.closed = True
 
--- a/tests/soak/workers.py
+++ b/tests/soak/workers.py
@@ -8,7 +8,13 @@
 
 import msgspec
 
-from tamarackshelf.net import HttpServer, Request, Response, to_json_response
+from tamarackshelf.net import (
+    HttpServer,
+    Request,
+    Response,
+    ServerLimits,
+    to_json_response,
+)
 from tests.soak.history import Arrival, History, Order, Run, now_s
 from tests.soak.responses import (
     build_event,
@@ -108,7 +114,12 @@
         """Start to serve at the address with new state and to write heartbeats."""
         self.state = WorkerState(started_unix_ms, dict(versions))
         self._free_slots = asyncio.Semaphore(self._slots)
-        self._server = HttpServer(self._handle, cancel_on_disconnect=True)
+        # Workers take what the callers' limits permit.
+        self._server = HttpServer(
+            self._handle,
+            ServerLimits(body_bytes=32 * 1024 * 1024),
+            cancel_on_disconnect=True,
+        )
         await self._server.start(address)
         self._heartbeat = asyncio.create_task(self._send_heartbeats())
 
