--- a/src/tamarackshelf/duties/worker_orders.py
+++ b/src/tamarackshelf/duties/worker_orders.py
@@ -48,6 +48,9 @@
     ) -> None:
         """Record the outcome of an order; one that was not sent counts as refused."""
 
+    def close(self) -> None:
+        """End the decisions, as this node no longer holds the lease."""
+
 
 @dataclass(slots=True)
 class _ServiceState:
@@ -113,7 +116,9 @@
                 continue
             scaled = self._list_scaled()
             for name in self._services.keys() - scaled:
-                del self._services[name]
+                decider = self._services.pop(name).decider
+                if decider is not None:
+                    decider.close()
             for name in scaled:
                 try:
                     await self._order(name)
@@ -134,6 +139,8 @@
             state = self._services[service] = _ServiceState(self._build_lease(service))
         state.lease.lease_s = self.lease_s
         if not await state.lease.ensure() or state.lease.held is None:
+            if state.decider is not None:
+                state.decider.close()
             state.decider = None
             return
         held = state.lease.held
--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -12,6 +12,8 @@
 from tamarackshelf.contracts.rows import RowChange, RowStore, RowStoreError
 from tamarackshelf.contracts.targets import ForwardedRequest, TargetClient
 from tamarackshelf.duties.program import UsageDuty
+from tamarackshelf.duties.scaling import LoadObserver, ServiceDecider
+from tamarackshelf.duties.worker_orders import WorkerOrderDuty
 from tamarackshelf.entry.forwarder import Forwarder
 from tamarackshelf.entry.planned_stop import PlannedStop
 from tamarackshelf.entry.streamer import Streamer
@@ -243,6 +245,7 @@
             self.planned_stop,
         )
         self.usage = self._build_usage_duty(duty_platform)
+        self.worker_orders = self._build_worker_orders(duty_platform)
         forwarder.record_run = streamer.record_run = self._record_run
         self._caller_server = HttpServer(
             factories.callers(self.configuration_view, forwarder, streamer, self.jobs),
@@ -346,6 +349,10 @@
         await self.weights.start()
         if self.usage is not None:
             await self.usage.start(fleet, self._settings.lease_s)
+        if self.worker_orders is not None:
+            await self.worker_orders.start(
+                fleet, self._settings.lease_s, lambda: fleet.is_leaving
+            )
         await self.retention.start(fleet)
         self._tasks = [
             start_task(
@@ -363,6 +370,8 @@
             self.weights.lease_s = settings.lease_s
         if self.usage is not None:
             self.usage.set_lease_s(settings.lease_s)
+        if self.worker_orders is not None:
+            self.worker_orders.lease_s = settings.lease_s
 
     async def stop(self) -> None:
         """Stop as planned, within the grace period.
@@ -410,6 +419,8 @@
             await self.weights.close()
         if self.usage is not None:
             await self.usage.close()
+        if self.worker_orders is not None:
+            await self.worker_orders.close()
         if self.fleet is not None:
             await self.fleet.close()
         for watch in self._watches.values():
@@ -440,6 +451,30 @@
             self._metrics,
         )
 
+    def _build_worker_orders(
+        self, platform: DutyPlatform | None
+    ) -> WorkerOrderDuty | None:
+        """Return the duty of ordering workers, if it is enabled."""
+        duties = self._settings.duties
+        if duties is None or platform is None or not duties.orders_workers:
+            return None
+        observer = LoadObserver(
+            self.targets,
+            self.jobs.heads,
+            lambda: self.configuration_view.configuration,
+            self.configuration_view.get_route_table,
+            self.row_store.now_store_ms,
+        )
+        return WorkerOrderDuty(
+            duties,
+            self.row_store,
+            platform,
+            lambda: self.configuration_view.configuration,
+            lambda service: ServiceDecider(service, observer, self._metrics),
+            self._timeline,
+            self._metrics,
+        )
+
     def _record_run(self, request: ForwardedRequest, started_s: float) -> None:
         if self.usage is not None:
             self.usage.recorder.record_run(request.organisation, started_s)
--- a/src/tamarackshelf/policy/slot_demand.py
+++ b/src/tamarackshelf/policy/slot_demand.py
@@ -163,4 +163,10 @@
     return offered + STAFFING_DEVIATIONS * math.sqrt(offered)
 
 
-__all__ = ["JobArrival", "OfferedLoad", "WaitingItems", "compute_needed_slots"]
+__all__ = [
+    "ARRIVAL_WINDOW_S",
+    "JobArrival",
+    "OfferedLoad",
+    "WaitingItems",
+    "compute_needed_slots",
+]
--- a/tests/duties/test_worker_orders.py
+++ b/tests/duties/test_worker_orders.py
@@ -42,6 +42,9 @@
     def record_outcome(self, order, outcome, now_s):
         self.outcomes.append(outcome)
 
+    def close(self):
+        self.is_closed = True
+
 
 class Environment:
     """Nodes with the duty, and a platform that keeps the calls."""
