--- a/src/tamarackshelf/platform/target_client.py
+++ b/src/tamarackshelf/platform/target_client.py
@@ -167,7 +167,7 @@
         OutcomeUnknown.
         """
         http = request.http
-        path, headers = _build_request(target, request, timeout_s)
+        path, headers = self._build_request(target, request, timeout_s)
         return await self._send(
             CallKind.REQUEST,
             target,
@@ -196,7 +196,7 @@
         `at_most_once` the request is never sent a second time. Raise NotRun or
         OutcomeUnknown.
         """
-        path, headers = _build_request(target, request, timeout_s)
+        path, headers = self._build_request(target, request, timeout_s)
         if after_event_id is not None:
             headers["last-event-id"] = str(after_event_id)
         if after_event_id is not None or request.resumption is not None:
@@ -228,6 +228,22 @@
         except ConnectionLost as error:
             raise _to_outcome(target, error) from error
 
+    def _build_request(
+        self, target: Target, request: ForwardedRequest, timeout_s: float
+    ) -> tuple[str, dict[str, str]]:
+        http = request.http
+        sent = http.headers.items()
+        headers = {n: v for n, v in sent if n not in UNFORWARDED_HEADERS}
+        if request.organisation or self.has_organisations():
+            # A request admitted before organisations came into force still has them.
+            headers = remove_identity(headers)
+        set_organisation(headers, request.organisation)
+        headers["host"] = request.host
+        headers["x-deadline-ms"] = str(max(1, int(timeout_s * 1000)))
+        headers["x-expect-instance"] = target.name
+        path = f"{http.path}?{http.query}" if http.query else http.path
+        return path, headers
+
     async def score(self, target: Target, call: ScoreCall, timeout_s: float) -> str:
         """Send a score call and return the score.
 
@@ -500,19 +516,6 @@
         raise TargetBusy(f"{target.name} returned {status} without running the request")
 
 
-def _build_request(
-    target: Target, request: ForwardedRequest, timeout_s: float
-) -> tuple[str, dict[str, str]]:
-    http = request.http
-    headers = {n: v for n, v in http.headers.items() if n not in UNFORWARDED_HEADERS}
-    set_organisation(headers, request.organisation)
-    headers["host"] = request.host
-    headers["x-deadline-ms"] = str(max(1, int(timeout_s * 1000)))
-    headers["x-expect-instance"] = target.name
-    path = f"{http.path}?{http.query}" if http.query else http.path
-    return path, headers
-
-
 async def _read_events(response: TargetStream) -> AsyncIterator[_RawEvent]:
     """Yield the events; raise ConnectionLost if one has no id, like an error's text."""
     async for block in _read_blocks(response):
--- a/tests/platform/test_caller_keys.py
+++ b/tests/platform/test_caller_keys.py
@@ -335,3 +335,23 @@
     assert route.priority == 5
     priorities = [table.get_priority(route, n) for n in ("north", "south", "", "gone")]
     assert priorities == [1, 5, 5, 5]
+
+
+# Headers were cleaned only on arrival, so a later retry forwarded the key.
+@pytest.mark.parametrize("path", ["/score/x", "/stream/x"])
+def test_retry_after_organisations_came_into_force_forwards_no_key(run, path):
+    node = KeyedNode(build_row(tenants=None))
+    node.client.has_organisations = node.view.has_organisations
+    stream = node.transport.stream
+
+    def change_then_fail(target, call):
+        if not node.transport.calls:
+            node.configure(build_row(version=2))
+            node.transport.failures = [ConnectFailed("refused")]
+        return stream(target, call)
+
+    node.transport.stream = change_then_fail
+    run(node.send(path, KEY | FORGED))
+    _, *later = node.list_sent_headers()
+    assert later
+    assert all(not {"x-credential", "x-tenant"} & headers.keys() for headers in later)
