--- a/src/tamarackshelf/net/http_server.py
+++ b/src/tamarackshelf/net/http_server.py
@@ -52,8 +52,6 @@
 ACCEPT_QUIET_S = 0.2
 # Retry delay for a client whose request found no room in the buffers.
 RETRY_AFTER_S = 0.3
-# Longer texts are cut; the parser's contain the line that it refuses.
-MAX_ERROR_CHARACTERS = 300
 # Connections that the system accepts before the server does.
 BACKLOG = 128
 # Connections accepted before the event loop runs other tasks: until their own tasks run
@@ -319,9 +317,10 @@
             await self._reject(503, f"{error}; send it again later", RETRY_AFTER_S)
             return None
         except h11.RemoteProtocolError as error:
-            await self._reject(
-                error.error_status_hint, f"not valid HTTP: {error}; correct it"
-            )
+            # The parser's text contains the invalid line, which may be an API key.
+            status = error.error_status_hint
+            reason = "its head is too long" if status == 431 else "not valid HTTP"
+            await self._reject(status, f"{reason}; correct the request")
             return None
         if body is None:
             limit = self._limits().body_bytes
@@ -482,7 +481,7 @@
     async def _reject(
         self, status: int, message: str, retry_after_s: float | None = None
     ) -> None:
-        body = to_error_response(BadRequest(message[:MAX_ERROR_CHARACTERS])).body
+        body = to_error_response(BadRequest(message)).body
         headers = {} if retry_after_s is None else {"retry-after": str(retry_after_s)}
         self._close_after_response = True
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
--- a/tests/net/test_bad_input.py
+++ b/tests/net/test_bad_input.py
@@ -235,3 +235,23 @@
     answer = asyncio.run(scenario())
     assert (answer.status, answer.body) == (200, b"body")
     assert seen == ["caf\xe9 \xc3\xa9"] == [answer.headers["x-note"]]
+
+
+# h11's error contains the invalid line, which may be an API key.
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\nhost: a\r\nx-credential : secret-key\r\n\r\n",
+        b"GET / HTTP/1.1\r\nhost: a\r\nx-credential: secret-key\x00\r\n\r\n",
+        b"GET /\x00secret-key HTTP/1.1\r\nhost: a\r\n\r\n",
+        b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: secret-key\r\n\r\n",
+    ],
+)
+def test_answer_to_invalid_http_repeats_no_byte_of_the_request(data):
+    async def scenario(server, address):
+        answer = await send_raw(address, data)
+        assert answer.startswith(b"HTTP/1.1 400 ")
+        assert b"secret-key" not in answer
+        assert b"not valid HTTP" in answer
+
+    serve(scenario)
