--- a/src/tamarackshelf/platform/organisation_records.py
+++ b/src/tamarackshelf/platform/organisation_records.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from typing import Any, TypeGuard
+from typing import TypeGuard
 
 from tamarackshelf.decoding import InvalidInput
 from tamarackshelf.organisations import is_usable_key
@@ -31,12 +31,16 @@
 
 
 def decode_organisations(
-    value: list[Any], errors: list[UnreadableField]
+    value: object, errors: list[UnreadableField]
 ) -> tuple[Organisation, ...]:
     """Decode what is readable of a list of organisations, and add errors for the rest.
 
-    A key of several organisations belongs to the first of them.
+    A key of several organisations belongs to the first of them. A value that is not a
+    list contains no organisation, so that no key is accepted.
     """
+    if not isinstance(value, list):
+        errors.append(UnreadableField("tenants", "not a list"))
+        return ()
     owners: dict[str, str] = {}
     found = []
     for number, entry in enumerate(value):
--- a/src/tamarackshelf/platform/records.py
+++ b/src/tamarackshelf/platform/records.py
@@ -149,7 +149,7 @@
     upstreams: list[_Upstream] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
     # The platform calls an organisation a tenant. Decoded as `public` is.
-    tenants: list[Any] | None = None
+    tenants: Any = None
 
 
 class _LoadedModel(msgspec.Struct):
