--- a/src/tamarackshelf/jobs/adoption.py
+++ b/src/tamarackshelf/jobs/adoption.py
@@ -82,6 +82,8 @@
         started_s = _now_s()
         job_id, own = stored.job_id, self._registry.own
         try:
+            if self._registry.has_organisations():
+                stored = await self._registry.restore_organisation(stored)
             claimed = await self._claim(stored)
             if claimed is None:
                 return
--- a/src/tamarackshelf/jobs/handover.py
+++ b/src/tamarackshelf/jobs/handover.py
@@ -179,6 +179,10 @@
         built from the head on which it depends: the job may have ended meanwhile.
         """
         while owned.pending_claim is not None and not owned.is_closed:
+            if not owned.stored.head.organisation:
+                await self._restore_organisation(owned)
+                if owned.pending_claim is None or owned.is_closed:
+                    return
             if not owned.is_open:
                 await self._runner.drop(
                     owned.job_id, "the job is not open", StopCause.JOB_ENDED
@@ -198,6 +202,26 @@
             self._registry.update(stored)
             await self._resume_listing(owned, stored)
 
+    async def _restore_organisation(self, owned: OwnedJob) -> None:
+        """Take the organisation from the stored body if the hand-over named none.
+
+        While the body is not readable the job is claimed without it; access is decided
+        by the body then.
+        """
+        if not self._registry.has_organisations():
+            return
+        try:
+            restored = await self._registry.restore_organisation(owned.stored)
+        except RowStoreError as error:
+            self._timeline.record("job_unverified", owned.job_id, str(error))
+            return
+        name = restored.head.organisation
+        if not name:
+            return
+        owned.job = replace(owned.job, organisation=name)
+        head = replace(owned.stored.head, organisation=name)
+        owned.stored = replace(owned.stored, head=head)
+
     async def _resume_listing(self, owned: OwnedJob, stored: StoredHead) -> None:
         """Allow the job's results to be listed after those that the store holds.
 
--- a/src/tamarackshelf/jobs/manager.py
+++ b/src/tamarackshelf/jobs/manager.py
@@ -61,12 +61,12 @@
         self._store = store
         self._runner = runner
         self._timeline = timeline
-        self._registry = JobRegistry(row_store, get_route_table)
+        self._registry = JobRegistry(row_store, store, get_route_table)
         self._adoption = JobAdoption(
             self._registry, row_store, store, runner, http, timeline
         )
         self.handovers = JobHandovers(self._registry, store, runner, http, timeline)
-        self.reader = JobReader(store, runner, self._registry.heads, http)
+        self.reader = JobReader(store, runner, self._registry, http)
         self._task: asyncio.Task[None] | None = None
         watch.on_change(self._apply_rows)
 
@@ -104,9 +104,12 @@
         """
         heads = self._registry.heads
         ids = list_stored_ids(job.job_id, job.organisation)
-        known = [heads[each].head for each in ids if each in heads]
-        if any(may_access(head.organisation, job.organisation) for head in known):
-            return
+        for stored in [heads[each] for each in ids if each in heads]:
+            try:
+                if await self._may_access(stored, job.organisation):
+                    return
+            except RowStoreError as error:
+                raise to_unavailable(error) from error
         for stored_id in ids:
             if stored_id in heads:
                 continue
@@ -129,8 +132,10 @@
             stored = await self.reader.read_head(job_id)
             if stored.head.state is JobState.ENDED:
                 return
-            ended = replace(stored.head, state=JobState.ENDED)
             try:
+                if organisation:
+                    stored = await self._registry.restore_organisation(stored)
+                ended = replace(stored.head, state=JobState.ENDED)
                 changed = await self._store.change_head(stored, ended)
             except HeadChanged:
                 continue
@@ -175,9 +180,15 @@
                 stored = await self._store.insert(job, head)
             except HeadChanged as error:
                 current = error.current
-                if current is not None and not may_access(
-                    current.head.organisation, job.organisation
-                ):
+                try:
+                    is_other = current is not None and not await self._may_access(
+                        current, job.organisation
+                    )
+                except RowStoreError as failure:
+                    raise OutcomeUnknown(
+                        "the store did not confirm the job; send the job again"
+                    ) from failure
+                if current is not None and is_other:
                     self._registry.update(current)
                     return False
                 self._record_accepted(job, current, "the job was already stored")
@@ -201,6 +212,12 @@
                 )
             await asyncio.sleep(0.05)
 
+    async def _may_access(self, stored: StoredHead, organisation: str) -> bool:
+        """Return whether an organisation may use a job; raise RowStoreError."""
+        if organisation:
+            stored = await self._registry.restore_organisation(stored)
+        return may_access(stored.head.organisation, organisation)
+
     def _start_job(self, owned: OwnedJob, due_s: float) -> None:
         if owned.job_id not in self._runner.jobs:
             self._registry.run_exclusively(
@@ -256,7 +273,7 @@
             if change.at.key != HEAD_KEY:
                 continue
             if change.value is None:
-                self._registry.heads.pop(change.at.part, None)
+                self._registry.forget(change.at.part)
                 self._adoption.forget(change.at.part)
                 continue
             try:
--- a/src/tamarackshelf/jobs/reader.py
+++ b/src/tamarackshelf/jobs/reader.py
@@ -9,6 +9,7 @@
 
 from tamarackshelf.contracts.rows import RowStoreError
 from tamarackshelf.errors import NotFound, StoreUnavailable
+from tamarackshelf.jobs.registry import JobRegistry
 from tamarackshelf.jobs.runner import JobRunner
 from tamarackshelf.net import HttpClient
 from tamarackshelf.node.fleet import Fleet
@@ -38,7 +39,7 @@
 
 
 class JobReader:
-    """Reads any job; `heads` are the heads of all jobs that this node knows.
+    """Reads any job; `registry` has the heads of all jobs that this node knows.
 
     `compute_left_s` returns for how long this node still serves; no read waits longer.
     """
@@ -47,14 +48,15 @@
         self,
         store: JobStore,
         runner: JobRunner,
-        heads: Mapping[str, StoredHead],
+        registry: JobRegistry,
         http: HttpClient,
     ) -> None:
         self.fleet: Fleet | None = None
         self.compute_left_s: Callable[[], float] = lambda: float("inf")
         self._store = store
         self._runner = runner
-        self._heads = heads
+        self._registry = registry
+        self._heads: Mapping[str, StoredHead] = registry.heads
         self._http = http
         self._job_cache: OrderedDict[str, Job] = OrderedDict()
 
@@ -133,13 +135,15 @@
         owned = self._runner.jobs.get(stored_id)
         if owned is not None and owned.job.organisation:
             return owned.job.organisation
-        stored = self._heads.get(stored_id)
-        if stored is None:
-            try:
+        try:
+            stored = self._heads.get(stored_id)
+            if stored is None:
                 stored = await self._store.read_head(stored_id)
-            except RowStoreError as error:
-                raise to_unavailable(error) from error
-        return None if stored is None else stored.head.organisation
+            if stored is None:
+                return None
+            return (await self._registry.restore_organisation(stored)).head.organisation
+        except RowStoreError as error:
+            raise to_unavailable(error) from error
 
     async def _read_stored(
         self, job_id: str, after: int, deadline_s: float
--- a/src/tamarackshelf/jobs/registry.py
+++ b/src/tamarackshelf/jobs/registry.py
@@ -11,7 +11,7 @@
 from tamarackshelf.node.fleet import Fleet
 from tamarackshelf.store.failover import FailoverStore
 from tamarackshelf.store.fleet_rows import NodeRecord
-from tamarackshelf.store.job_store import StoredHead
+from tamarackshelf.store.job_store import JobStore, StoredHead
 from tamarackshelf.tasks import stop_tasks
 from tamarackshelf.world.job import JobHead, JobState, ModelDemand
 
@@ -23,7 +23,10 @@
     """State shared by the parts that accept, adopt and hand over jobs."""
 
     def __init__(
-        self, row_store: FailoverStore, get_route_table: RouteTableGetter
+        self,
+        row_store: FailoverStore,
+        store: JobStore,
+        get_route_table: RouteTableGetter,
     ) -> None:
         self.heads: dict[str, StoredHead] = {}
         # Jobs that this node is accepting. The store's feed may report a job before the
@@ -34,6 +37,9 @@
         self.handed_over: dict[str, NodeRecord] = {}
         self.fleet: Fleet | None = None
         self._row_store = row_store
+        self._store = store
+        # By id of a job whose head has no organisation: the one in the job's body.
+        self._body_organisations: dict[str, str] = {}
         self._get_route_table = get_route_table
         self._transfers: dict[str, asyncio.Task[None]] = {}
 
@@ -53,12 +59,41 @@
         if known is None or stored.version > known.version:
             if known is not None and not stored.head.organisation:
                 # A node of an earlier release writes heads without the name.
-                head = replace(stored.head, organisation=known.head.organisation)
-                stored = replace(stored, head=head)
+                stored = _set_organisation(stored, known.head.organisation)
             self.heads[stored.job_id] = stored
             if self.fleet is not None and stored.head.owner != self.own.vm:
                 self.handed_over.pop(stored.job_id, None)
 
+    def forget(self, job_id: str) -> None:
+        """Forget a job that was deleted from the store."""
+        self.heads.pop(job_id, None)
+        self._body_organisations.pop(job_id, None)
+
+    def has_organisations(self) -> bool:
+        """Return whether callers need the API key of an organisation."""
+        table = self._get_route_table()
+        return table is not None and table.configuration.organisations is not None
+
+    async def restore_organisation(self, stored: StoredHead) -> StoredHead:
+        """Return a head with the organisation in the job's body if it names none.
+
+        A node of an earlier release writes heads without the name, which would open
+        the job to every organisation. Raise RowStoreError if the body is not readable.
+        """
+        if stored.head.organisation:
+            return stored
+        job_id = stored.job_id
+        name = self._body_organisations.get(job_id)
+        if name is None:
+            job = await self._store.read_job(job_id)
+            name = "" if job is None else job.organisation
+            if job is not None and job_id in self.heads:
+                self._body_organisations[job_id] = name
+        known = self.heads.get(job_id)
+        if name and known is not None and not known.head.organisation:
+            self.heads[job_id] = _set_organisation(known, name)
+        return _set_organisation(stored, name)
+
     def is_in_transition(self, job_id: str) -> bool:
         """Return whether this node is accepting, adopting or handing over a job."""
         return job_id in self._transfers or job_id in self.accepting
@@ -103,6 +138,10 @@
         self._transfers.pop(job_id, None)
 
 
+def _set_organisation(stored: StoredHead, organisation: str) -> StoredHead:
+    return replace(stored, head=replace(stored.head, organisation=organisation))
+
+
 def _add_demand(before: ModelDemand, head: JobHead, age_s: float) -> ModelDemand:
     is_open = head.state is JobState.OPEN
     return ModelDemand(
--- a/tests/jobs/test_organisations.py
+++ b/tests/jobs/test_organisations.py
@@ -10,9 +10,11 @@
 import pytest
 
 from tamarackshelf.contracts.rows import StoreRefused
-from tamarackshelf.errors import NotFound
+from tamarackshelf.errors import NotFound, StoreUnavailable
+from tamarackshelf.node.peer_jobs import JobHandover
 from tamarackshelf.standin.row_store import MemoryRowStore
 from tamarackshelf.store.job_store import BODY_TABLE, HEAD_TABLE, JobStore, decode_head
+from tamarackshelf.world import Organisation
 from tamarackshelf.world.job import Job, JobState
 from tests.jobs.test_jobs import check_results, submit
 from tests.store.test_rows import ROW_BYTES, build_head
@@ -198,6 +200,178 @@
     run_scenario(scenario)
 
 
+ORGANISATIONS = (Organisation("north"), Organisation("south"))
+
+
+async def restart_after_earlier_release(owner="b", organisations=ORGANISATIONS):
+    """Return new processes on a store whose job's head an earlier release wrote.
+
+    Only the job's body still has the name of the organisation.
+    """
+    store = MemoryRowStore()
+    first = Cluster(store, SimulatedEngines())
+    await first.start()
+    await asyncio.sleep(0.1)
+    job = await submit(first, job=build_owned())
+    await asyncio.sleep(0.1)
+    (head,) = read_heads(first)
+    await first.stop()
+    row = msgspec.msgpack.encode(replace(head, epoch=2, owner=owner, organisation=""))
+    store.put(HEAD_TABLE, "head", row, part="j1")
+    second = Cluster(store, SimulatedEngines(), organisations=organisations)
+    return second, job
+
+
+def count_body_reads(cluster):
+    """Return a list to which the name of a node is added when it reads a body."""
+    reads = []
+
+    def count(name, client):
+        read = client.read
+
+        async def read_and_count(query):
+            if query.table == BODY_TABLE:
+                reads.append(name)
+            return await read(query)
+
+        client.read = read_and_count
+
+    for name, node in cluster.nodes.items():
+        count(name, node.client)
+    return reads
+
+
+# Access was decided by the head alone, so such a job was open to every organisation at
+# a process that had not known it before.
+@pytest.mark.parametrize("owner", ["b", "x"])
+def test_head_of_an_earlier_release_is_completed_from_the_body(run, owner):
+    async def scenario():
+        cluster, job = await restart_after_earlier_release(owner)
+        if owner == "x":
+            # Its process still runs, so that no node claims the job.
+            cluster.records["x"] = replace(cluster.records["a"], vm="x")
+        reads = count_body_reads(cluster)
+        await cluster.start()
+        await asyncio.sleep(0.5)
+        try:
+            await check_hidden(cluster, "j1", "south")
+            page = await cluster.nodes["c"].job_manager.reader.read(
+                "j1", 0, 0.0, "north"
+            )
+            assert page.total == 4
+            before = len(reads)
+            await check_hidden(cluster, "j1", "south")
+            assert len(reads) == before
+            theirs = await submit(cluster, "a", build_owned("south", items=2))
+            check_results(await read_all(cluster, "c", theirs, "south"), theirs)
+            await cluster.nodes["c"].job_manager.end("j1", "north")
+            names = {head.total: head.organisation for head in read_heads(cluster)}
+            assert names == {4: "north", 2: "south"}
+        finally:
+            await cluster.stop()
+
+    run(scenario())
+
+
+# A job whose organisation cannot be read is not open to all meanwhile.
+def test_head_of_an_earlier_release_opens_nothing_while_the_body_is_unreadable(run):
+    async def scenario():
+        cluster, _ = await restart_after_earlier_release()
+        await cluster.start()
+        await asyncio.sleep(0.1)
+        c = cluster.nodes["c"]
+        c.job_manager.heads["j1"] = await JobStore(c.client, ROW_BYTES).read_head("j1")
+        nameless = replace(c.job_manager.heads["j1"].head, organisation="")
+        c.job_manager.heads["j1"] = replace(c.job_manager.heads["j1"], head=nameless)
+        read = c.client.read
+
+        async def refuse(query):
+            if query.table == BODY_TABLE:
+                raise StoreRefused("refused")
+            return await read(query)
+
+        c.client.read = refuse
+        try:
+            with pytest.raises(StoreUnavailable):
+                await c.job_manager.reader.read("j1", 0, 0.0, "south")
+            with pytest.raises(StoreUnavailable):
+                await submit(cluster, "c", build_owned("south", items=2))
+            with pytest.raises(StoreUnavailable):
+                await c.job_manager.end("j1", "south")
+        finally:
+            await cluster.stop()
+
+    run(scenario())
+
+
+# The new owner wrote the head without the name again.
+def test_claim_of_a_job_of_an_earlier_release_stores_the_name(run):
+    async def scenario():
+        cluster, job = await restart_after_earlier_release()
+        cluster.dead.add("b")
+        seen = []
+        run_item = cluster.engines.run_item
+
+        def record(target, item_run):
+            seen.append(item_run.organisation)
+            return run_item(target, item_run)
+
+        cluster.engines.run_item = record
+        for name in "ac":
+            await cluster.nodes[name].start()
+        try:
+            check_results(await read_all(cluster, "a", job, "north"), job)
+            (head,) = read_heads(cluster)
+            assert (head.owner in "ac", head.organisation) == (True, "north")
+            assert set(seen) == {"north"}
+        finally:
+            await cluster.stop()
+
+    run(scenario())
+
+
+# The receiver had never heard of the job, so it stored the claim without the name.
+def test_hand_over_by_an_earlier_release_to_a_new_process_stores_the_name(run):
+    async def scenario():
+        cluster, job = await restart_after_earlier_release()
+        a = cluster.nodes["a"]
+        await cluster.start()
+        stored = await JobStore(a.client, ROW_BYTES).read_head("j1")
+        nameless = replace(stored.head, organisation="")
+        a.job_manager.heads.pop("j1", None)
+        handover = JobHandover(
+            replace(job, organisation=""), replace(stored, head=nameless), (), (), ()
+        )
+        try:
+            assert a.job_manager.handovers.accept(handover)
+            await asyncio.sleep(0.3)
+            (head,) = read_heads(cluster)
+            assert (head.owner, head.organisation) == ("a", "north")
+            await check_hidden(cluster, "j1", "south")
+        finally:
+            await cluster.stop()
+
+    run(scenario())
+
+
+# Nodes of a deployment without organisations read no rows beyond those of before.
+def test_claim_reads_the_body_once_without_organisations(run):
+    async def scenario():
+        cluster, _ = await restart_after_earlier_release(organisations=None)
+        cluster.dead.update("bc")
+        reads = count_body_reads(cluster)
+        await cluster.nodes["a"].start()
+        await asyncio.sleep(3.0)
+        try:
+            (head,) = read_heads(cluster)
+            assert (head.owner, head.organisation) == ("a", "")
+            assert reads == ["a"]
+        finally:
+            await cluster.stop()
+
+    run(scenario())
+
+
 # Jobs stored before organisations existed have no name, and their trainers must not
 # lose them.
 def test_job_without_an_organisation_is_served_to_every_key(run_scenario):
--- a/tests/support/node.py
+++ b/tests/support/node.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import random
+from dataclasses import replace
 
 import msgspec
 
@@ -218,7 +219,9 @@
         self.target_registry = TargetRegistry(
             self.timeline, lambda: self.failover_store.recovered_at_s, random.Random(1)
         )
-        table = RouteTable(build_configuration())
+        table = RouteTable(
+            replace(build_configuration(), organisations=cluster.organisations)
+        )
         scorer = Scorer(
             self.target_registry, cluster.engines, lambda: table, "dc", self.timeline
         )
@@ -269,8 +272,9 @@
 class Cluster:
     """Nodes on one row store; it is also the HTTP client of their peer requests."""
 
-    def __init__(self, store, engines, names="abc", data_centre=""):
+    def __init__(self, store, engines, names="abc", data_centre="", organisations=None):
         """Put each node in its own data centre unless `data_centre` names one."""
+        self.organisations = organisations
         self.store = store
         self.engines = engines
         self.dead = set()
