--- a/src/tamarackshelf/node/configuration_follower.py
+++ b/src/tamarackshelf/node/configuration_follower.py
@@ -3,7 +3,8 @@
 Nodes tell each other the version that they have by gossip. A node that hears of a newer
 one and does not get it from the store's feed asks peers for it. They answer from
 memory, so that this costs no calls to the store, and without any API key: decoded
-configurations have digests only.
+configurations have digests only. Only changes from or to a configuration with
+organisations are published, so that deployments without them send nothing more.
 """
 
 from __future__ import annotations
@@ -64,12 +65,17 @@
         self._timeline = timeline
         self._metrics = metrics
         self._fleet: Fleet | None = None
+        self._has_organisations = False
         self._newest = Rumour(VERSION_SUBJECT, -1)
         self._is_behind = asyncio.Event()
         self._task: asyncio.Task[None] | None = None
 
     async def start(self, fleet: Fleet) -> None:
-        """Publish the version of this node from now on, and follow that of others."""
+        """Publish this node's versions from now on, and follow those of others.
+
+        A version is published only if its configuration, or the one before it on this
+        node, has organisations.
+        """
         self._fleet = fleet
         fleet.gossip.on_rumour(VERSION_SUBJECT, self._receive)
         self._view.on_update = self._publish
@@ -96,6 +102,10 @@
 
     def _publish(self, configuration: RoutingConfiguration) -> None:
         assert self._fleet is not None
+        had_organisations = self._has_organisations
+        self._has_organisations = configuration.organisations is not None
+        if not (had_organisations or self._has_organisations):
+            return
         self._fleet.gossip.publish(
             Rumour(VERSION_SUBJECT, configuration.version, self._fleet.own.vm)
         )
--- a/tests/node/test_configuration_follower.py
+++ b/tests/node/test_configuration_follower.py
@@ -117,8 +117,8 @@
         others = [each for each in self.nodes if each is not node]
         return self._rng.sample(others, len(others))
 
-    async def start(self):
-        self.put(1)
+    async def start(self, tenants=TENANTS):
+        self.put(1, tenants)
         for node in self.nodes:
             await node.start()
         await asyncio.sleep(2.0)
@@ -243,3 +243,42 @@
         assert await measure_s([node], 2) < APPLY_S
 
     run(scenario())
+
+
+# Rumours and questions to peers about versions were sent in every deployment.
+def test_without_organisations_no_version_is_published_and_no_peer_is_asked(run):
+    async def scenario():
+        cluster = Cluster(nodes=4)
+        paths = []
+
+        async def record(origin, address, path):
+            paths.append(path)
+
+        cluster.network.before.append(record)
+        await cluster.start(tenants=None)
+        refused = cluster.nodes[0]
+        refused.client.is_refused = True
+        cluster.put(2, tenants=None)
+        await measure_s(cluster.nodes, 2)
+        assert cluster.newest == {}
+        assert CONFIGURATION_PATH not in paths
+
+    run(scenario())
+
+
+# The change that brings organisations into force, or removes them, is published too:
+# a refused node would admit or refuse callers by the configuration before it.
+@pytest.mark.parametrize(("before", "after"), [(None, TENANTS), (TENANTS, None)])
+def test_refused_nodes_follow_the_first_and_the_last_use_of_organisations(
+    run, before, after
+):
+    async def scenario():
+        cluster = Cluster(seed=3)
+        await cluster.start(before)
+        for node in cluster.nodes[:18]:
+            node.client.is_refused = True
+        cluster.put(2, after)
+        assert await measure_s(cluster.nodes, 2) < SKEW_S
+        assert cluster.newest == {"configuration": 2}
+
+    run(scenario())
