--- a/tests/jobs/test_organisations.py
+++ b/tests/jobs/test_organisations.py
@@ -398,23 +398,44 @@
 
 
 # The early chunks of a large job were written without a condition: a submission that
-# was refused had replaced the body of the job that has the id.
-def test_refused_submission_leaves_a_large_body_unchanged(run):
+# was refused had replaced the body of the job that has the id, with organisations and
+# without.
+@pytest.mark.parametrize("organisation", ["south", ""])
+def test_refused_submission_leaves_a_large_body_unchanged(run, organisation):
     async def scenario():
         store = MemoryRowStore()
         jobs = JobStore(store.connect(), ROW_BYTES)
         first = build_stored_job(items=40, body=b"x" * 50_000)
         await jobs.insert(first, build_head())
         other = replace(
-            build_stored_job(items=40, body=b"y" * 50_000), organisation="south"
+            build_stored_job(items=40, body=b"y" * 50_000), organisation=organisation
         )
+        head = replace(build_head("b"), organisation=organisation)
         with pytest.raises(Exception, match="head has changed"):
-            await jobs.insert(other, replace(build_head(), organisation="south"))
+            await jobs.insert(other, head)
         assert await jobs.read_job("j1") == first
 
     run(scenario())
 
 
+# The conditions on early chunks must add no call and no condition to small jobs.
+def test_small_body_is_stored_by_one_transaction_with_one_condition(run):
+    async def scenario():
+        client = MemoryRowStore().connect()
+        commit, transactions = client.commit, []
+
+        async def record(transaction):
+            transactions.append(transaction)
+            return await commit(transaction)
+
+        client.commit = record
+        await JobStore(client, ROW_BYTES).insert(build_stored_job(), build_head())
+        (transaction,) = transactions
+        assert [each.at.table for each in transaction.conditions] == [HEAD_TABLE]
+
+    run(scenario())
+
+
 @pytest.mark.parametrize("item_count", [1, 12, 39, 41])
 def test_body_is_read_without_the_chunks_of_an_unfinished_submission(run, item_count):
     async def scenario():
