--- a/src/tamarackshelf/world/organisation.py
+++ b/src/tamarackshelf/world/organisation.py
@@ -29,8 +29,8 @@
 class Organisation:
     """An organisation of a routing configuration and the digests of its API keys.
 
-    `priority` goes before that of a route, where 0 is the most urgent; None means that
-    the route's priority holds.
+    `priority` overrides the route's priority, where 0 is the most urgent; None means
+    that the route's priority holds.
     """
 
     name: str
