--- a/tests/duties/test_program.py
+++ b/tests/duties/test_program.py
@@ -8,6 +8,8 @@
 import os
 import time
 
+import pytest
+
 from tamarackshelf.cli.node import build_program
 from tamarackshelf.net import HttpClient, HttpServer, Response
 from tamarackshelf.observe import Timeline
@@ -125,3 +127,22 @@
     # The requests may have begun on the two sides of a boundary.
     counts = [body["replicaCounts"].get("org", 0) for _, _, body in reports]
     assert sum(counts) == len(HOSTS)
+
+
+# A deployment that names no address or not this task must be served as before.
+@pytest.mark.parametrize(
+    ("duties", "is_enabled"),
+    [
+        ("", False),
+        ("cloudApi.address=\n", False),
+        (DUTIES.replace("usage_report,", ""), False),
+        (DUTIES, True),
+    ],
+)
+async def test_duty_needs_an_address_and_its_task(tmp_path, duties, is_enabled):
+    address = find_free_address()
+    NodeProcess("n0", HOSTS[0], [], address, tmp_path)
+    path = tmp_path / "n0.conf"
+    path.write_text(path.read_text() + duties.format(address=address))
+    program = build_program(load_settings(path), Timeline("n0", lambda: 0))
+    assert (program.usage is not None) is is_enabled
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tamarackshelf.node.settings import InvalidSettings
+from tamarackshelf.node.settings import DutySettings, InvalidSettings
 from tamarackshelf.node.settings_watch import CHECK_INTERVAL_S, SettingsWatch
 from tamarackshelf.observe import Timeline
 from tamarackshelf.platform.settings import load_settings
@@ -47,6 +47,24 @@
     return path
 
 
+def test_duties_are_read_if_the_platform_takes_calls(path):
+    assert load_settings(path).duties is None
+    path.write_text(
+        VALID_SETTINGS
+        + "cloudApi.address=10.200.1.9:8150\ncloudApi.dutyPerS=50\n"
+        + "cloudApi.tasks=usage_report\nbounds.usageLateS=10\n"
+    )
+    assert load_settings(path).duties == DutySettings(
+        Address("10.200.1.9", 8150),
+        50.0,
+        reports_usage=True,
+        orders_workers=False,
+        checks_fencing=True,
+        report_window_s=5.0,
+        report_late_s=10.0,
+    )
+
+
 def test_settings_are_read_and_unknown_fields_ignored(path):
     settings = load_settings(path)
     assert settings.vm == "edge-vestland-a-1"
