--- a/src/tamarackshelf/duties/program.py
+++ b/src/tamarackshelf/duties/program.py
@@ -80,6 +80,8 @@
             self._clock,
             fleet,
             self._http,
+            self._store,
+            self._settings.report_window_s,
             self._metrics,
             self._has_organisations,
         )
--- a/src/tamarackshelf/duties/usage_counts.py
+++ b/src/tamarackshelf/duties/usage_counts.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from tamarackshelf.contracts.rows import RowStore, RowStoreError
 from tamarackshelf.decoding import InvalidInput, decode_msgpack
 from tamarackshelf.duties.lease import LeaseFleet, has_majority
 from tamarackshelf.duties.true_time import TrueClock, compute_median_s
@@ -23,11 +24,14 @@
 from tamarackshelf.policy.ownership import rank_owners
 from tamarackshelf.policy.usage import (
     COLLECTORS,
+    DECIDE_DELAY_S,
     ProcessKey,
     compute_send_interval_s,
+    find_end_s,
     find_window,
 )
 from tamarackshelf.store.fleet_rows import NodeRecord
+from tamarackshelf.store.usage_rows import ProcessCounts, store_counts
 
 COUNTS_PATH = "/usage-counts"
 TABLE_PATH = "/usage-table"
@@ -47,6 +51,9 @@
 # collectors forget one that was not repeated.
 GREETING_INTERVAL_S = 50.0
 OFFSET_TTL_S = 120.0
+# A node whose counts no other node has accepted writes them to the store this long
+# after the window's end, which is before the decision.
+STORE_AFTER_S = 1.0
 
 T = TypeVar("T")
 
@@ -78,15 +85,6 @@
     window: int
 
 
-@dataclass(frozen=True, slots=True)
-class ProcessCounts:
-    """Cumulative counts of one process in one window, by organisation."""
-
-    vm: str
-    incarnation: int
-    counts: dict[str, int]
-
-
 @dataclass(frozen=True, slots=True)
 class UsageTableAnswer:
     """What a collector knows of one window."""
@@ -219,6 +217,8 @@
         clock: TrueClock,
         fleet: LeaseFleet,
         http: HttpClient,
+        store: RowStore,
+        window_s: float,
         metrics: Metrics,
         is_enabled: Callable[[], bool],
     ) -> None:
@@ -227,6 +227,10 @@
         self._clock = clock
         self._fleet = fleet
         self._http = http
+        self._store = store
+        self._window_s = window_s
+        # Counts in the store's rows of this process.
+        self._stored: dict[int, dict[str, int]] = {}
         self._metrics = metrics
         self._is_enabled = is_enabled
         self._states: dict[tuple[str, int], _CollectorState] = {}
@@ -251,6 +255,28 @@
         }
         windows = {w: dict(c) for w, c in self._recorder.list_windows().items()}
         await asyncio.gather(*(self._send_to(each, windows) for each in collectors))
+        await self._store_unaccepted(windows)
+
+    async def _store_unaccepted(self, windows: Mapping[int, dict[str, int]]) -> None:
+        """Write the counts of an ended window that no other node has to the store."""
+        own, now_s = self._fleet.own, self._clock.now_s()
+        self._stored = {w: c for w, c in self._stored.items() if w in windows}
+        others = [s for (vm, _), s in self._states.items() if vm != own.vm]
+        for window, counts in windows.items():
+            age_s = now_s - find_end_s(window, self._window_s)
+            if (
+                self._fleet.count_listed_nodes() > 1
+                and STORE_AFTER_S <= age_s < DECIDE_DELAY_S
+                and self._stored.get(window) != counts
+                and all(state.accepted.get(window) != counts for state in others)
+            ):
+                process = ProcessCounts(own.vm, own.incarnation, counts)
+                try:
+                    await store_counts(self._store, window, process)
+                except RowStoreError:
+                    return
+                self._stored[window] = counts
+                self._metrics.count("usage_counts_stored")
 
     async def read_tables(
         self, window: int
@@ -344,7 +370,6 @@
     "COUNTS_PATH",
     "TABLE_PATH",
     "USAGE_SUBJECT",
-    "ProcessCounts",
     "UsageCollector",
     "UsageCounts",
     "UsageCountsAnswer",
--- a/src/tamarackshelf/duties/usage_report.py
+++ b/src/tamarackshelf/duties/usage_report.py
@@ -32,6 +32,7 @@
     UsageReport,
     delete_reports,
     mark_answered,
+    read_counts,
     read_reports,
     store_report,
 )
@@ -172,7 +173,9 @@
         age_s = self._clock.now_s() - find_end_s(window, self._settings.report_window_s)
         if not is_complete and age_s < DECIDE_LATEST_S:
             return
-        counts = merge_counts(tables)
+        stored_counts = await read_counts(self._store, window)
+        table = {(each.vm, each.incarnation): each.counts for each in stored_counts}
+        counts = merge_counts([*tables, table])
         report = UsageReport(
             window, self._platform.encode_usage(window, counts), counts
         )
--- a/src/tamarackshelf/store/usage_rows.py
+++ b/src/tamarackshelf/store/usage_rows.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Sequence
 from dataclasses import dataclass, field, replace
 
 import msgspec
@@ -23,6 +22,8 @@
 from tamarackshelf.store.fleet_rows import LEASE_TABLE, StoredLease
 
 USAGE_TABLE = "usage-report"
+# Counts of nodes that reach no collector.
+COUNTS_TABLE = "usage-counts"
 # Digits of a window's number in keys, so that keys are in the order of the windows.
 WINDOW_DIGITS = 15
 MAX_DELETED_ROWS = 40
@@ -44,6 +45,15 @@
     is_answered: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class ProcessCounts:
+    """Cumulative counts of one process in one window, by organisation."""
+
+    vm: str
+    incarnation: int
+    counts: dict[str, int]
+
+
 @dataclass(frozen=True, slots=True)
 class StoredReport:
     """A report and the version of its row."""
@@ -107,11 +117,35 @@
     return reports
 
 
+async def store_counts(store: RowStore, window: int, process: ProcessCounts) -> None:
+    """Store the counts of a process in a window in place of earlier ones."""
+    key = f"{_to_key(window).key}/{process.vm}/{process.incarnation}"
+    write = RowWrite(RowKey(COUNTS_TABLE, "", key), msgspec.msgpack.encode(process))
+    await store.commit(RowTransaction((), (write,)))
+
+
+async def read_counts(store: RowStore, window: int) -> list[ProcessCounts]:
+    """Return the counts that processes stored for a window."""
+    prefix = f"{_to_key(window).key}/"
+    page = await store.read(RowQuery(COUNTS_TABLE, "", prefix))
+    processes = []
+    for row in page.rows:
+        if not row.at.key.startswith(prefix):
+            break
+        try:
+            processes.append(decode_msgpack(row.value, ProcessCounts))
+        except InvalidInput as error:
+            _log_unreadable(row, error)
+    return processes
+
+
 async def delete_reports(store: RowStore, before_window: int) -> int:
-    """Delete some reports on windows before this one; return their number."""
-    page = await store.read(RowQuery(USAGE_TABLE, "", limit=MAX_DELETED_ROWS))
+    """Delete some rows of windows before this one; return their number."""
     bound = _to_key(before_window).key
-    rows: Sequence[StoredRow] = [row for row in page.rows if row.at.key < bound]
+    rows: list[StoredRow] = []
+    for table in (USAGE_TABLE, COUNTS_TABLE):
+        page = await store.read(RowQuery(table, "", limit=MAX_DELETED_ROWS))
+        rows += [row for row in page.rows if row.at.key < bound]
     if rows:
         writes = tuple(RowWrite(row.at, None) for row in rows)
         await store.commit(RowTransaction((), writes))
@@ -131,18 +165,25 @@
         return StoredReport(decode_msgpack(row.value, UsageReport), row.version)
     except InvalidInput as error:
         # The window stays without a report: what was sent for it is not known.
-        event = {"row": f"{row.at.table}/{row.at.key}", "reason": str(error)}
-        log.warning("row_unreadable", extra={"event": event})
+        _log_unreadable(row, error)
         return None
 
 
+def _log_unreadable(row: StoredRow, error: InvalidInput) -> None:
+    event = {"row": f"{row.at.table}/{row.at.key}", "reason": str(error)}
+    log.warning("row_unreadable", extra={"event": event})
+
+
 __all__ = [
     "USAGE_TABLE",
     "LeaseChanged",
+    "ProcessCounts",
     "StoredReport",
     "UsageReport",
     "delete_reports",
     "mark_answered",
+    "read_counts",
     "read_reports",
+    "store_counts",
     "store_report",
 ]
--- a/tests/duties/test_usage.py
+++ b/tests/duties/test_usage.py
@@ -279,6 +279,21 @@
     run_nodes(run, scenario)
 
 
+# Callers of a node that is cut off from its peers are served on.
+def test_counts_of_a_node_that_reaches_no_peer_pass_through_the_store(run):
+    async def scenario(nodes):
+        await sleep_until(1.0)
+        nodes.cut(LAST)
+        await run_requests(nodes, 10.0)
+        await sleep_until(25.0)
+        assert nodes.platform.find_counts()[0] == {"org": 200}
+        assert nodes.platform.find_counts()[1] == {"org": 200}
+        stored = {at.key for at in nodes.store.rows if at.table == "usage-counts"}
+        assert stored == {f"{FIRST_WINDOW + n:015d}/{LAST}/1" for n in (0, 1)}
+
+    run_nodes(run, scenario)
+
+
 # Each side took the lease from the other, and neither acted.
 @pytest.mark.parametrize("name", [FIRST, LAST])
 def test_node_that_is_cut_off_from_its_peers_leaves_the_lease_alone(run, name):
