--- a/src/tamarackshelf/node/program.py
+++ b/src/tamarackshelf/node/program.py
@@ -12,6 +12,8 @@
 from tamarackshelf.contracts.rows import RowChange, RowStore, RowStoreError
 from tamarackshelf.contracts.targets import ForwardedRequest, TargetClient
 from tamarackshelf.duties.program import UsageDuty
+from tamarackshelf.duties.scaling import LoadObserver, ServiceDecider
+from tamarackshelf.duties.worker_orders import WorkerOrderDuty
 from tamarackshelf.entry.forwarder import Forwarder
 from tamarackshelf.entry.planned_stop import PlannedStop
 from tamarackshelf.entry.streamer import Streamer
@@ -32,6 +34,7 @@
     ConfigurationFollower,
 )
 from tamarackshelf.node.configuration_view import ConfigurationView
+from tamarackshelf.node.connection_groups import build_connection_groups
 from tamarackshelf.node.fleet import Fleet
 from tamarackshelf.node.freeze import watch_for_freezes
 from tamarackshelf.node.leaving_targets import LeavingTargets
@@ -149,7 +152,9 @@
         self.fleet: Fleet | None = None
         self.weights: WeightCoordinator | None = None
         self.row_store = FailoverStore(direct_store, timeline)
-        self.configuration_view = ConfigurationView(timeline)
+        self.configuration_view = ConfigurationView(
+            timeline, settings.min_body_bytes_per_s
+        )
         self.targets = TargetRegistry(
             timeline, lambda: self.row_store.recovered_at_s, random.Random()
         )
@@ -244,16 +249,21 @@
             self.planned_stop,
         )
         self.usage = self._build_usage_duty(duty_platform)
+        self.worker_orders = self._build_worker_orders(duty_platform)
         forwarder.record_run = streamer.record_run = self._record_run
+        slots = build_connection_groups(settings, metrics.count)
         self._caller_server = HttpServer(
             factories.callers(self.configuration_view, forwarder, streamer, self.jobs),
             self.configuration_view.limits,
             cancel_on_disconnect=True,
+            slots=slots.callers,
         )
         self._directory_server = HttpServer(
-            _to_async(factories.directory(self._choose_entries))
+            _to_async(factories.directory(self._choose_entries)), slots=slots.callers
+        )
+        self._ready_server = HttpServer(
+            _to_async(factories.ready(self.is_ready)), slots=slots.readiness
         )
-        self._ready_server = HttpServer(_to_async(factories.ready(self.is_ready)))
         peer_limits = ServerLimits(body_bytes=MAX_PEER_BODY_BYTES)
         peer_api = PeerApi(
             self.row_store,
@@ -271,10 +281,13 @@
         if self.usage is not None:
             peer_api.add_handlers(self.usage.handlers)
         self._peer_server = HttpServer(
-            peer_api.handle, peer_limits, cancel_on_disconnect=is_target_call
+            peer_api.handle,
+            peer_limits,
+            cancel_on_disconnect=is_target_call,
+            slots=slots.peers,
         )
-        self._seed_server = HttpServer(peer_api.handle, peer_limits)
-        self._metrics_server = HttpServer(self._answer_metrics)
+        self._seed_server = HttpServer(peer_api.handle, peer_limits, slots=slots.peers)
+        self._metrics_server = HttpServer(self._answer_metrics, slots=slots.metrics)
         self._tasks: list[asyncio.Task[None]] = []
 
     def is_ready(self) -> bool:
@@ -348,6 +361,10 @@
         await self.weights.start()
         if self.usage is not None:
             await self.usage.start(fleet, self._settings.lease_s)
+        if self.worker_orders is not None:
+            await self.worker_orders.start(
+                fleet, self._settings.lease_s, lambda: fleet.is_leaving
+            )
         await self.retention.start(fleet)
         self._tasks = [
             start_task(
@@ -365,6 +382,8 @@
             self.weights.lease_s = settings.lease_s
         if self.usage is not None:
             self.usage.set_lease_s(settings.lease_s)
+        if self.worker_orders is not None:
+            self.worker_orders.lease_s = settings.lease_s
 
     async def stop(self) -> None:
         """Stop as planned, within the grace period.
@@ -412,6 +431,8 @@
             await self.weights.close()
         if self.usage is not None:
             await self.usage.close()
+        if self.worker_orders is not None:
+            await self.worker_orders.close()
         if self.fleet is not None:
             await self.fleet.close()
         for watch in self._watches.values():
@@ -442,6 +463,30 @@
             self._metrics,
         )
 
+    def _build_worker_orders(
+        self, platform: DutyPlatform | None
+    ) -> WorkerOrderDuty | None:
+        """Return the duty of ordering workers, if it is enabled."""
+        duties = self._settings.duties
+        if duties is None or platform is None or not duties.orders_workers:
+            return None
+        observer = LoadObserver(
+            self.targets,
+            self.jobs.heads,
+            lambda: self.configuration_view.configuration,
+            self.configuration_view.get_route_table,
+            self.row_store.now_store_ms,
+        )
+        return WorkerOrderDuty(
+            duties,
+            self.row_store,
+            platform,
+            lambda: self.configuration_view.configuration,
+            lambda service: ServiceDecider(service, observer, self._metrics),
+            self._timeline,
+            self._metrics,
+        )
+
     def _record_run(self, request: ForwardedRequest, started_s: float) -> None:
         if self.usage is not None:
             self.usage.recorder.record_run(request.organisation, started_s)
