--- a/src/tamarackshelf/net/http_server.py
+++ b/src/tamarackshelf/net/http_server.py
@@ -29,9 +29,13 @@
     to_error_response,
 )
 from tamarackshelf.net.sockets import (
+    USER_TIMEOUT_MS,
+    count_unacknowledged_bytes,
     limit_receive_buffer,
+    limit_send_buffer,
     reset_on_close,
     set_keep_alive,
+    set_user_timeout,
 )
 from tamarackshelf.net.streams import (
     READ_SIZE_BYTES,
@@ -44,6 +48,10 @@
 LimitsSource = Callable[[], "ServerLimits"]
 RequestFilter = Callable[[Request], bool]
 
+# A client may take a response of this size or more slowly. The system would otherwise
+# end the connection after USER_TIMEOUT_MS without room at the client, which a client
+# that reads 8 KB a second reaches.
+SLOWLY_READ_BYTES = 16 * 1024
 # A long body is sent in pieces of this size.
 SENT_SIZE_BYTES = 64 * 1024
 # HttpServer.close waits this long for the answers to requests that it gives up.
@@ -203,6 +211,7 @@
         self._connections[task] = connection
         set_keep_alive(writer)
         limit_receive_buffer(writer)
+        limit_send_buffer(writer)
         # What the system does not take at once waits here until the client reads; the
         # next request is read only when none is left.
         writer.transport.set_write_buffer_limits(high=0)
@@ -246,6 +255,7 @@
         self._is_given_up = False
         self._is_disconnected = False
         self._is_reading_body = False
+        self._is_slow_reader_allowed = False
         self._buffer = Buffer(BUDGET)
         self._cancel_on_disconnect = cancel_on_disconnect
 
@@ -302,8 +312,21 @@
         if request is None:
             return None
         self._slots.mark_busy(self)
+        if self._is_slow_reader_allowed:
+            set_user_timeout(self._writer, USER_TIMEOUT_MS)
+            self._is_slow_reader_allowed = False
         return await self._answer(request)
 
+    def _allow_slow_reader(self) -> None:
+        """Let _drain judge the client's progress instead of the system.
+
+        The system's limit also ends connections whose client reads, if its window stays
+        smaller than the next segment.
+        """
+        if not self._is_slow_reader_allowed:
+            set_user_timeout(self._writer, 0)
+            self._is_slow_reader_allowed = True
+
     async def _read_request(self) -> Request | None:
         try:
             head = await self._read_head()
@@ -550,6 +573,8 @@
 
     async def _send_body(self, head: h11.Response, body: bytes) -> None:
         """Send a response with a whole body, a long one piece by piece."""
+        if len(body) >= SLOWLY_READ_BYTES:
+            self._allow_slow_reader()
         self._write(head, h11.Data(data=body[:SENT_SIZE_BYTES]))
         for start in range(SENT_SIZE_BYTES, len(body), SENT_SIZE_BYTES):
             await self._drain()
@@ -568,6 +593,8 @@
             await self._writer.drain()
             return
         self._buffer.count(left_bytes)
+        self._allow_slow_reader()
+        untaken_bytes = left_bytes + count_unacknowledged_bytes(self._writer)
         try:
             while True:
                 self._slots.mark_waiting(self)
@@ -577,10 +604,12 @@
                     self._slots.mark_busy(self)
                     return
                 except TimeoutError as error:
-                    before_bytes = left_bytes
-                    left_bytes = transport.get_write_buffer_size()
-                    self._buffer.count(left_bytes - before_bytes)
-                    if left_bytes >= before_bytes:
+                    if transport.is_closing():
+                        raise ConnectionError("the connection is lost") from error
+                    before_bytes = untaken_bytes
+                    untaken_bytes = transport.get_write_buffer_size()
+                    untaken_bytes += count_unacknowledged_bytes(self._writer)
+                    if untaken_bytes >= before_bytes:
                         self._break_off()
                         raise ConnectionError("the client reads nothing") from error
         finally:
--- a/src/tamarackshelf/net/sockets.py
+++ b/src/tamarackshelf/net/sockets.py
@@ -4,9 +4,12 @@
 
 import asyncio
 import contextlib
+import fcntl
 import resource
 import socket
 import struct
+import sys
+import termios
 
 # An idle connection to a dead peer fails after about 4 s: KEEP_ALIVE_IDLE_S plus
 # KEEP_ALIVE_PROBES times KEEP_ALIVE_INTERVAL_S.
@@ -17,6 +20,10 @@
 USER_TIMEOUT_MS = 4_000
 # The system takes twice this much, and one read returns no more than that.
 RECEIVE_BUFFER_BYTES = 32 * 1024
+# The system takes twice this much. By itself it would keep up to 4 MB of responses for
+# each client that reads nothing, and let the server write more only when a third is
+# free, which a slow client takes minutes for.
+SEND_BUFFER_BYTES = 64 * 1024
 # Stands for no limit of the system.
 MAX_DESCRIPTORS = 1 << 20
 
@@ -39,6 +46,37 @@
             sock.setsockopt(level, option, value)
 
 
+def limit_send_buffer(writer: asyncio.StreamWriter) -> None:
+    """Bound what the system keeps of a response until the client has taken it."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None:
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
+
+
+def count_unacknowledged_bytes(writer: asyncio.StreamWriter) -> int:
+    """Return what the system keeps of the sent bytes, or 0 if it does not say."""
+    sock = writer.get_extra_info("socket")
+    if sock is None:
+        return 0
+    try:
+        answer = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return 0
+    return int.from_bytes(answer, sys.byteorder)
+
+
+def set_user_timeout(writer: asyncio.StreamWriter, timeout_ms: int) -> None:
+    """Limit how long sent data may stay unacknowledged or find no room at the peer.
+
+    0 removes the limit.
+    """
+    sock = writer.get_extra_info("socket")
+    if sock is not None:
+        with contextlib.suppress(OSError):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
 def raise_descriptor_limit(wanted: int | None) -> int:
     """Return how many descriptors the process may open, `wanted` at most.
 
@@ -75,8 +113,11 @@
 
 
 __all__ = [
+    "count_unacknowledged_bytes",
     "limit_receive_buffer",
+    "limit_send_buffer",
     "raise_descriptor_limit",
     "reset_on_close",
     "set_keep_alive",
+    "set_user_timeout",
 ]
--- a/tests/net/test_dead_connections.py
+++ b/tests/net/test_dead_connections.py
@@ -9,6 +9,7 @@
 import asyncio
 import contextlib
 import errno
+import socket
 
 import pytest
 
@@ -21,6 +22,7 @@
     ServerLimits,
 )
 from tamarackshelf.net.http_client import _Connection
+from tamarackshelf.net.sockets import USER_TIMEOUT_MS
 from tamarackshelf.net.streams import BoundedStreamProtocol
 from tests.conftest import find_free_address
 
@@ -186,3 +188,33 @@
         await server.abort()
 
     asyncio.run(scenario())
+
+
+def test_client_that_pauses_longer_than_the_system_allows_gets_its_whole_response():
+    """The system reset connections of clients that had no room for 4 s.
+
+    They are sound: they may be idle for longer than that.
+    """
+    body = b"a" * 4_000_000
+
+    async def scenario():
+        async def answer(request):
+            return Response(200, body)
+
+        server = HttpServer(answer, ServerLimits(idle_s=15.0))
+        address = await server.start(find_free_address())
+        loop = asyncio.get_running_loop()
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+            sock.setblocking(False)
+            await loop.sock_connect(sock, (address.host, address.port))
+            head = b"GET / HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+            await loop.sock_sendall(sock, head)
+            await asyncio.sleep(USER_TIMEOUT_MS / 1000 + 2.0)
+            received_bytes = 0
+            while data := await loop.sock_recv(sock, 1 << 20):
+                received_bytes += len(data)
+        await server.abort()
+        return received_bytes
+
+    assert asyncio.run(scenario()) > len(body)
--- a/tests/net/test_untrusted_input.py
+++ b/tests/net/test_untrusted_input.py
@@ -80,6 +80,9 @@
     def get_write_buffer_size(self):
         return len(self.unsent)
 
+    def is_closing(self):
+        return self.is_closed.is_set()
+
     def write(self, data):
         (self.sent if self.is_read else self.unsent).extend(data)
         self.peak_unsent_bytes = max(self.peak_unsent_bytes, len(self.unsent))
@@ -150,7 +153,7 @@
 
 
 @settings(
-    max_examples=60,
+    max_examples=200,
     deadline=None,
     suppress_health_check=[HealthCheck.too_slow],
 )
--- a/tests/observe/test_logs.py
+++ b/tests/observe/test_logs.py
@@ -11,6 +11,7 @@
     MAX_BUFFER_BYTES,
     MAX_LINES_PER_S,
     BoundedLogHandler,
+    LogSampler,
     _KeyValueFormatter,
 )
 
@@ -71,3 +72,11 @@
     assert "KeyError" in line
     assert "test_exception_is_logged_with_its_trace_on_one_line" in line
     assert "\n" not in line
+
+
+def test_sampler_logs_some_of_each_kind_and_counts_the_others():
+    """Refusals of untrusted clients filled the log beside those of other kinds."""
+    sampler = LogSampler(2)
+    assert [sampler.begin("a", 1.5) for _ in range(4)] == [0, 0, None, None]
+    assert sampler.begin("b", 1.5) == 0
+    assert [sampler.begin("a", 2.0) for _ in range(3)] == [2, 0, None]
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -160,3 +160,39 @@
     kinds = [kind for kind, _ in watched.events()]
     assert kinds == ["settings_reloaded", "settings_refused"]
     assert [settings.entries_valid_max_s for settings in watched.applied] == [3.0]
+
+
+def test_limits_for_untrusted_clients_have_defaults(path):
+    settings = load_settings(path)
+    assert settings.max_descriptors is None
+    assert settings.max_caller_connections is None
+    assert settings.buffer_bytes is None
+    assert settings.min_body_bytes_per_s == 16 * 1024
+
+
+def test_limits_for_untrusted_clients_are_read(path):
+    path.write_text(
+        f"{VALID_SETTINGS}limits.maxFds=4100\nlimits.callerConnections=700\n"
+        "limits.bufferBytes=30000000\nlimits.bodyBytesPerS=1000\n"
+    )
+    settings = load_settings(path)
+    assert settings.max_descriptors == 4100
+    assert settings.max_caller_connections == 700
+    assert settings.buffer_bytes == 30_000_000
+    assert settings.min_body_bytes_per_s == 1000
+
+
+@pytest.mark.parametrize(
+    "line",
+    [
+        "limits.maxFds=63",
+        "limits.maxFds=many",
+        "limits.callerConnections=0",
+        "limits.bufferBytes=1000",
+        "limits.bodyBytesPerS=-1",
+    ],
+)
+def test_limits_that_leave_nothing_are_invalid(path, line):
+    path.write_text(f"{VALID_SETTINGS}{line}\n")
+    with pytest.raises(InvalidSettings):
+        load_settings(path)
