--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -58,6 +58,10 @@
 NEXT_EVENT_TIMEOUT_S = 1.3
 FULL_ENGINE_BACKOFF_S = 0.12
 FAILED_ITEM_DELAY_S = 0.05
+# With less time left, or while engines refuse runs, items that complete groups start
+# before longer ones. Otherwise the longest start first, which ends a step sooner that
+# is in time: it takes 1 to 2 s on free engines.
+GROUPS_FIRST_S = 6.0
 # Texts of unfinished items are stored at this interval, for a node that adopts the job.
 SAVE_INTERVAL_S = 1.5
 MIN_UNSAVED_PIECES = 8
@@ -286,6 +290,8 @@
                 if not state.is_text_complete and state.not_before_s <= now_s
             ]
             ranks = job.rank_groups() if startable else {}
+            left_s = self._due_s[job.job_id] - now_s
+            is_crowded = left_s < GROUPS_FIRST_S or self.stragglers.is_contended(now_s)
             for state in startable:
                 item = state.item
                 rank, is_spare = ranks[item.group]
@@ -299,7 +305,7 @@
                         is_begun=state.has_text,
                         model=job.job.model,
                         organisation=job.job.organisation,
-                        group_rank=rank,
+                        group_rank=rank if is_crowded else 0,
                         is_spare=is_spare,
                     )
                 )
--- a/src/tamarackshelf/jobs/stragglers.py
+++ b/src/tamarackshelf/jobs/stragglers.py
@@ -94,6 +94,10 @@
             return False
         return self._queues.may_send(engine, self.unstarted[engine], now_s)
 
+    def is_contended(self, now_s: float) -> bool:
+        """Return whether an engine has refused a run of this node lately."""
+        return self._queues.is_contended(now_s)
+
     def find_queues(self, jobs: Iterable[OwnedJob], now_s: float) -> set[str]:
         """Return the engines that have a run of this node in their queue."""
         runs = [
--- a/src/tamarackshelf/policy/engine_queue.py
+++ b/src/tamarackshelf/policy/engine_queue.py
@@ -76,8 +76,11 @@
         _, until_s = self._refusals.get(engine, (0, now_s))
         if now_s < until_s:
             return False
-        is_contended = now_s - self._contended_at_s < CONTENTION_MEMORY_S
-        return not is_contended or unstarted < MAX_UNSTARTED
+        return not self.is_contended(now_s) or unstarted < MAX_UNSTARTED
+
+    def is_contended(self, now_s: float) -> bool:
+        """Return whether an engine has refused a run of this node lately."""
+        return now_s - self._contended_at_s < CONTENTION_MEMORY_S
 
     def has_started_promptly(self, engine: str, now_s: float) -> bool:
         """Return whether the last run of this node that began there did not queue."""
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+from dataclasses import replace
 
 import pytest
 
@@ -426,6 +427,29 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize(("due_s", "long_first"), [(7.5, 12), (3.0, 4)])
+def test_short_groups_start_first_when_little_time_is_left(
+    run_scenario, due_s, long_first
+):
+    """Slots are too few for a late step; no group of it was complete when it was due."""
+
+    async def scenario(cluster):
+        job = build_job(items=24)
+        items = [
+            replace(item, group="ab"[n % 2], expected_tokens=(2000, 100)[n % 2])
+            for n, item in enumerate(job.items)
+        ]
+        job = replace(job, items=tuple(items), group_count=2)
+        due_at_s = asyncio.get_running_loop().time() + due_s
+        await cluster.nodes["a"].job_manager.submit(job, due_at_s)
+        await asyncio.sleep(0.05)
+        first = {item_id for item_id, _, _ in cluster.engines.runs}
+        assert len(first) == 16
+        assert sum(i.item_id in first for i in items if i.group == "a") == long_first
+
+    run_scenario(scenario)
+
+
 def test_run_stays_in_a_queue_when_nothing_shows_that_another_engine_is_free(
     run_scenario,
 ):
