--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -431,7 +431,7 @@
 def test_short_groups_start_first_when_little_time_is_left(
     run_scenario, due_s, long_first
 ):
-    """Slots are too few for a late step; no group of it was complete when it was due."""
+    """Slots are too few for a late step; none of its groups was complete in time."""
 
     async def scenario(cluster):
         job = build_job(items=24)
