--- a/src/tamarackshelf/jobs/stragglers.py
+++ b/src/tamarackshelf/jobs/stragglers.py
@@ -35,6 +35,9 @@
 # A run without events for less than this does not count as silent. An engine with free
 # capacity prefills a prompt and sends an event in a tenth of this time.
 MIN_SILENCE_S = 0.5
+# An engine that has sent no event to any run of this node for this long may be stuck:
+# most queues are shorter.
+SILENT_ENGINE_S = 1.5
 # A run counts as silent only after this many times its engine's usual time of an event,
 # so that an engine that is only slow does not count as silent.
 SILENCE_FACTOR = 6.0
@@ -205,13 +208,7 @@
             ]
             usable = engines
             if run.last_event_at_s is None:
-                # Its place in the queue is worth more than a guess that another engine
-                # is free, so it moves only where a run has just begun at once.
-                usable = [
-                    engine
-                    for engine in engines
-                    if self._queues.has_started_promptly(engine.name, now_s)
-                ]
+                usable = self._find_better_than_queue(run, engines, now_s)
             engine_name = place_item(
                 usable,
                 job.job.min_version,
@@ -231,6 +228,29 @@
             )
             job.stop_run(state.item.item_id, cause)
 
+    def _find_better_than_queue(
+        self, run: CurrentRun, engines: list[EngineCandidate], now_s: float
+    ) -> list[EngineCandidate]:
+        """Return the engines where a run without any event would surely begin sooner.
+
+        Its place in a queue is worth more than a guess that another engine is free, so
+        a run of this node must have begun there at once. If the run's engine has sent
+        this node nothing for SILENT_ENGINE_S, it may be stuck, and much free capacity
+        elsewhere is enough while no engine refuses runs.
+        """
+        state = self._targets.get(run.engine)
+        heard_at_s = run.started_s
+        if state is not None:
+            heard_at_s = max(heard_at_s, state.measured_at_s)
+        is_suspect = now_s - heard_at_s >= SILENT_ENGINE_S
+        may_guess = is_suspect and not self.is_contended(now_s)
+        return [
+            engine
+            for engine in engines
+            if self._queues.has_started_promptly(engine.name, now_s)
+            or (may_guess and engine.available * 2 >= engine.concurrency)
+        ]
+
     def _is_silent(self, run: CurrentRun, now_s: float) -> bool:
         usual_s = self._targets.median_event_s(run.engine) or DEFAULT_EVENT_S
         return run.compute_silence_s(now_s) >= max(
--- a/src/tamarackshelf/policy/engine_queue.py
+++ b/src/tamarackshelf/policy/engine_queue.py
@@ -63,6 +63,11 @@
     def record_refusal(self, engine: str, rng: Random, now_s: float) -> None:
         """Record that a full engine refused a run, so that it gets none for a while."""
         self._contended_at_s = now_s
+        self._refusals = {
+            name: refusal
+            for name, refusal in self._refusals.items()
+            if now_s - refusal[1] < CONTENTION_MEMORY_S
+        }
         count, until_s = self._refusals.get(engine, (0, now_s))
         if count and now_s < until_s:
             # The run was sent before an earlier one was refused.
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -464,6 +464,20 @@
     run_scenario(scenario)
 
 
+def test_run_leaves_an_engine_that_sends_nothing_for_an_idle_one(run_scenario):
+    """A stuck engine looks like a full one, and no run began elsewhere lately."""
+
+    async def scenario(cluster):
+        job = await submit(cluster, job=build_job(items=1))
+        while not cluster.engines.runs:
+            await asyncio.sleep(0.001)
+        cluster.engines.silent.add(cluster.engines.runs[0][1])
+        async with asyncio.timeout(2.3):
+            check_results(await read_all_results(cluster, "a", job), job)
+
+    run_scenario(scenario)
+
+
 def test_no_more_runs_are_sent_to_an_engine_while_it_queues_one(run_scenario):
     """Other owners filled an engine after its last report, which shows it as free."""
 
