--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import re
+from dataclasses import replace
 
 import pytest
 
@@ -426,6 +427,29 @@
     run_scenario(scenario)
 
 
+@pytest.mark.parametrize(("due_s", "long_first"), [(7.5, 12), (3.0, 4)])
+def test_short_groups_start_first_when_little_time_is_left(
+    run_scenario, due_s, long_first
+):
+    """Slots are too few for a late step; none of its groups was complete in time."""
+
+    async def scenario(cluster):
+        job = build_job(items=24)
+        items = [
+            replace(item, group="ab"[n % 2], expected_tokens=(2000, 100)[n % 2])
+            for n, item in enumerate(job.items)
+        ]
+        job = replace(job, items=tuple(items), group_count=2)
+        due_at_s = asyncio.get_running_loop().time() + due_s
+        await cluster.nodes["a"].job_manager.submit(job, due_at_s)
+        await asyncio.sleep(0.05)
+        first = {item_id for item_id, _, _ in cluster.engines.runs}
+        assert len(first) == 16
+        assert sum(i.item_id in first for i in items if i.group == "a") == long_first
+
+    run_scenario(scenario)
+
+
 def test_run_stays_in_a_queue_when_nothing_shows_that_another_engine_is_free(
     run_scenario,
 ):
@@ -440,6 +464,20 @@
     run_scenario(scenario)
 
 
+def test_run_leaves_an_engine_that_sends_nothing_for_an_idle_one(run_scenario):
+    """A stuck engine looks like a full one, and no run began elsewhere lately."""
+
+    async def scenario(cluster):
+        job = await submit(cluster, job=build_job(items=1))
+        while not cluster.engines.runs:
+            await asyncio.sleep(0.001)
+        cluster.engines.silent.add(cluster.engines.runs[0][1])
+        async with asyncio.timeout(2.3):
+            check_results(await read_all_results(cluster, "a", job), job)
+
+    run_scenario(scenario)
+
+
 def test_no_more_runs_are_sent_to_an_engine_while_it_queues_one(run_scenario):
     """Other owners filled an engine after its last report, which shows it as free."""
 
