--- a/tests/duties/test_scaling.py
+++ b/tests/duties/test_scaling.py
@@ -29,7 +29,7 @@
 from tests.support.node import HOST, FakeFleet, build_configuration, build_target
 
 LEASE_S = 3.0
-SCALING = Scaling(1, 9, 4.0, 0.18, {"a": 1.0, "b": 1.2})
+SCALING = Scaling(1, 40, 4.0, 0.18, {"a": 1.0, "b": 1.2})
 NAMES = "uvw"
 
 
@@ -159,6 +159,8 @@
 
     def __init__(self, observations):
         self.observations = observations
+        # The store as each node reaches it.
+        self.clients = {}
         self.error = None
         self.calls = []
         self.standing = Counter()
@@ -195,13 +197,14 @@
         settings = DutySettings(address, 50.0, False, True, True, 5.0, 10.0)
         for name, each in seen.items():
             each.add_job(0.5, items=480)
+            platform.clients[name] = store.connect()
 
             def build_decider(service, each=each):
                 return ServiceDecider(service, each.observer, each.metrics)
 
             duties[name] = WorkerOrderDuty(
                 settings,
-                FailoverStore(store.connect(), each.timeline),
+                FailoverStore(platform.clients[name], each.timeline),
                 platform,
                 lambda each=each: each.configuration,
                 build_decider,
@@ -271,12 +274,34 @@
         platform.error = error
         await asyncio.sleep(60.0)
         assert 8 <= len(platform.calls) <= 40
+        pool = platform.calls[0][2]
+        first_s, second_s = [at_s for at_s, _, p, _ in platform.calls if p == pool][:2]
+        # Before an accepted order would have had its effect.
+        assert second_s - first_s < SCALING.startup_s
         text = seen[FIRST].metrics.render().decode()
         assert "tamarackshelf_worker_orders_failed_total{" in text
 
     run_nodes(run, scenario)
 
 
+def test_nothing_is_sent_while_the_store_refuses_the_holder(run):
+    """Guards against orders of a node that cannot know that it is the holder."""
+
+    async def scenario(platform, seen, duties, dead):
+        await asyncio.sleep(15.0)
+        sent = len(platform.calls)
+        platform.clients[FIRST].is_refused = True
+        for each in seen.values():
+            each.add_job(0.0, items=700)
+        await asyncio.sleep(10.0)
+        assert len(platform.calls) == sent
+        platform.clients[FIRST].is_refused = False
+        await asyncio.sleep(40.0)
+        assert len(platform.calls) > sent
+
+    run_nodes(run, scenario)
+
+
 def test_service_that_loses_its_scaling_gets_no_more_orders(run):
     """Guards against orders, and wanted numbers, after the bounds were removed."""
 
