--- a/src/tamarackshelf/duties/scaling.py
+++ b/src/tamarackshelf/duties/scaling.py
@@ -32,6 +32,11 @@
 # A worker that failed this often in a row, without a success, does not serve. A single
 # fault may be the network's, and ends a fraction of a second later.
 FAULTS_TO_REPLACE = 3
+# Workers list themselves one after the other when a fleet starts. An order names a
+# total, so one from a list that is still filling would end the workers that it lacks.
+SETTLE_S = 6.0
+# A service without a listed worker for this long has none.
+EMPTY_SETTLE_S = 30.0
 # A node cannot count what others lose. A service counts as losing this many requests a
 # second if all its targets refused this node within the last moments, or if its engines
 # are full and a job is late.
@@ -48,12 +53,23 @@
         get_configuration: Callable[[], RoutingConfiguration | None],
         get_route_table: Callable[[], RouteTable | None],
         now_store_ms: Callable[[], int | None],
+        settle_s: float = SETTLE_S,
+        empty_settle_s: float = EMPTY_SETTLE_S,
     ) -> None:
+        """Observe a node.
+
+        The list of a service's workers counts as current `settle_s` after the first
+        one was listed, or without any after `empty_settle_s`.
+        """
+        self._settle_s, self._empty_settle_s = settle_s, empty_settle_s
         self._targets = targets
         self._heads = heads
         self._get_configuration = get_configuration
         self._get_route_table = get_route_table
         self._now_store_ms = now_store_ms
+        # By service: the time of the first look, and of the first listed worker.
+        self._observed_since_s: dict[str, float] = {}
+        self._listed_since_s: dict[str, float] = {}
 
     def read_inputs(self, name: str) -> ScalingInputs:
         """Return what this node sees of a service now."""
@@ -62,8 +78,10 @@
         if service is None:
             return ScalingInputs(None)
         states = self._targets.list_targets([name])
-        is_current = self._targets.is_list_current() and all(
-            state.missing_since_s is None for state in states
+        is_current = (
+            self._targets.is_list_current()
+            and all(state.missing_since_s is None for state in states)
+            and self._has_settled(name, bool(states))
         )
         return ScalingInputs(
             service.scaling,
@@ -72,6 +90,17 @@
             0.0 if is_current else math.inf,
         )
 
+    def _has_settled(self, name: str, is_listed: bool) -> bool:
+        """Return whether the workers of a service have had time to list themselves."""
+        now_s = _now_s()
+        observed_s = self._observed_since_s.setdefault(name, now_s)
+        if is_listed:
+            self._listed_since_s.setdefault(name, now_s)
+        listed_s = self._listed_since_s.get(name)
+        if listed_s is None:
+            return now_s - observed_s >= self._empty_settle_s
+        return now_s - listed_s >= self._settle_s
+
     def _measure_load(
         self, service: Service, states: Sequence[TargetState]
     ) -> OfferedLoad:
--- a/tests/duties/test_scaling.py
+++ b/tests/duties/test_scaling.py
@@ -11,7 +11,12 @@
 import pytest
 
 from tamarackshelf.contracts.duties import DutyCallFailed, OrderUnavailable
-from tamarackshelf.duties.scaling import LoadObserver, ServiceDecider
+from tamarackshelf.duties.scaling import (
+    EMPTY_SETTLE_S,
+    SETTLE_S,
+    LoadObserver,
+    ServiceDecider,
+)
 from tamarackshelf.duties.worker_orders import WorkerOrderDuty
 from tamarackshelf.node.settings import DutySettings
 from tamarackshelf.node.targets import TargetRegistry
@@ -36,7 +41,9 @@
 class Observation:
     """Targets, job heads and configuration of one node, and what is read of them."""
 
-    def __init__(self, service="models", scaling=SCALING):
+    def __init__(
+        self, service="models", scaling=SCALING, settle_s=0.0, empty_settle_s=0.0
+    ):
         self.timeline, self.metrics = Timeline("n", lambda: 0), Metrics()
         self.targets = TargetRegistry(
             self.timeline, lambda: -math.inf, random.Random(1)
@@ -53,6 +60,8 @@
             lambda: self.configuration,
             lambda: RouteTable(self.configuration),
             lambda: self.now_ms,
+            settle_s,
+            empty_settle_s,
         )
 
     def list_workers(self, counts, service="models"):
@@ -116,6 +125,28 @@
     run(scenario())
 
 
+def test_nothing_is_ordered_while_the_workers_list_themselves(run):
+    """Guards against an order of the minimum from an empty or half-filled list.
+
+    An order names a total, so such an order ended 16 of 19 workers of a day.
+    """
+
+    async def scenario():
+        seen = Observation(settle_s=SETTLE_S, empty_settle_s=EMPTY_SETTLE_S)
+        decider = ServiceDecider("models", seen.observer, seen.metrics)
+        loop = asyncio.get_running_loop()
+        assert decider.decide(loop.time()) == ()
+        for count in (2, 5, 9):
+            await asyncio.sleep(1.0)
+            seen.list_workers({WorkerPool("a"): count, WorkerPool("b"): count})
+            assert decider.decide(loop.time()) == ()
+        await asyncio.sleep(SETTLE_S)
+        orders = decider.decide(loop.time())
+        assert all(o.count >= 9 for o in orders if not o.pool.is_preemptible)
+
+    run(scenario())
+
+
 def test_worker_that_keeps_failing_does_not_count_as_serving(run):
     """Guards against a replacement after one lost connection, and against none."""
 
