--- a/src/tamarackshelf/net/http_server.py
+++ b/src/tamarackshelf/net/http_server.py
@@ -60,6 +60,8 @@
 ACCEPT_QUIET_S = 0.2
 # Retry delay for a client whose request found no room in the buffers.
 RETRY_AFTER_S = 0.3
+# Shorter waits end without progress of the clock when differences are rounded.
+MIN_WAIT_S = 0.001
 # Longer texts are cut; the parser's contain the line that it refuses.
 MAX_ERROR_CHARACTERS = 300
 # Connections that the system accepts before the server does.
@@ -369,7 +371,7 @@
             left_s = started_s + limits.idle_s - now_s
             if began_s is not None:
                 left_s = min(left_s, began_s + limits.head_read_s - now_s)
-            if left_s <= 0 or (is_last_read and began_s is None):
+            if left_s < MIN_WAIT_S or (is_last_read and began_s is None):
                 raise TimeoutError
             is_last_read = self._closes_when_idle and began_s is None
             if is_last_read:
