--- a/src/tamarackshelf/duties/usage_report.py
+++ b/src/tamarackshelf/duties/usage_report.py
@@ -218,7 +218,10 @@
             outcome = str(error)
             if error.may_execute:
                 self._lost_at_s[window] = _now_s()
-            if not error.is_limited and self._failing_since_s is None:
+            # A platform that takes calls but answers late is slow for all nodes, and
+            # the next holder would wait before its first call.
+            is_refusal = not (error.is_limited or error.may_execute)
+            if is_refusal and self._failing_since_s is None:
                 self._failing_since_s = _now_s()
         else:
             self._accepted.add(window)
--- a/tests/duties/test_usage.py
+++ b/tests/duties/test_usage.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from functools import partial
 
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from tamarackshelf.contracts.duties import DutyCallFailed
 from tamarackshelf.contracts.rows import StoreRefused
 from tamarackshelf.duties.lease import Lease
 from tamarackshelf.duties.usage_counts import TABLE_PATH, USAGE_SUBJECT, UsageCounts
@@ -528,3 +530,49 @@
         return page
 
     client.read = read_slowly
+
+
+def find_late_windows(nodes):
+    """Return the windows whose report was not executed within 10 s of their end."""
+    at_s = {}
+    for executed_s, _, _, body in nodes.platform.reports:
+        at_s.setdefault(json.loads(body)["window"] - FIRST_WINDOW, executed_s)
+    return [w for w in range(9) if at_s.get(w, 1e9) > (w + 1) * 5 + 10]
+
+
+@pytest.mark.parametrize("checks_fencing", [True, False])
+@pytest.mark.parametrize("fault", ["slow", "down"])
+def test_windows_are_reported_although_the_platform_is_slow_or_down(
+    run, checks_fencing, fault
+):
+    """Holders gave the lease up after 2.5 s, and each next one waited 6 s to call."""
+
+    async def scenario():
+        nodes = DutyNodes("abcd", checks_fencing=checks_fencing)
+        report = nodes.platform.report
+
+        async def report_during_fault(body, stamp):
+            now_s = asyncio.get_running_loop().time()
+            call = (stamp.holder, stamp.fencing_number, body)
+            if fault == "slow" and 10.0 <= now_s < 40.0:
+                # Executed after 2 s; the caller gives up after 1.5 s.
+                asyncio.get_running_loop().call_later(
+                    2.0, nodes.platform.execute, *call
+                )
+                await asyncio.sleep(1.5)
+                raise DutyCallFailed("no response", may_execute=True)
+            # Windows 1 and 2 are still in time for 2 s and 7 s after the outage.
+            if fault == "down" and 10.0 <= now_s < 18.0:
+                await asyncio.sleep(0.3)
+                raise DutyCallFailed("no response", may_execute=True)
+            await report(body, stamp)
+
+        nodes.platform.report = report_during_fault
+        await nodes.start()
+        await sleep_until(60.0)
+        late = find_late_windows(nodes)
+        await nodes.close()
+        nodes.platform.assert_rules()
+        assert late == []
+
+    run(scenario())
