--- a/src/tamarackshelf/duties/lease.py
+++ b/src/tamarackshelf/duties/lease.py
@@ -138,7 +138,7 @@
         self._unchanged_since_s = 0.0
         self._refused_number = -1
         self._confirmed: Stopwatch | None = None
-        self._rests_until_s = float("-inf")
+        self._claims_from_s = float("-inf")
         self._acts_allowed_at_s = 0.0
         self._last_act_at_s = float("-inf")
         self._checked_at_s = float("-inf")
@@ -160,7 +160,7 @@
             return False
         self._checked_at_s = now_s
         own = self._fleet.own
-        is_candidate = now_s >= self._rests_until_s and self._ranks_among_candidates()
+        is_candidate = now_s >= self._claims_from_s and self._ranks_among_candidates()
         if not is_candidate and self._unsettled_claim is None:
             return False
         current = await read_lease(self._store, self._subject)
@@ -196,7 +196,7 @@
         """Return whether this node is to take the lease from the holder in the row."""
         record = current.record
         self._settle_claim(current)
-        if _now_s() < self._rests_until_s:
+        if _now_s() < self._claims_from_s:
             return False
         is_given_up = not record.holder and current.version != ABSENT_VERSION
         if is_given_up and self._ranks_among_candidates():
@@ -212,12 +212,12 @@
         if await self._fleet.check_alive(record.holder, record.holder_incarnation):
             self._record_left(record, "still answers and keeps the lease")
             return False
-        if record.holder and not await self._outweighs_holder(current):
+        if record.holder and not await self._has_majority_view(current):
             self._record_left(record, "may act behind a cut and keeps the lease")
             return False
         return True
 
-    async def _outweighs_holder(self, current: StoredLease) -> bool:
+    async def _has_majority_view(self, current: StoredLease) -> bool:
         """Return whether this node reaches most nodes, or the holder makes no progress.
 
         The holder may be alive on the other side of a cut.
@@ -276,20 +276,20 @@
             self._refused_number = held.record.fencing_number
 
     async def give_up(
-        self, held: StoredLease, reason: str, rest_s: float = 0.0
+        self, held: StoredLease, reason: str, pause_s: float = 0.0
     ) -> None:
         """Release the lease once the next holder may act at once; else do nothing.
 
         Acts of two holders then never appear to alternate. This node does not claim
-        the lease again for `rest_s`. Raise RowStoreError if the store does not respond;
-        call it again then.
+        the lease again for `pause_s`. Raise RowStoreError if the store does not
+        respond; call it again then.
         """
         quiet_s = self.lease_s + self._waits.takeover_margin_s
         if _now_s() < self._last_act_at_s + quiet_s:
             return
         await release_lease(self._store, self._subject, held)
         self.held = None
-        self._rests_until_s = _now_s() + rest_s
+        self._claims_from_s = _now_s() + pause_s
         self._timeline.record(
             "lease_released",
             self._subject,
--- a/src/tamarackshelf/duties/usage_counts.py
+++ b/src/tamarackshelf/duties/usage_counts.py
@@ -40,8 +40,8 @@
 # A live peer answers within milliseconds.
 PEER_TIMEOUT_S = 0.5
 # Runs wait this long for the true time, which a node learns with its first message.
-UNDATED_S = 2.0
-MAX_UNDATED_RUNS = 50_000
+PENDING_S = 2.0
+MAX_PENDING_RUNS = 50_000
 # Counts are kept for this long after the end of their window, which is longer than a
 # report may be late.
 KEEP_S = 30.0
@@ -49,7 +49,7 @@
 MAX_AHEAD_S = 10.0
 # A node without new counts repeats the distance of its clock at this interval, and the
 # collectors forget one that was not repeated.
-GREETING_INTERVAL_S = 50.0
+OFFSET_INTERVAL_S = 50.0
 OFFSET_TTL_S = 120.0
 # A node whose counts no other node has accepted writes them to the store this long
 # after the window's end, which is before the decision.
@@ -99,7 +99,7 @@
         self._clock = clock
         self._window_s = window_s
         # Start of each run on the event loop's clock, while its window is not known.
-        self._undated: list[tuple[float, str]] = []
+        self._pending_runs: list[tuple[float, str]] = []
         self._windows: dict[int, dict[str, int]] = {}
 
     def record_run(self, organisation: str, started_s: float) -> None:
@@ -109,7 +109,7 @@
         not counted.
         """
         if organisation:
-            self._undated.append((started_s, organisation))
+            self._pending_runs.append((started_s, organisation))
 
     def list_windows(self) -> Mapping[int, Mapping[str, int]]:
         """Return the cumulative counts of the recent windows."""
@@ -121,20 +121,20 @@
 
     def _date_runs(self) -> None:
         """Add the recent runs to their windows, once the true time is known."""
-        if not self._undated:
+        if not self._pending_runs:
             return
         is_due = (
             self._clock.is_adjusted
-            or len(self._undated) > MAX_UNDATED_RUNS
-            or _now_s() - self._undated[0][0] > UNDATED_S
+            or len(self._pending_runs) > MAX_PENDING_RUNS
+            or _now_s() - self._pending_runs[0][0] > PENDING_S
         )
         if not is_due:
             return
-        for started_s, organisation in self._undated:
+        for started_s, organisation in self._pending_runs:
             window = find_window(self._clock.to_true_s(started_s), self._window_s)
             counts = self._windows.setdefault(window, {})
             counts[organisation] = counts.get(organisation, 0) + 1
-        self._undated.clear()
+        self._pending_runs.clear()
 
 
 class UsageCollector:
@@ -202,7 +202,7 @@
 class _CollectorState:
     """What a collector has accepted of this node's counts."""
 
-    greeted_at_s: float = float("-inf")
+    offset_sent_at_s: float = float("-inf")
     has_failed: bool = False
     accepted: dict[int, dict[str, int]] = field(default_factory=dict)
 
@@ -305,8 +305,8 @@
             (record.vm, record.incarnation), _CollectorState()
         )
         changed = {w: c for w, c in windows.items() if state.accepted.get(w) != c}
-        is_greeted = _now_s() - state.greeted_at_s < GREETING_INTERVAL_S
-        if is_greeted and not changed:
+        is_offset_known = _now_s() - state.offset_sent_at_s < OFFSET_INTERVAL_S
+        if is_offset_known and not changed:
             return
         message = UsageCounts(
             own.vm, own.incarnation, changed, self._clock.measure_wall_offset_s()
@@ -320,7 +320,7 @@
             self._clock.set_median(answer.median_offset_s)
         # The distance is not known before the store's first response.
         if message.wall_offset_s is not None:
-            state.greeted_at_s = _now_s()
+            state.offset_sent_at_s = _now_s()
         state.accepted = {w: c for w, c in state.accepted.items() if w in windows}
         state.accepted.update(changed)
 
--- a/src/tamarackshelf/duties/usage_report.py
+++ b/src/tamarackshelf/duties/usage_report.py
@@ -50,9 +50,9 @@
 # the window's end.
 DECIDE_LATEST_S = 6.0
 # A holder whose calls fail for this long gives the lease up, as the platform may be
-# unreachable for some nodes only, and does not claim it again for REST_S.
+# unreachable for some nodes only, and does not claim it again for RECLAIM_PAUSE_S.
 FAILING_S = 2.5
-REST_S = 12.0
+RECLAIM_PAUSE_S = 12.0
 # Nodes that take a lease that was given up.
 CANDIDATES = 4
 # Rows are kept this long, and deleted at this interval.
@@ -139,7 +139,9 @@
         self._close_windows()
         await self._mark_accepted(held)
         if self._is_failing():
-            await self._lease.give_up(held, "calls to the platform fail", REST_S)
+            await self._lease.give_up(
+                held, "calls to the platform fail", RECLAIM_PAUSE_S
+            )
         else:
             await self._send_next(held)
         await self._delete_old()
--- a/src/tamarackshelf/policy/usage.py
+++ b/src/tamarackshelf/policy/usage.py
@@ -16,8 +16,6 @@
 # off for a moment still arrive by then, and more than six seconds are left for calls.
 DECIDE_DELAY_S = 3.5
 
-# Counts by window and organisation.
-WindowCounts = Mapping[int, Mapping[str, int]]
 # A process: its VM and incarnation.
 ProcessKey = tuple[str, int]
 
@@ -72,7 +70,6 @@
     "DECIDE_DELAY_S",
     "SEND_INTERVAL_S",
     "ProcessKey",
-    "WindowCounts",
     "compute_send_interval_s",
     "find_end_s",
     "find_window",
