--- a/review/support-2/small_deployment.py
+++ b/review/support-2/small_deployment.py
@@ -77,13 +77,22 @@
         # is answered.
         self.on_commit: Callable[[str, RowTransaction], None] = lambda node, tx: None
 
-    async def start_for(self, node: str, address: Address) -> None:
-        """Listen for the calls of one node."""
+    async def start_for(
+        self, node: str, address: Address, workers_host: tuple[str, str] = ("", "")
+    ) -> None:
+        """Listen for the calls of one node.
+
+        The node sees the workers at addresses of its own, which lead to it alone:
+        `workers_host` names their common beginning in the rows and for this node.
+        """
+        listed, seen = (name.encode() for name in workers_host)
 
         async def handle(request: Request) -> Response:
             if request.path == "/v1/rows-tx":
                 return await self._commit(node, request)
-            return await self._handle(request, lambda value: value)
+            return await self._handle(
+                request, lambda value: value.replace(listed, seen) if listed else value
+            )
 
         server = HttpServer(handle)
         self._servers.append(server)
@@ -109,17 +118,26 @@
 
 
 class SmallDeployment:
-    """Nodes, a store and workers on addresses of 127.`block`."""
+    """Nodes, a store and workers on addresses of 127.`block`.
+
+    `paths` holds by node the links to all workers, which belong to it alone.
+    """
 
     def __init__(
-        self, record: Record, nodes: int = 3, engines: int = 3, slots: int = 8
+        self,
+        record: Record,
+        nodes: int = 3,
+        engines: int = 3,
+        slots: int = 8,
+        configuration: bytes | None = None,
+        memory_mb: int | None = None,
     ) -> None:
         self.record = record
         self.host = f"127.{_find_free_block()}"
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.history = History()
         self.store = ReviewStore()
-        self.store.rows.put("op", "config", build_configuration(1))
+        self.store.rows.put("op", "config", configuration or build_configuration(1))
         self.workers = [
             self._build_worker(f"e{n}", "models", slots, n) for n in range(1, engines + 1)
         ]
@@ -134,20 +152,40 @@
                 f"n{n}", f"{self.host}.1.{n}", seeds, link, self.folder
             )
         self.http = HttpClient(connect_timeout_s=1.0)
+        self.paths: dict[str, list[Proxy]] = {name: [] for name in self.nodes}
+        for n, name in enumerate(self.nodes, 1):
+            for worker in self.workers:
+                number = worker.listed_address.host.rpartition(".")[2]
+                seen = Address(f"{self.host}.{10 + n}.{number}", 7000)
+                real = Address(f"{self.host}.5.{number}", 7000)
+                self.paths[name].append(Proxy(seen, real))
+        if memory_mb is not None:
+            for node in self.nodes.values():
+                text = node._settings.read_text()
+                memory = f"limits.memoryMb={memory_mb}"
+                node._settings.write_text(text.replace("limits.memoryMb=200", memory))
 
     def _build_worker(self, name: str, service: str, slots: int, number: int) -> Worker:
-        address = Address(f"{self.host}.5.{number}", 7000)
+        address = Address(f"{self.host}.4.{number}", 7000)
         rng = random.Random(number)
         return Worker(name, service, slots, address, self.history, self.store, rng)
 
     async def start(self) -> None:
         """Start everything; raise CaseNotRun if a node is not ready within 15 s."""
         for n, (name, link) in enumerate(self.links.items(), 1):
-            await self.store.start_for(name, Address(f"{self.host}.0.{n}", 9000))
+            await self.store.start_for(
+                name,
+                Address(f"{self.host}.0.{n}", 9000),
+                (f"{self.host}.4.", f"{self.host}.{10 + n}."),
+            )
             await link.start()
+            for path in self.paths[name]:
+                await path.start()
         for worker in self.workers:
             versions = {MODEL: 1} if worker.service == "models" else {}
-            await worker.start(worker.listed_address, int(time.time() * 1000), versions)
+            number = worker.listed_address.host.rpartition(".")[2]
+            address = Address(f"{self.host}.5.{number}", 7000)
+            await worker.start(address, int(time.time() * 1000), versions)
         for node in self.nodes.values():
             node.start()
         until_s = time.monotonic() + 15.0
@@ -164,7 +202,7 @@
             node.kill()
         for worker in self.workers:
             await worker.crash()
-        for link in self.links.values():
+        for link in (*self.links.values(), *sum(self.paths.values(), [])):
             await link.close()
         await self.store.close()
         await self.http.close()
