--- a/review/support-2/small_deployment.py
+++ b/review/support-2/small_deployment.py
@@ -183,9 +183,7 @@
                 await path.start()
         for worker in self.workers:
             versions = {MODEL: 1} if worker.service == "models" else {}
-            number = worker.listed_address.host.rpartition(".")[2]
-            address = Address(f"{self.host}.5.{number}", 7000)
-            await worker.start(address, int(time.time() * 1000), versions)
+            await self.start_worker(worker, versions)
         for node in self.nodes.values():
             node.start()
         until_s = time.monotonic() + 15.0
@@ -195,6 +193,12 @@
             await asyncio.sleep(0.1)
         self.record.note(f"the nodes {', '.join(self.nodes)} are ready")
 
+    async def start_worker(self, worker: Worker, versions: dict[str, int]) -> None:
+        """Start a worker, or start it again, with these versions of its models."""
+        number = worker.listed_address.host.rpartition(".")[2]
+        address = Address(f"{self.host}.5.{number}", 7000)
+        await worker.start(address, int(time.time() * 1000), versions)
+
     async def close(self) -> None:
         """End all processes that this deployment started."""
         for node in self.nodes.values():
