--- a/review/6/case.py
+++ b/review/6/case.py
@@ -172,7 +172,7 @@
             await trial.run()
             has_moved = has_moved or len(set(trial.owners)) > 1
             print(f"positions changed: {trial.changed}, nothing at a position: {trial.lost}")
-            if trial.changed or trial.lost:
+            if trial.lost:
                 return BROKEN
             await asyncio.sleep(2.0)
         if is_troubled() and not has_moved:
