--- a/review/support-2/small_deployment.py
+++ b/review/support-2/small_deployment.py
@@ -129,6 +129,7 @@
         nodes: int = 3,
         engines: int = 3,
         slots: int = 8,
+        plain: int = 2,
         configuration: bytes | None = None,
         memory_mb: int | None = None,
     ) -> None:
@@ -141,7 +142,9 @@
         self.workers = [
             self._build_worker(f"e{n}", "models", slots, n) for n in range(1, engines + 1)
         ]
-        self.workers += [self._build_worker(f"d{n}", "desk", 6, 100 + n) for n in (1, 2)]
+        self.workers += [
+            self._build_worker(f"d{n}", "desk", 6, 100 + n) for n in range(1, plain + 1)
+        ]
         self.nodes: dict[str, NodeProcess] = {}
         self.links: dict[str, Proxy] = {}
         seeds = [f"{self.host}.1.{n}" for n in range(1, min(nodes, 3) + 1)]
