--- a/review/support-2/small_deployment.py
+++ b/review/support-2/small_deployment.py
@@ -16,6 +16,7 @@
 import sys
 import tempfile
 import time
+import traceback
 from pathlib import Path
 from typing import Any, Callable
 
@@ -134,7 +135,9 @@
         memory_mb: int | None = None,
     ) -> None:
         self.record = record
-        self.host = f"127.{_find_free_block()}"
+        # Held until the end, so that no other deployment takes the same addresses.
+        self._lock, block = _lock_free_block()
+        self.host = f"127.{block}"
         self.folder = Path(tempfile.mkdtemp(prefix="review-"))
         self.history = History()
         self.store = ReviewStore()
@@ -213,6 +216,7 @@
             await link.close()
         await self.store.close()
         await self.http.close()
+        self._lock.close()
 
     async def call(
         self,
@@ -299,12 +303,16 @@
 def run_case(case: Callable[[Record], Any], folder: Path) -> None:
     """Run a case and exit with its status."""
     record = Record(folder / "record.txt")
+    status = NOT_RUN
     try:
         status = asyncio.run(case(record))
     except CaseNotRun as error:
         record.note(f"not run: {error}")
         print(f"not run: {error}")
-        status = NOT_RUN
+    except (Exception, KeyboardInterrupt):
+        # Python would end with 1, which says that the rule was broken.
+        record.note(f"not run: {traceback.format_exc()}")
+        traceback.print_exc()
     finally:
         record.close()
     sys.exit(status)
@@ -315,13 +323,16 @@
     return os.environ.get("TROUBLE") != "0"
 
 
-def _find_free_block() -> int:
-    """Return a number of which 127.NUMBER has no listener of another run."""
+def _lock_free_block() -> tuple[socket.socket, int]:
+    """Return a number of which 127.NUMBER no other run has, and a socket that holds it."""
     for block in random.sample(range(20, 250), 230):
-        with socket.socket() as probe:
-            try:
+        lock = socket.socket()
+        try:
+            lock.bind((f"127.{block}.255.254", 8199))
+            with socket.socket() as probe:
                 probe.bind((f"127.{block}.1.1", 8144))
-            except OSError:
-                continue
-            return block
+        except OSError:
+            lock.close()
+            continue
+        return lock, block
     raise CaseNotRun("no free loopback addresses")
