Keep a node from taking the head of a job's next owner for its own

Cause: append_results repeats a write whose answer was lost. On a conflict it compared only the rows of the results. If they were there and another node had claimed the job since, it returned that node's head, and the runner went on under it. As this was the newest version, neither the feed nor the read of all heads after a freeze made the node let go.

Ruled out: the new owner's reading of the results (it reads them after its claim), and the read of heads after the freeze, which comes later than the repeated write and found nothing newer.

Change: a conflict settles a write only under the same owner, incarnation and epoch; OwnedJob refuses the head of another claim; an adoption goes on only under its own claim. results_listed has the epoch.

--- a/src/tamarackshelf/jobs/adoption.py
+++ b/src/tamarackshelf/jobs/adoption.py
@@ -14,7 +14,7 @@
 from tamarackshelf.policy.ownership import rank_owners
 from tamarackshelf.store.failover import FailoverStore
 from tamarackshelf.store.job_store import HeadChanged, JobStore, StoredHead
-from tamarackshelf.world.job import JobState
+from tamarackshelf.world.job import JobState, is_same_claim
 
 # The node that ranks first adopts an orphaned job at once; each later rank waits this
 # much longer than the one before it, which may be unable to adopt the job.
@@ -80,7 +80,7 @@
     async def _adopt(self, stored: StoredHead) -> None:
         """Claim a job, read its rows and run it on from its results and texts."""
         started_s = _now_s()
-        job_id, own = stored.job_id, self._registry.own
+        job_id = stored.job_id
         try:
             if self._registry.has_organisations():
                 stored = await self._registry.restore_organisation(stored)
@@ -107,7 +107,7 @@
             return
         self._registry.update(claimed)
         newest = self._registry.heads[job_id]
-        if newest.head.owner != own.vm:
+        if not is_same_claim(newest.head, claimed.head):
             return
         owned = OwnedJob(job, newest, listed, progress)
         if job_id not in self._runner.jobs:
--- a/src/tamarackshelf/jobs/handover.py
+++ b/src/tamarackshelf/jobs/handover.py
@@ -25,7 +25,7 @@
 from tamarackshelf.policy.ownership import rank_weighted
 from tamarackshelf.store.fleet_rows import NodeRecord
 from tamarackshelf.store.job_store import HeadChanged, JobStore, StoredHead
-from tamarackshelf.world.job import ItemResult, JobState
+from tamarackshelf.world.job import ItemResult, JobState, is_same_claim
 
 # A stopping node offers a job to this many peers, one after another.
 MAX_PEERS_TRIED = 3
@@ -73,7 +73,7 @@
             return
         # The job may have ended, or the home node have claimed it, meanwhile.
         newest = self._registry.heads.get(job.job_id, job.stored)
-        if newest.head.epoch != job.stored.head.epoch:
+        if not is_same_claim(newest.head, job.stored.head):
             return
         job.update_stored(newest)
         if outcome is HandoverOutcome.UNCERTAIN:
@@ -259,13 +259,9 @@
         self, owned: OwnedJob, current: StoredHead | None
     ) -> None:
         """Drop the job if its owner changed or it is not open; else claim it again."""
-        before = owned.stored.head
         if current is not None:
-            is_same_owner = (current.head.owner, current.head.epoch) == (
-                before.owner,
-                before.epoch,
-            )
-            if is_same_owner and current.head.state is JobState.OPEN:
+            is_unclaimed = is_same_claim(current.head, owned.stored.head)
+            if is_unclaimed and current.head.state is JobState.OPEN:
                 owned.update_stored(current)
                 await self._claim(owned)
                 return
--- a/src/tamarackshelf/jobs/owned_job.py
+++ b/src/tamarackshelf/jobs/owned_job.py
@@ -8,13 +8,14 @@
 
 from tamarackshelf.jobs.item_state import ItemStage, ItemState, StopCause
 from tamarackshelf.policy.item_placement import GroupState, rank_groups
-from tamarackshelf.store.job_store import StoredHead
+from tamarackshelf.store.job_store import HeadChanged, StoredHead
 from tamarackshelf.world.job import (
     ItemProgress,
     ItemResult,
     Job,
     JobHead,
     JobState,
+    is_same_claim,
 )
 
 
@@ -114,9 +115,15 @@
         self.unlisted.append(result)
 
     def update_stored(self, stored: StoredHead) -> None:
-        """Keep a stored head, unless a newer one has arrived meanwhile."""
-        if stored.version > self.stored.version:
-            self.stored = stored
+        """Keep a stored head, unless a newer one has arrived meanwhile.
+
+        Raise HeadChanged if it is newer and has another owner or epoch.
+        """
+        if stored.version <= self.stored.version:
+            return
+        if not is_same_claim(stored.head, self.stored.head):
+            raise HeadChanged(stored)
+        self.stored = stored
 
     def set_pending_claim(self, head: JobHead) -> None:
         """Hold back the listing of results until the store holds this head."""
@@ -124,8 +131,9 @@
         self.claim_stored.clear()
 
     def confirm_claim(self, stored: StoredHead) -> None:
-        """Set the head that the store now holds, and allow results to be listed."""
-        self.update_stored(stored)
+        """Set the claim that the store now holds, and allow results to be listed."""
+        if stored.version > self.stored.version:
+            self.stored = stored
         self.pending_claim = None
         self.claim_stored.set()
 
--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -45,7 +45,7 @@
 from tamarackshelf.store.job_store import HeadChanged, JobStore, StoredHead
 from tamarackshelf.tasks import start_task, stop_tasks
 from tamarackshelf.world import Target
-from tamarackshelf.world.job import ItemResult, JobState
+from tamarackshelf.world.job import ItemResult, JobState, is_same_claim
 from tamarackshelf.world.route import Route
 
 # Items are placed at least this often, even when nothing wakes the runner.
@@ -159,8 +159,7 @@
         if job.pending_claim is not None and stored.head == job.pending_claim:
             # The task that stored the claim must read the listed results first.
             return
-        before = job.stored.head
-        if (stored.head.owner, stored.head.epoch) != (before.owner, before.epoch):
+        if not is_same_claim(stored.head, job.stored.head):
             reason = f"{stored.head.owner} owns the job now"
             await self.drop(stored.job_id, reason, StopCause.HANDED_OVER)
             return
@@ -565,6 +564,7 @@
                 "the store holds these results",
                 first=first,
                 count=count,
+                epoch=stored.head.epoch,
                 items=",".join(result.item_id for result in batch[:count]),
                 took_ms=round((_now_s() - started_s) * 1000),
             )
@@ -586,15 +586,14 @@
                 "job_missing", job.job_id, "the store has no head of the job"
             )
             return False
-        before = job.stored.head
-        if (current.head.owner, current.head.epoch) != (before.owner, before.epoch):
-            # Dropping the job cancels this task, so the drop runs in a task of its own.
-            asyncio.get_running_loop().create_task(self.update_head(current))
+        # Dropping the job cancels this task, so each drop runs in a task of its own.
+        loop = asyncio.get_running_loop()
+        if not is_same_claim(current.head, job.stored.head):
+            loop.create_task(self.update_head(current))
             return False
         if current.head.state is not JobState.OPEN:
             reason = "a write of results met a job that is no longer open"
-            drop = self.drop(job.job_id, reason, StopCause.JOB_ENDED)
-            asyncio.get_running_loop().create_task(drop)
+            loop.create_task(self.drop(job.job_id, reason, StopCause.JOB_ENDED))
             return False
         job.update_stored(current)
         return True
--- a/src/tamarackshelf/store/job_store.py
+++ b/src/tamarackshelf/store/job_store.py
@@ -32,7 +32,13 @@
     StoreRefused,
 )
 from tamarackshelf.decoding import InvalidInput, decode_msgpack
-from tamarackshelf.world.job import ItemProgress, ItemResult, Job, JobHead
+from tamarackshelf.world.job import (
+    ItemProgress,
+    ItemResult,
+    Job,
+    JobHead,
+    is_same_claim,
+)
 
 HEAD_TABLE = "job"
 BODY_TABLE = "job-body"
@@ -179,8 +185,10 @@
 
         One call writes as many results as fit into a transaction. If they include the
         last of `results`, `completed_head` replaces the head in the same transaction.
-        The write is repeated until the store responds. Raise HeadChanged if this node
-        no longer owns the job; nothing more is then written.
+        The write is repeated until the store responds. Raise HeadChanged, and write
+        nothing more, if the job has another owner now or its head has changed. The
+        results may be stored even so: the response to the first attempt may have been
+        lost before the owner changed.
         """
         writes: list[RowWrite] = []
         count = 0
@@ -206,7 +214,11 @@
                 done = await self._store.commit(transaction)
             except RowConflict as conflict:
                 current = _find_head(stored.job_id, conflict.rows)
-                if current is not None and _holds_all(writes, conflict.rows):
+                if (
+                    current is not None
+                    and is_same_claim(current.head, stored.head)
+                    and _holds_all(writes, conflict.rows)
+                ):
                     return count, current
                 raise HeadChanged(current) from None
             except (StoreRefused, StoreOutcomeUnknown):
--- a/src/tamarackshelf/world/job.py
+++ b/src/tamarackshelf/world/job.py
@@ -81,6 +81,15 @@
     organisation: str = ""
 
 
+def is_same_claim(head: JobHead, other: JobHead) -> bool:
+    """Return whether two heads name the same owner in the same epoch."""
+    return (head.owner, head.owner_incarnation, head.epoch) == (
+        other.owner,
+        other.owner_incarnation,
+        other.epoch,
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class ModelDemand:
     """Demand of the jobs of one model for engines.
@@ -147,4 +156,5 @@
     "ModelDemand",
     "ScoreCall",
     "TextOrigin",
+    "is_same_claim",
 ]
--- a/tests/store/test_rows.py
+++ b/tests/store/test_rows.py
@@ -258,6 +258,30 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("count", [1, 44, 45, 68])
+def test_results_of_a_lost_answer_do_not_return_the_head_of_the_next_owner(run, count):
+    """The former owner took the head of its successor for its own.
+
+    It then listed results under it, at positions that the successor had filled.
+    """
+
+    async def scenario():
+        store = MemoryRowStore()
+        old, new = store.connect(), store.connect()
+        jobs, new_owner = JobStore(old, ROW_BYTES), JobStore(new, ROW_BYTES)
+        stored = await jobs.insert(build_job(items=100), build_head())
+        old.lose_answers = 1
+        results = [ItemResult(f"j1-{n}", True, "t") for n in range(count)]
+        task = asyncio.create_task(jobs.append_results(stored, 0, results))
+        await asyncio.sleep(0.01)
+        claimed = await new_owner.change_head(stored, build_head("b", 2))
+        with pytest.raises(HeadChanged) as caught:
+            await task
+        assert caught.value.current == claimed
+
+    run(scenario())
+
+
 def test_incarnation_increases_at_each_registration(run):
     async def scenario():
         client = MemoryRowStore().connect()
