Require free positions for each write of results

Cause: 45 results and their conditions passed the limit of a transaction's rows, so the write then had the head's version as its only condition.

Change: a transaction writes 44 rows at most, and each has its condition.

Before: test_results_never_replace_those_at_the_same_positions failed for 45 and 80 results. After: it passes.

--- a/src/tamarackshelf/store/job_store.py
+++ b/src/tamarackshelf/store/job_store.py
@@ -50,6 +50,9 @@
 MAX_TRANSACTION_BYTES = 600_000
 # Conditions plus writes of one transaction.
 MAX_TRANSACTION_ROWS = 90
+# Written rows of one transaction: each may have a condition, and there may be a write
+# of the head and a condition on it besides.
+MAX_WRITTEN_ROWS = (MAX_TRANSACTION_ROWS - 2) // 2
 # Results are due soon after the store is available again, so there is no backoff.
 RETRY_PAUSE_S = 0.08
 
@@ -186,7 +189,8 @@
         One call writes as many results as fit into a transaction. If they include the
         last of `results`, `completed_head` replaces the head in the same transaction.
         The write is repeated until the store responds. Raise HeadChanged, and write
-        nothing more, if the job has another owner now or its head has changed. The
+        nothing more, if the job has another owner now or its head has changed, or, with
+        the head of `stored`, if there are other results at these positions. The
         results may be stored even so: the response to the first attempt may have been
         lost before the owner changed.
         """
@@ -205,9 +209,9 @@
             writes.append(RowWrite(_head_key(stored.job_id), value))
         else:
             completed_head = None
-        if len(conditions) + len(writes) > MAX_TRANSACTION_ROWS:
-            # The condition on the head is enough to exclude other owners.
-            conditions = conditions[:1]
+        # A single result of very many rows is written as a whole or not at all, so the
+        # condition on its first row is enough.
+        conditions = conditions[: max(2, MAX_TRANSACTION_ROWS - len(writes))]
         transaction = RowTransaction(tuple(conditions), tuple(writes))
         while True:
             try:
@@ -386,8 +390,7 @@
 
 def _is_too_large(writes: Sequence[RowWrite]) -> bool:
     size = sum(len(write.value or b"") for write in writes)
-    # Half of the rows are reserved for conditions: each write may have one.
-    return size > MAX_TRANSACTION_BYTES or len(writes) > MAX_TRANSACTION_ROWS // 2
+    return size > MAX_TRANSACTION_BYTES or len(writes) > MAX_WRITTEN_ROWS
 
 
 __all__ = [
--- a/tests/store/test_rows.py
+++ b/tests/store/test_rows.py
@@ -282,6 +282,23 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("count", [1, 44, 45, 80])
+def test_results_never_replace_those_at_the_same_positions(run, count):
+    """A write of 45 results or more had no condition that its positions are free."""
+
+    async def scenario():
+        jobs = JobStore(MemoryRowStore().connect(), ROW_BYTES)
+        stored = await jobs.insert(build_job(items=100), build_head())
+        listed = ItemResult("j1-99", True, "listed")
+        await jobs.append_results(stored, 0, [listed])
+        results = [ItemResult(f"j1-{n}", True, "other") for n in range(count)]
+        with pytest.raises(HeadChanged):
+            await jobs.append_results(stored, 0, results)
+        assert await jobs.read_all_results("j1") == [listed]
+
+    run(scenario())
+
+
 def test_incarnation_increases_at_each_registration(run):
     async def scenario():
         client = MemoryRowStore().connect()
