End the repeated writes to positions that are filled

What was seen: a node whose write of results met filled positions under an unchanged head repeated it at once and without an end, so the job listed nothing more.

Cause: the conflict was taken for a changed head under which the write may be repeated. A write of this node that the store carried out late, after the node had read the results, leaves the job so.

Change: the job is dropped and adopted again, which reads the results. A write after a changed head waits 80 ms.

--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -57,6 +57,8 @@
 # weight load.
 NEXT_EVENT_TIMEOUT_S = 1.3
 FULL_ENGINE_BACKOFF_S = 0.12
+# Pause before results are written again after the job's head has changed.
+CHANGED_HEAD_PAUSE_S = 0.08
 FAILED_ITEM_DELAY_S = 0.05
 # With less time left, or while engines refuse runs, items that complete groups start
 # before longer ones. Otherwise the longest start first, which ends a step sooner that
@@ -547,14 +549,15 @@
         await job.claim_stored.wait()
         while job.unlisted:
             first, batch = len(job.listed), list(job.unlisted)
-            started_s = _now_s()
+            started_s, before = _now_s(), job.stored
             try:
                 count, stored = await self._store.append_results(
-                    job.stored, first, batch, job.build_complete_head(len(batch))
+                    before, first, batch, job.build_complete_head(len(batch))
                 )
             except HeadChanged as error:
-                if not await self._handle_head_change(job, error.current):
+                if not await self._handle_head_change(job, before, error.current):
                     return
+                await asyncio.sleep(CHANGED_HEAD_PAUSE_S)
                 continue
             job.update_stored(stored)
             self._metrics.observe_s("list_results", _now_s() - started_s)
@@ -574,12 +577,14 @@
             self._timeline.record("job_whole", job.job_id, "every item is listed")
 
     async def _handle_head_change(
-        self, job: OwnedJob, current: StoredHead | None
+        self, job: OwnedJob, before: StoredHead, current: StoredHead | None
     ) -> bool:
-        """Apply a changed head; return whether results may still be listed under it.
+        """Apply the head that a write of results met, which had `before` as condition.
 
-        The job is dropped when another node owns it now, and when it is no longer open:
-        the store may hold more of its results than this node knows of.
+        Return whether results may still be listed under it.
+        The job is dropped when another node owns it now, when it is no longer open, and
+        when its next positions are filled: the store holds, or may hold, more of its
+        results than this node knows of.
         """
         if current is None:
             self._timeline.record(
@@ -595,6 +600,11 @@
             reason = "a write of results met a job that is no longer open"
             loop.create_task(self.drop(job.job_id, reason, StopCause.JOB_ENDED))
             return False
+        if current.version == before.version:
+            # A write of this node, made before it read the results, came later.
+            reason = "the store holds other results at the next positions"
+            loop.create_task(self.drop(job.job_id, reason))
+            return False
         job.update_stored(current)
         return True
 
--- a/tests/jobs/test_jobs.py
+++ b/tests/jobs/test_jobs.py
@@ -6,6 +6,7 @@
 import re
 from dataclasses import replace
 
+import msgspec
 import pytest
 
 from tamarackshelf.contracts.targets import (
@@ -21,6 +22,7 @@
 from tamarackshelf.net.buffers import BUDGET
 from tamarackshelf.standin.row_store import MemoryRowStore
 from tamarackshelf.store.job_store import RESULT_TABLE
+from tamarackshelf.world.job import ItemResult
 from tests.support.node import Cluster, SimulatedEngines, build_job
 
 DUE_S = 7.5
@@ -342,6 +344,25 @@
     run_scenario(scenario)
 
 
+def test_results_that_come_late_to_the_store_are_not_written_again(run_scenario):
+    """The owner repeated a write to positions that its own late write had filled.
+
+    It did so without a pause and without an end.
+    """
+
+    async def scenario(cluster):
+        job = await submit(cluster)
+        late = ItemResult(job.items[3].item_id, True, "late", (1,), "score-late")
+        value = msgspec.msgpack.encode(late)
+        cluster.store.put(RESULT_TABLE, "000000.00", value, job.job_id)
+        results = await read_all_results(cluster, "a", job, within_s=6.0)
+        assert results[0] == late
+        assert sorted(r.item_id for r in results) == [i.item_id for i in job.items]
+        assert cluster.nodes["a"].event_kinds().count("job_adopted") == 1
+
+    run_scenario(scenario)
+
+
 def test_settled_job_is_dropped_from_memory_and_stays_readable(run_scenario):
     async def scenario(cluster):
         job = await submit(cluster)
