Give back a stream's place once when its caller leaves between targets

What was seen: a target had -1 streams in flight after a caller had left a resumable stream that was looking for its next target. A crash that was being looked into as the caller left was forgotten.

Cause: _relay gave the place of the lost run back although _record_failure had done so, and record_lost_answer was cancelled between the lost answer and its record.

Change: the run is counted from the target's acceptance to its loss. A lost answer whose verdict is interrupted stays unsettled, and a crash is shared in a task of its own. The isolation of a suspect is released on every path, and a cancelled run's events are closed.

--- a/src/tamarackshelf/entry/streamer.py
+++ b/src/tamarackshelf/entry/streamer.py
@@ -217,6 +217,7 @@
                 self._quarantine.record_unsettled(self._build_lost_run(stream, state))
                 self._release(stream)
                 state.in_flight -= 1
+                await events.aclose()
                 raise
             except (OutcomeUnknown, StopAsyncIteration) as error:
                 stream.may_have_run = True
@@ -307,6 +308,8 @@
         is_counted = stream.route.is_resumable and stream.last_event_id is not None
         # Stays unchanged if the caller disconnects.
         outcome = "left"
+        # Whether the run at `state` is counted there.
+        is_running = True
         try:
             yield b""
             while True:
@@ -324,24 +327,27 @@
                     self._quarantine.record_answer(stream.request)
                     return
                 except RunUnusable as error:
+                    is_running = False
                     self._record_failure(stream, state, error)
                     self._release(stream)
                     if not stream.route.is_resumable:
                         raise self._build_error(stream) from error
                 except OutcomeUnknown as error:
+                    is_running = False
                     await self._record_lost_run(stream, state, error)
                     if not stream.route.is_resumable:
                         raise self._build_error(stream) from error
                 _, events, state = await self._open_at_target(stream)
+                is_running = True
         except AnswerLost:
             outcome = "broken_off"
             raise
         finally:
-            # A stream that broke off is no longer counted in `in_flight`.
-            if outcome != "broken_off":
+            if is_running:
                 state.in_flight -= 1
-            if outcome == "left":
-                self._quarantine.record_unsettled(self._build_lost_run(stream, state))
+                if outcome == "left":
+                    lost_run = self._build_lost_run(stream, state)
+                    self._quarantine.record_unsettled(lost_run)
             self._release(stream)
             self._metrics.count(f"streams_{outcome}")
             self._timeline.record(
@@ -398,10 +404,12 @@
     ) -> None:
         """End a run without a complete response, which may have crashed its target."""
         self._record_failure(stream, state, error)
-        if isinstance(error, OutcomeUnknown):
-            run = self._build_lost_run(stream, state)
-            await self._quarantine.record_lost_answer(run, error)
-        self._release(stream)
+        try:
+            if isinstance(error, OutcomeUnknown):
+                run = self._build_lost_run(stream, state)
+                await self._quarantine.record_lost_answer(run, error)
+        finally:
+            self._release(stream)
 
     def _release(self, stream: _Stream) -> None:
         if stream.isolated_target:
--- a/src/tamarackshelf/node/quarantine.py
+++ b/src/tamarackshelf/node/quarantine.py
@@ -240,14 +240,21 @@
         )
         if self._is_leaving(run.target):
             return
-        if isinstance(error, ConnectionBroken) and await self._target_client.has_ended(
-            run.target
-        ):
-            crash = self._build_crash(run)
-            self._record(crash, "the target has ended after a lost answer")
-            await self._share(crash)
-        else:
+        has_ended = False
+        if isinstance(error, ConnectionBroken):
+            try:
+                has_ended = await self._target_client.has_ended(run.target)
+            except asyncio.CancelledError:
+                # The caller has left, but the request may have crashed the target.
+                self.record_unsettled(run)
+                raise
+        if not has_ended:
             self.record_unsettled(run)
+            return
+        crash = self._build_crash(run)
+        self._record(crash, "the target has ended after a lost answer")
+        # All nodes learn of the crash, also if the caller leaves meanwhile.
+        await asyncio.shield(self._spawn(self._share(crash)))
 
     def _settle_lost_runs(self) -> None:
         """Record the lost runs whose target has crashed, by its row in the list."""
@@ -426,10 +433,11 @@
         except RowStoreError as error:
             self._timeline.record("crash_not_deleted", self._vm, str(error))
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
+        return task
 
 
 def _now_s() -> float:
--- a/tests/entry/test_streamer.py
+++ b/tests/entry/test_streamer.py
@@ -145,6 +145,59 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("moment", ["verdict", "pause", "head", "events"])
+def test_caller_that_leaves_a_stream_that_goes_on_ends_it(run, moment):
+    """A stream that was left while it looked for a target gave one place back twice."""
+
+    class SilentTargets(FakeTargetClient):
+        async def has_ended(self, target):
+            if moment == "verdict":
+                await asyncio.sleep(30)
+            return False
+
+        async def stream(self, target, request, timeout_s, **options):
+            is_first = not self.calls
+            self.calls.append(target.name)
+            if not is_first and moment == "head":
+                await asyncio.sleep(30)
+            if not is_first and moment == "pause":
+                raise NotRun("full")
+            yield StreamHead(200, {}, True)
+            if not is_first:
+                await asyncio.sleep(30)
+            yield StreamEvent(0, b"0;")
+            raise ConnectionBroken("reset")
+
+    async def scenario():
+        targets, timeline = SilentTargets([]), Timeline("n", lambda: 0)
+        registry = TargetRegistry(timeline, lambda: float("-inf"), random.Random(3))
+        for name in ("t1", "t2", "t3"):
+            registry.put(build_target(name, "app"))
+        quarantine = build_quarantine(registry, targets)
+        streamer = build_streamer(registry, targets, quarantine, timeline)
+        request = ForwardedRequest("r", HOST, Request("POST", "/s/x"))
+        _, events = await streamer.open(request, build_route(True), 5.0)
+
+        async def read():
+            async for _ in events:
+                continue
+
+        reading = asyncio.create_task(read())
+        await asyncio.sleep(0.4)
+        called = len(targets.calls)
+        reading.cancel()
+        await asyncio.gather(reading, return_exceptions=True)
+        await asyncio.sleep(2.0)
+        assert len(targets.calls) == called
+        assert {state.in_flight for state in registry.list_targets(["app"])} == {0}
+        # Each target that may have crashed under the request is still watched.
+        lost = {run.target.name for run in quarantine._unsettled}
+        ran = targets.calls[:1] if moment == "pause" else targets.calls
+        assert lost == set(ran)
+
+    run(scenario())
+
+
 def test_stream_is_forwarded_completely(run):
     head, received, end, calls = open_stream(run, [], resumable=False)
     assert (received, end, len(calls)) == (ALL_EVENTS, "complete", 1)
