End a stream when its caller leaves, also while its target is silent

Cause: the server watched the caller's connection until the handler had returned the head. While the response waited for its next event, nothing looked at it.

Ruled out: the streamer's resumption, which is right for a caller that is there, and the target client, which ends a call whose reader is closed.

Change: the end of the connection cancels the connection's own task while a response is generated, which closes the generator and the call to the target; a peer that relays the call does the same. No task and no timer is added. A FIN counts as leaving, as it did before the head, and now also behind a further request.

--- a/src/tamarackshelf/net/http_server.py
+++ b/src/tamarackshelf/net/http_server.py
@@ -7,7 +7,7 @@
 import logging
 import os
 import socket
-from collections.abc import AsyncGenerator, Awaitable, Callable
+from collections.abc import AsyncGenerator, Awaitable, Callable, Iterator
 from dataclasses import dataclass
 from typing import cast
 
@@ -107,8 +107,10 @@
 
         `limits` are fixed limits or a function that returns the limits in force.
         `slots` bound its connections together with those of other servers.
-        `cancel_on_disconnect` cancels a handler whose client closes the connection; it
-        may be a function that returns whether to do so for a request.
+        `cancel_on_disconnect` ends a request whose client closes the connection or its
+        sending side, until its response is sent: its handler is cancelled, or the
+        generator of its response. It may be a function that returns whether to do so
+        for a request.
         """
         self._handler = handler
         self._limits = _build_limits_source(limits)
@@ -253,6 +255,8 @@
         self._wait: asyncio.Timeout | None = None
         self._handling: asyncio.Task[Response] | None = None
         self._is_given_up = False
+        # The rest of the request's work ends when its client disconnects.
+        self._ends_on_disconnect = False
         self._is_disconnected = False
         self._is_reading_body = False
         self._is_slow_reader_allowed = False
@@ -409,11 +413,12 @@
         # Pipelined requests stay in the reader, which holds few of them, until this one
         # is answered.
         self._reader.on_data = self._buffer.count
-        if cancels(request) if callable(cancels) else cancels:
-            self._reader.on_end = self._cancel_if_disconnected
-            if self._reader.at_eof():
+        self._ends_on_disconnect = cancels(request) if callable(cancels) else cancels
+        if self._ends_on_disconnect:
+            self._reader.on_end = self._cancel_handler
+            if self._reader.has_ended:
                 # The handler begins first; it may answer without a wait.
-                loop.call_soon(self._cancel_if_disconnected)
+                loop.call_soon(self._cancel_handler)
         try:
             return await handler_task
         except asyncio.CancelledError:
@@ -433,13 +438,35 @@
         finally:
             self._handling = self._reader.on_data = self._reader.on_end = None
 
-    def _cancel_if_disconnected(self) -> None:
-        """Cancel the handler unless further requests arrived before the disconnect."""
-        is_lost = self._reader.exception() is not None or self._reader.at_eof()
-        if is_lost and self._handling is not None:
+    def _cancel_handler(self) -> None:
+        """Cancel the handler of a request whose client has disconnected."""
+        if self._handling is not None:
             self._is_disconnected = True
             self._handling.cancel()
 
+    @contextlib.contextmanager
+    def _cancelled_on_disconnect(self) -> Iterator[None]:
+        """Cancel this task at its next wait in the block once the client disconnects.
+
+        The connection's own task is cancelled, so a response costs no further one.
+        """
+        task = asyncio.current_task()
+        assert task is not None
+
+        def cancel() -> None:
+            # The end may be reported again while the block is left.
+            self._reader.on_end = None
+            task.cancel()
+
+        if self._ends_on_disconnect:
+            self._reader.on_end = cancel
+            if self._reader.has_ended:
+                cancel()
+        try:
+            yield
+        finally:
+            self._reader.on_end = None
+
     async def _read_body(self) -> bytes | None:
         """Return the body, or None if it is too long.
 
@@ -538,10 +565,11 @@
             return
         chunks = response.body
         try:
-            self._write(head)
-            async for chunk in chunks:
-                self._write(h11.Data(data=chunk))
-                await self._drain()
+            with self._cancelled_on_disconnect():
+                self._write(head)
+                async for chunk in chunks:
+                    self._write(h11.Data(data=chunk))
+                    await self._drain()
         except (ShelfError, ConnectionError):
             self._break_off()
             raise ConnectionError("the handler's response failed midway") from None
--- a/src/tamarackshelf/net/streams.py
+++ b/src/tamarackshelf/net/streams.py
@@ -34,14 +34,16 @@
 class WatchedReader(asyncio.StreamReader):
     """Reader that holds about READ_SIZE_BYTES at most and reports what arrives.
 
-    `on_data` is called with the size of data, `on_end` when no more will arrive. The
-    server thereby learns of a disconnect without reading further requests.
+    `on_data` is called with the size of data, `on_end` when no more will arrive, and
+    `has_ended` is set then, also while data waits to be read. The server thereby learns
+    of a disconnect without reading further requests.
     """
 
     def __init__(self) -> None:
         super().__init__(limit=READER_LIMIT_BYTES)
         self.on_data: Callable[[int], None] | None = None
         self.on_end: Callable[[], None] | None = None
+        self.has_ended = False
 
     def feed_data(self, data: bytes) -> None:  # type: ignore[override]
         """Add data, and report its size."""
@@ -52,12 +54,15 @@
     def feed_eof(self) -> None:
         """Note and report the end of the data."""
         super().feed_eof()
-        if self.on_end is not None:
-            self.on_end()
+        self._report_end()
 
     def set_exception(self, exc: Exception) -> None:
         """Note and report that the connection is lost."""
         super().set_exception(exc)
+        self._report_end()
+
+    def _report_end(self) -> None:
+        self.has_ended = True
         if self.on_end is not None:
             self.on_end()
 
--- a/tests/node/test_target_relay.py
+++ b/tests/node/test_target_relay.py
@@ -10,7 +10,13 @@
 import pytest
 
 from tamarackshelf.contracts.targets import CallKind, TargetCall, TargetRecord
-from tamarackshelf.net import ConnectionLost, HttpClient, HttpServer, Request
+from tamarackshelf.net import (
+    ConnectionLost,
+    HttpClient,
+    HttpServer,
+    Request,
+    Response,
+)
 from tamarackshelf.node.peer_api import is_target_call
 from tamarackshelf.node.target_relay import (
     TARGET_CALL_PATH,
@@ -22,6 +28,7 @@
 )
 from tamarackshelf.node.targets import TargetRegistry
 from tamarackshelf.observe import Metrics, Timeline
+from tamarackshelf.tasks import begin
 from tamarackshelf.world import Target, TargetKind
 from tests.conftest import find_free_address
 from tests.support.node import build_paths
@@ -178,6 +185,39 @@
             await ended.wait()
 
 
+async def test_caller_that_leaves_a_relayed_stream_ends_it_at_the_target():
+    """A peer noticed that its caller had left only when the target sent more."""
+    ended = asyncio.Event()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(HEAD + chunk(b"one"))
+        with contextlib.suppress(ConnectionError):
+            await reader.read()
+        ended.set()
+
+    async with run_relay(serve) as (http, peer, target, _):
+
+        async def answer(request):
+            async def relay():
+                async with open_relayed(http, peer, target, CALL) as response:
+                    yield b""
+                    async for piece in response.chunks():
+                        yield piece
+
+            return Response(200, await begin(relay()))
+
+        entry = HttpServer(answer, cancel_on_disconnect=True)
+        address = await entry.start(find_free_address())
+        reader, writer = await asyncio.open_connection(address.host, address.port)
+        writer.write(b"GET / HTTP/1.1\r\nhost: a\r\n\r\n")
+        await reader.readuntil(b"one")
+        writer.close()
+        async with asyncio.timeout(HANG_UP_LIMIT_S):
+            await ended.wait()
+        await entry.abort()
+
+
 @pytest.mark.parametrize(
     ("options", "error"),
     [
