End a completion without a key when its caller leaves the gateway

What was seen: completions without an idempotency key ran on after their callers had left, although they are to be cancelled then.

Change: the server ends such requests with their callers.

Before: test_caller_that_leaves_ends_only_a_request_without_a_key failed for a stream without a key when only the server watched. After: it passes.

--- a/src/tamarackshelf/gateway/completions.py
+++ b/src/tamarackshelf/gateway/completions.py
@@ -230,10 +230,21 @@
     ) -> Response:
         chunks = stream.follow()
         # An error before the first chunk can still be sent with its own HTTP status.
-        first = await anext(chunks, None)
+        try:
+            first = await anext(chunks, None)
+        except BaseException:
+            if task is not None:
+                task.cancel()
+            raise
         return Response(200, _encode_events(first, chunks, task), "text/event-stream")
 
 
+def is_unkeyed_completion(request: Request) -> bool:
+    """Return whether a request is a completion that ends when its caller leaves."""
+    is_completion = request.path.rstrip("/").endswith("/completions")
+    return is_completion and not request.headers.get("idempotency-key")
+
+
 async def _encode_events(
     first: Chunk | None,
     chunks: AsyncIterator[Chunk],
@@ -276,4 +287,9 @@
         raise BadRequest(f"max_tokens is not between 1 and {MAX_TOKENS}; change it")
 
 
-__all__ = ["CompletionBody", "CompletionReply", "CompletionApi"]
+__all__ = [
+    "CompletionApi",
+    "CompletionBody",
+    "CompletionReply",
+    "is_unkeyed_completion",
+]
--- a/src/tamarackshelf/gateway/program.py
+++ b/src/tamarackshelf/gateway/program.py
@@ -10,7 +10,7 @@
 from tamarackshelf.gateway.api import ApiComponents, GatewayApi
 from tamarackshelf.gateway.at_most_once import AtMostOnceExecutor
 from tamarackshelf.gateway.calls import CallApi
-from tamarackshelf.gateway.completions import CompletionApi
+from tamarackshelf.gateway.completions import CompletionApi, is_unkeyed_completion
 from tamarackshelf.gateway.key_registry_client import KeyRegistryClient
 from tamarackshelf.gateway.operators import OperatorApi
 from tamarackshelf.gateway.peer_api import build_handlers
@@ -98,7 +98,9 @@
             metrics=self._runtime.metrics,
         )
         self._api = GatewayApi(self.watch, components, settings.valid_for_s)
-        self._server = HttpServer(self._api.handle)
+        self._server = HttpServer(
+            self._api.handle, cancel_on_disconnect=is_unkeyed_completion
+        )
         handlers = build_handlers(self._runtime.dispatcher, cache, registry)
         self._rpc_server = RpcServer(handlers, settings.secret)
 
--- a/tests/gateway/test_reattach.py
+++ b/tests/gateway/test_reattach.py
@@ -13,11 +13,16 @@
 from tamarackshelf.errors import KeyConflict, ShelfError
 from tamarackshelf.gateway.answers import AnswerCache, KeyRegistry
 from tamarackshelf.gateway.caller import Caller
-from tamarackshelf.gateway.completions import CompletionApi, CompletionReply
+from tamarackshelf.gateway.completions import (
+    CompletionApi,
+    CompletionReply,
+    is_unkeyed_completion,
+)
 from tamarackshelf.gateway.key_registry_client import KeyRegistryClient
 from tamarackshelf.gateway.peer_api import build_handlers
-from tamarackshelf.net import Request
+from tamarackshelf.net import HttpServer, Request
 from tamarackshelf.policy.ownership import rank_owners
+from tests.conftest import find_free_address
 from tests.support.fleet import MODEL, FakeViewWatch, MemoryFleet
 from tests.support.memory import MemoryRpc
 
@@ -146,6 +151,29 @@
     run(scenario())
 
 
+@pytest.mark.parametrize("is_stream", [False, True])
+@pytest.mark.parametrize("key", ["", KEY])
+async def test_caller_that_leaves_ends_only_a_request_without_a_key(is_stream, key):
+    """The gateway noticed that a caller had left only when it wrote to it."""
+    _, engine, gateways = build_gateways()
+    engine.faults.delay_s = 30.0
+
+    async def handle(request):
+        return await gateways[1].serve(key, stream=is_stream)
+
+    server = HttpServer(handle, cancel_on_disconnect=is_unkeyed_completion)
+    address = await server.start(find_free_address())
+    _, writer = await asyncio.open_connection(address.host, address.port)
+    head = "POST /v1/services/models/completions HTTP/1.1\r\nhost: a\r\n"
+    writer.write(f"{head}idempotency-key: {key}\r\n\r\n".encode())
+    await asyncio.sleep(0.2)
+    assert len(gateways[1].completions._tasks) == 1
+    writer.close()
+    await asyncio.sleep(0.4)
+    assert len(gateways[1].completions._tasks) == (1 if key else 0)
+    await server.abort()
+
+
 def test_stream_ends_with_an_end_event(run):
     async def scenario():
         _, _, gateways = build_gateways()
