Take no response with a status outside HTTP for an answer

What callers saw: 600, 700 and 999 of a worker in trouble reached them as answers, with its signature (MIXED). 000 to 199 and malformed statuses did not.

Cause: the client took each status that its parser accepts, 200 to 999, and the status that a peer relays was not checked at all.

Ruled out: a check in the forwarder and the streamer, as items, scores, orders, reports, the store and peers take a status from the same client.

Change: HttpClient.stream and the head that a peer relays require 200 to 599.

--- a/src/tamarackshelf/net/http_client.py
+++ b/src/tamarackshelf/net/http_client.py
@@ -11,7 +11,7 @@
 import h11
 
 from tamarackshelf.net.buffers import BuffersFull, hold
-from tamarackshelf.net.http_types import Headers, encode_headers
+from tamarackshelf.net.http_types import Headers, encode_headers, is_final_status
 from tamarackshelf.net.sockets import limit_receive_buffer, set_keep_alive
 from tamarackshelf.net.streams import (
     READ_SIZE_BYTES,
@@ -181,6 +181,9 @@
                     # The request was sent before, so it may have run.
                     raise ConnectionLost(str(error)) from error
                 response = await connection.send(head, body, deadline_s, request_id)
+            if not is_final_status(response.status):
+                response.disable_reuse()
+                raise ConnectionLost(f"{response.status} is not a status of HTTP")
             if delay_s:
                 await asyncio.sleep(delay_s)
             response.max_body_bytes = self._max_body_bytes
--- a/src/tamarackshelf/net/http_types.py
+++ b/src/tamarackshelf/net/http_types.py
@@ -74,6 +74,11 @@
     return True
 
 
+def is_final_status(status: int) -> bool:
+    """Return whether a status may end a response (RFC 9110, section 15)."""
+    return 200 <= status <= 599
+
+
 def to_json_response(value: object, status: int = 200) -> Response:
     """Return a response with the value encoded as JSON."""
     return Response(status=status, body=msgspec.json.encode(value))
@@ -103,6 +108,7 @@
     "Response",
     "decode_error",
     "encode_headers",
+    "is_final_status",
     "is_sendable",
     "to_error_response",
     "to_json_response",
--- a/src/tamarackshelf/node/target_relay.py
+++ b/src/tamarackshelf/node/target_relay.py
@@ -22,6 +22,7 @@
     ResponseOverdue,
     StreamedResponse,
     collect,
+    is_final_status,
 )
 from tamarackshelf.node.targets import TargetRegistry
 from tamarackshelf.observe import Metrics, Timeline
@@ -159,10 +160,13 @@
 def _decode_head(peer: Address, headers: dict[str, str]) -> tuple[int, dict[str, str]]:
     """Decode the head of the target's response; raise ConnectionLost if it is none."""
     try:
-        head = base64.b64decode(headers.get(HEAD_HEADER, ""))
-        return decode_msgpack(head, tuple[int, dict[str, str]])
+        encoded = base64.b64decode(headers.get(HEAD_HEADER, ""))
+        head = decode_msgpack(encoded, tuple[int, dict[str, str]])
     except ValueError as error:
         raise ConnectionLost(f"{peer} relayed an unreadable head: {error}") from error
+    if not is_final_status(head[0]):
+        raise ConnectionLost(f"{peer} relayed {head[0]}, which is not a status of HTTP")
+    return head
 
 
 async def ask_for_verdict(
