Take an unknown answer of a peer for one that promises nothing

Cause: the peer's server answers 504 without the header that names the outcome, and each answer without it counted as "not sent". A commit through a peer counted as refused after each status but 200, and a job that was handed over too.

Ruled out: the peer's eviction of its largest buffer, which answers truthfully.

Change: one table names the statuses with which a peer promises that it has not acted; after any other one the call may have run, the commit may be done and the peer may have the job.

--- a/src/tamarackshelf/jobs/runner.py
+++ b/src/tamarackshelf/jobs/runner.py
@@ -581,10 +581,10 @@
     ) -> bool:
         """Apply the head that a write of results met, which had `before` as condition.
 
-        Return whether results may still be listed under it.
-        The job is dropped when another node owns it now, when it is no longer open, and
-        when its next positions are filled: the store holds, or may hold, more of its
-        results than this node knows of.
+        Return whether results may still be listed under it. The job is dropped when
+        another node owns it now, when it is no longer open, and when its next positions
+        are filled: the store holds, or may hold, more of its results than this node
+        knows of.
         """
         if current is None:
             self._timeline.record(
--- a/src/tamarackshelf/net/http_server.py
+++ b/src/tamarackshelf/net/http_server.py
@@ -255,7 +255,7 @@
         self._wait: asyncio.Timeout | None = None
         self._handling: asyncio.Task[Response] | None = None
         self._is_given_up = False
-        # The rest of the request's work ends when its client disconnects.
+        # Whether the request in progress ends when its client disconnects.
         self._ends_on_disconnect = False
         self._is_disconnected = False
         self._is_reading_body = False
--- a/src/tamarackshelf/node/peer_jobs.py
+++ b/src/tamarackshelf/node/peer_jobs.py
@@ -10,6 +10,7 @@
 
 from tamarackshelf.decoding import InvalidInput, decode_msgpack
 from tamarackshelf.net import ConnectFailed, ConnectionLost, HttpClient
+from tamarackshelf.node.peer_statuses import is_not_carried_out
 from tamarackshelf.store.job_store import StoredHead
 from tamarackshelf.world import Address
 from tamarackshelf.world.job import ItemProgress, ItemResult, Job
@@ -100,8 +101,11 @@
         return HandoverOutcome.REFUSED
     except ConnectionLost:
         return HandoverOutcome.UNCERTAIN
-    is_accepted = answer.status == 200
-    return HandoverOutcome.TAKEN if is_accepted else HandoverOutcome.REFUSED
+    if answer.status == 200:
+        return HandoverOutcome.TAKEN
+    if answer.status == 409 or is_not_carried_out(answer.status):
+        return HandoverOutcome.REFUSED
+    return HandoverOutcome.UNCERTAIN
 
 
 async def read_from_owner(
--- a/src/tamarackshelf/node/peer_store.py
+++ b/src/tamarackshelf/node/peer_store.py
@@ -23,6 +23,7 @@
 )
 from tamarackshelf.decoding import InvalidInput, decode_msgpack
 from tamarackshelf.net import ConnectFailed, ConnectionLost, HttpClient, Response
+from tamarackshelf.node.peer_statuses import is_not_carried_out
 from tamarackshelf.store.failover import FailoverStore
 from tamarackshelf.world import Address
 
@@ -124,7 +125,10 @@
             self._http.close_idle_connections(self._address)
             raise StoreOutcomeUnknown(str(error)) from error
         if answer.status != 200:
-            raise StoreRefused(f"peer {self._address} answered status {answer.status}")
+            reason = f"peer {self._address} answered status {answer.status}"
+            if is_not_carried_out(answer.status):
+                raise StoreRefused(reason)
+            raise StoreOutcomeUnknown(reason)
         try:
             relayed = decode_msgpack(answer.body, RelayAnswer)
         except InvalidInput as error:
--- a/src/tamarackshelf/node/target_relay.py
+++ b/src/tamarackshelf/node/target_relay.py
@@ -8,6 +8,7 @@
 import enum
 from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable
 from dataclasses import dataclass
+from typing import NoReturn
 
 import msgspec
 
@@ -24,6 +25,7 @@
     collect,
     is_final_status,
 )
+from tamarackshelf.node.peer_statuses import is_not_carried_out
 from tamarackshelf.node.targets import TargetRegistry
 from tamarackshelf.observe import Metrics, Timeline
 from tamarackshelf.tasks import begin
@@ -42,6 +44,7 @@
 SILENCE_S = 5.0
 # Calls that a node relays at the same time; more would take its memory and link.
 MAX_RELAYED_CALLS = 256
+MAX_REASON_CHARACTERS = 200
 
 ResponseObserver = Callable[[Target, int, dict[str, str]], None]
 DirectOpener = Callable[
@@ -154,7 +157,10 @@
             yield RelayedStream(response, status, headers)
             return
         text = await collect(response.chunks())
-        _raise_for_outcome(peer, outcome, text.decode("utf-8", "replace"))
+        reason = text.decode("utf-8", "replace")
+        if outcome is None:
+            _raise_for_status(peer, response.status, reason)
+        _raise_for_outcome(peer, outcome, reason)
 
 
 def _decode_head(peer: Address, headers: dict[str, str]) -> tuple[int, dict[str, str]]:
@@ -307,16 +313,23 @@
     return Response(503, reason.encode(), content_type="text/plain", headers=headers)
 
 
-def _raise_for_outcome(peer: Address, outcome: str | None, reason: str) -> None:
-    if outcome is None:
-        raise PeerDeclined(f"{peer} runs a release that relays no calls")
+def _raise_for_status(peer: Address, status: int, reason: str) -> NoReturn:
+    """Raise the error of an answer that names no outcome, as the server's own do."""
+    text = f"{peer} answered status {status}: {reason[:MAX_REASON_CHARACTERS]}"
+    if is_not_carried_out(status):
+        raise PeerDeclined(text)
+    raise ConnectionLost(text)
+
+
+def _raise_for_outcome(peer: Address, outcome: str | None, reason: str) -> NoReturn:
+    """Raise the error of an outcome; one of a later release promises nothing."""
+    if outcome in (TargetCallOutcome.CUT_OFF, TargetCallOutcome.DECLINED):
+        raise PeerDeclined(f"{peer}: {reason}")
     if outcome == TargetCallOutcome.NOT_SENT:
         raise TargetNotReached(reason)
     if outcome == TargetCallOutcome.OVERDUE:
         raise ResponseOverdue(reason)
-    if outcome == TargetCallOutcome.LOST:
-        raise ConnectionLost(reason)
-    raise PeerDeclined(f"{peer}: {reason}")
+    raise ConnectionLost(reason)
 
 
 __all__ = [
--- a/tests/node/test_target_relay.py
+++ b/tests/node/test_target_relay.py
@@ -9,6 +9,11 @@
 import msgspec
 import pytest
 
+from tamarackshelf.contracts.rows import (
+    RowTransaction,
+    StoreOutcomeUnknown,
+    StoreRefused,
+)
 from tamarackshelf.contracts.targets import CallKind, TargetCall, TargetRecord
 from tamarackshelf.net import (
     ConnectionLost,
@@ -18,7 +23,10 @@
     Response,
 )
 from tamarackshelf.node.peer_api import is_target_call
+from tamarackshelf.node.peer_jobs import HandoverOutcome, JobHandover, hand_over_job
+from tamarackshelf.node.peer_store import PeerStore
 from tamarackshelf.node.target_relay import (
+    OUTCOME_HEADER,
     TARGET_CALL_PATH,
     PeerDeclined,
     RelayedCall,
@@ -28,10 +36,12 @@
 )
 from tamarackshelf.node.targets import TargetRegistry
 from tamarackshelf.observe import Metrics, Timeline
+from tamarackshelf.store.job_store import StoredHead
 from tamarackshelf.tasks import begin
 from tamarackshelf.world import Target, TargetKind
+from tamarackshelf.world.job import JobHead, JobState
 from tests.conftest import find_free_address
-from tests.support.node import build_paths
+from tests.support.node import build_job, build_paths
 
 HEAD = b"HTTP/1.1 200 OK\r\nx-stamp: s\r\ntransfer-encoding: chunked\r\n\r\n"
 CALL = TargetCall(CallKind.REQUEST, "POST", "/x", {"x-request-id": "r"}, b"b", 2.0, "r")
@@ -185,6 +195,83 @@
             await ended.wait()
 
 
+@contextlib.asynccontextmanager
+async def answer_as_peer(status, headers):
+    """Run a peer that answers each call so; yield a client and the peer's address."""
+
+    async def answer(request):
+        return Response(status, b"x", headers=headers)
+
+    peer, http = HttpServer(answer), HttpClient()
+    address = await peer.start(find_free_address())
+    try:
+        yield http, address
+    finally:
+        await http.close()
+        await peer.abort()
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "error"),
+    [
+        (404, {}, PeerDeclined),
+        (413, {}, PeerDeclined),
+        (503, {}, PeerDeclined),
+        (503, {OUTCOME_HEADER: "declined"}, PeerDeclined),
+        (503, {OUTCOME_HEADER: "cut_off"}, PeerDeclined),
+        (200, {}, ConnectionLost),
+        (500, {}, ConnectionLost),
+        (502, {}, ConnectionLost),
+        (504, {}, ConnectionLost),
+        (503, {OUTCOME_HEADER: "of a later release"}, ConnectionLost),
+    ],
+)
+async def test_relayed_call_counts_as_unsent_only_if_the_peer_says_so(
+    status, headers, error
+):
+    """A peer gave a call up for its memory and answered 504; the call ran twice."""
+    target = Target("i-1", "app", TargetKind.PLAIN, "dc", find_free_address(), 1, 8)
+    async with answer_as_peer(status, headers) as (http, peer):
+        with pytest.raises(error):
+            async with open_relayed(http, peer, target, CALL):
+                pass
+
+
+@pytest.mark.parametrize("status", [404, 413, 429, 503])
+async def test_commit_through_a_peer_is_refused_if_the_peer_says_so(status):
+    async with answer_as_peer(status, {}) as (http, peer):
+        with pytest.raises(StoreRefused):
+            await PeerStore(http, peer).commit(RowTransaction((), ()))
+
+
+@pytest.mark.parametrize("status", [201, 409, 500, 502, 504])
+async def test_commit_through_a_peer_may_be_done_if_the_peer_gives_it_up(status):
+    """A commit that a peer gave up for its memory counted as not carried out."""
+    async with answer_as_peer(status, {}) as (http, peer):
+        with pytest.raises(StoreOutcomeUnknown):
+            await PeerStore(http, peer).commit(RowTransaction((), ()))
+
+
+@pytest.mark.parametrize(
+    ("status", "outcome"),
+    [
+        (200, HandoverOutcome.TAKEN),
+        (409, HandoverOutcome.REFUSED),
+        (413, HandoverOutcome.REFUSED),
+        (503, HandoverOutcome.REFUSED),
+        (500, HandoverOutcome.UNCERTAIN),
+        (504, HandoverOutcome.UNCERTAIN),
+    ],
+)
+async def test_job_that_a_peer_may_have_taken_is_not_offered_again(status, outcome):
+    """A job was offered to another peer after a status that promises nothing."""
+    job = build_job()
+    head = JobHead("a", 1, 1, JobState.OPEN, 4, 1, job.host, job.path, job.model)
+    handover = JobHandover(job, StoredHead(job.job_id, head, 1), (), (), ())
+    async with answer_as_peer(status, {}) as (http, peer):
+        assert await hand_over_job(http, peer, handover) is outcome
+
+
 async def test_caller_that_leaves_a_relayed_stream_ends_it_at_the_target():
     """A peer noticed that its caller had left only when the target sent more."""
     ended = asyncio.Event()
