--- a/review/support-3/stand_ins.py
+++ b/review/support-3/stand_ins.py
@@ -682,10 +682,12 @@
     record.add(f"trouble={int(has_trouble())}")
 
     async def run() -> int:
-        # Connections that end with the script are no failure of it.
-        asyncio.get_running_loop().set_exception_handler(
-            lambda _, context: record.add(f"background: {context.get('message')}")
-        )
+        def report(_: object, context: dict[str, Any]) -> None:
+            # Connections that end with the script are no failure of it.
+            if not isinstance(context.get("exception"), asyncio.CancelledError):
+                record.add(f"background: {context}")
+
+        asyncio.get_running_loop().set_exception_handler(report)
         return await asyncio.wait_for(main(record), 112.0)
 
     try:
