--- a/review/11/case.py
+++ b/review/11/case.py
@@ -190,7 +190,10 @@
             engines[0].is_grey = True
             record.add("trouble: srv_grey (errors) i-e0, and node_kill n1")
             n1.kill()
-        await asyncio.sleep(4.5)
+        await asyncio.sleep(1.0)
+        if has_trouble():
+            n1.start()
+        await asyncio.sleep(3.5)
         engines[0].is_grey = False
         record.add("trouble ended")
         await asyncio.gather(*streams)
